--- /dev/null
+++ b/command.go
@@ -0,0 +1,169 @@
+package azurestair
+
+import "fmt"
+
+// Command is one change of the control state. Exactly one of its parts is set.
+// At is the leader's time when it proposed the command; replicas use no other clock.
+type Command struct {
+	At      UnixMillis    `cbor:"1,keyasint" json:"at"`
+	Config  *ConfigChange `cbor:"2,keyasint,omitempty" json:"config,omitempty"`
+	Drain   *DrainChange  `cbor:"3,keyasint,omitempty" json:"drain,omitempty"`
+	Claim   *Claim        `cbor:"4,keyasint,omitempty" json:"claim,omitempty"`
+	Finish  *ClaimFinish  `cbor:"5,keyasint,omitempty" json:"finish,omitempty"`
+	Members *MemberChange `cbor:"6,keyasint,omitempty" json:"members,omitempty"`
+}
+
+// Validate checks the command.
+func (c Command) Validate() error {
+	n := 0
+	var err error
+	check := func(set bool, validate func() error) {
+		if !set {
+			return
+		}
+		n++
+		if e := validate(); e != nil && err == nil {
+			err = e
+		}
+	}
+	check(c.Config != nil, func() error { return c.Config.Validate() })
+	check(c.Drain != nil, func() error { return c.Drain.Validate() })
+	check(c.Claim != nil, func() error { return c.Claim.Validate() })
+	check(c.Finish != nil, func() error { return c.Finish.Validate() })
+	check(c.Members != nil, func() error { return c.Members.Validate() })
+	if n != 1 {
+		return fmt.Errorf("%w: a command needs exactly one part, has %d", ErrInvalid, n)
+	}
+	return err
+}
+
+// Change names who makes a change, why, and under which id a resend is recognised.
+type Change struct {
+	ID       ChangeID     `cbor:"id" json:"changeId"`
+	Operator OperatorName `cbor:"operator" json:"operator"`
+	Reason   string       `cbor:"reason" json:"reason"`
+}
+
+// Validate checks the change.
+func (c Change) Validate() error {
+	if err := CheckName("changeId", string(c.ID)); err != nil {
+		return err
+	}
+	if err := CheckName("operator", string(c.Operator)); err != nil {
+		return err
+	}
+	return CheckReason(c.Reason)
+}
+
+// ConfigChange replaces the configuration if BaseVersion is still current.
+type ConfigChange struct {
+	Change      Change        `cbor:"change" json:"change"`
+	BaseVersion ConfigVersion `cbor:"baseVersion" json:"baseVersion"`
+	Config      Config        `cbor:"config" json:"config"`
+}
+
+// Validate checks the change and the configuration that it carries.
+func (c ConfigChange) Validate() error {
+	if err := c.Change.Validate(); err != nil {
+		return err
+	}
+	return c.Config.Validate()
+}
+
+// DrainChange takes a target out of service or returns it.
+type DrainChange struct {
+	Change  Change `cbor:"change" json:"change"`
+	Target  Target `cbor:"target" json:"target"`
+	Drained bool   `cbor:"drained" json:"drained"`
+}
+
+// Validate checks the change.
+func (d DrainChange) Validate() error {
+	if err := d.Change.Validate(); err != nil {
+		return err
+	}
+	return d.Target.Validate()
+}
+
+// MemberAction says how a MemberChange alters the membership of the log.
+type MemberAction string
+
+const (
+	// MemberAddLearner adds a replica without a vote.
+	MemberAddLearner MemberAction = "addLearner"
+	// MemberPromote gives a learner that has caught up its vote.
+	MemberPromote MemberAction = "promote"
+	// MemberRemove removes a voter or learner.
+	MemberRemove MemberAction = "remove"
+)
+
+// MemberChange records a change of the log's membership in the audit trail.
+type MemberChange struct {
+	Change   Change       `cbor:"change" json:"change"`
+	Action   MemberAction `cbor:"action" json:"action"`
+	Instance InstanceID   `cbor:"instance" json:"instance"`
+}
+
+// Validate checks the change.
+func (m MemberChange) Validate() error {
+	switch m.Action {
+	case MemberAddLearner, MemberPromote, MemberRemove:
+	default:
+		return fmt.Errorf("%w: member action %q; allowed are addLearner, promote and remove", ErrInvalid, m.Action)
+	}
+	if err := CheckName("instance", string(m.Instance)); err != nil {
+		return err
+	}
+	return m.Change.Validate()
+}
+
+// ResultCode says how a command ended.
+type ResultCode string
+
+// Codes of a Result.
+const (
+	ResultAccepted  ResultCode = "accepted"
+	ResultUnchanged ResultCode = "unchanged"
+	ResultConflict  ResultCode = "conflict"
+	ResultInvalid   ResultCode = "invalid"
+	ResultFull      ResultCode = "full"
+	ResultNotFound  ResultCode = "notFound"
+	// ResultGranted gives the claiming entry the right to send.
+	ResultGranted ResultCode = "granted"
+	// ResultHeld says that another claim under the key is in progress.
+	ResultHeld ResultCode = "held"
+	// ResultKeyReused says that the key belongs to a different request.
+	ResultKeyReused ResultCode = "keyReused"
+	// ResultRecorded says that the key has a final record.
+	ResultRecorded ResultCode = "recorded"
+)
+
+// Result is what the state machine answers to a command.
+type Result struct {
+	Code    ResultCode    `cbor:"1,keyasint" json:"code"`
+	Detail  string        `cbor:"2,keyasint,omitempty" json:"detail,omitempty"`
+	Version ConfigVersion `cbor:"3,keyasint,omitempty" json:"version,omitempty"`
+	Record  *ClaimRecord  `cbor:"4,keyasint,omitempty" json:"record,omitempty"`
+	// Diff lists what changed since the base version of a conflicting change.
+	Diff []string `cbor:"5,keyasint,omitempty" json:"diff,omitempty"`
+}
+
+// Validate checks the result.
+func (r Result) Validate() error {
+	if r.Code == "" {
+		return fmt.Errorf("%w: result without code", ErrInvalid)
+	}
+	return nil
+}
+
+// AuditRecord is one line of the audit trail.
+type AuditRecord struct {
+	Index    Index         `cbor:"index" json:"index"`
+	At       UnixMillis    `cbor:"at" json:"at"`
+	Operator OperatorName  `cbor:"operator" json:"operator"`
+	ChangeID ChangeID      `cbor:"changeId" json:"changeId"`
+	Action   string        `cbor:"action" json:"action"`
+	Reason   string        `cbor:"reason" json:"reason"`
+	Result   ResultCode    `cbor:"result" json:"result"`
+	Version  ConfigVersion `cbor:"version" json:"version"`
+}
--- /dev/null
+++ b/config.go
@@ -0,0 +1,353 @@
+package azurestair
+
+import "fmt"
+
+// Limits on the size of a configuration.
+const (
+	MaxServices   = 64
+	MaxOperations = 64
+	MaxRegions    = 16
+	MaxDomains    = 64
+	MaxExceptions = 256
+)
+
+// Config is the fleet configuration: defaults for the whole fleet and a short
+// list of exceptions, each with a written reason. A Config in use is immutable.
+type Config struct {
+	Version    ConfigVersion `cbor:"version" json:"version" toml:"version"`
+	Defaults   Defaults      `cbor:"defaults" json:"defaults" toml:"defaults"`
+	Services   []Service     `cbor:"services" json:"services" toml:"services"`
+	Regions    []Region      `cbor:"regions" json:"regions" toml:"regions"`
+	Links      []Link        `cbor:"links,omitempty" json:"links,omitempty" toml:"links"`
+	Exceptions []Exception   `cbor:"exceptions,omitempty" json:"exceptions,omitempty" toml:"exceptions"`
+}
+
+// Defaults holds the fleet-wide settings. WithDefaults replaces zero fields by
+// built-in values.
+type Defaults struct {
+	// RankFloors gives each rank its guaranteed share of slots, indexed by Rank.
+	RankFloors [NumRanks]Percent `cbor:"rankFloors" json:"rankFloors" toml:"rankFloors"`
+	// QueueLimit bounds the requests that wait at one entry, for each rank.
+	QueueLimit int `cbor:"queueLimit" json:"queueLimit" toml:"queueLimit"`
+	// RetryPercent is the share of requests that may be retried.
+	RetryPercent Percent `cbor:"retryPercent" json:"retryPercent" toml:"retryPercent"`
+	// EjectPercent is the largest share of a service's upstreams that may be ejected at once.
+	EjectPercent Percent `cbor:"ejectPercent" json:"ejectPercent" toml:"ejectPercent"`
+	// SlowStartMs is the time over which a new upstream's weight rises to its full value.
+	SlowStartMs Millis `cbor:"slowStartMs" json:"slowStartMs" toml:"slowStartMs"`
+	// ShiftPercent caps how far cross-region work into a region may rise within one shift interval, in percent of its slots.
+	ShiftPercent Percent `cbor:"shiftPercent" json:"shiftPercent" toml:"shiftPercent"`
+	// ShiftIntervalMs is the interval of the shift cap.
+	ShiftIntervalMs Millis `cbor:"shiftIntervalMs" json:"shiftIntervalMs" toml:"shiftIntervalMs"`
+	// LookupTTLMs is how long a caller may use a look-up answer.
+	LookupTTLMs Millis `cbor:"lookupTtlMs" json:"lookupTtlMs" toml:"lookupTtlMs"`
+	// LookupMovePercent caps the share of look-up slots that a planned change moves within one shift interval.
+	LookupMovePercent Percent `cbor:"lookupMovePercent" json:"lookupMovePercent" toml:"lookupMovePercent"`
+	// ProbePercent caps the share of slots that probes may use.
+	ProbePercent Percent `cbor:"probePercent" json:"probePercent" toml:"probePercent"`
+}
+
+// WithDefaults returns d with built-in values in place of zero fields.
+func (d Defaults) WithDefaults() Defaults {
+	if d.RankFloors == ([NumRanks]Percent{}) {
+		d.RankFloors = [NumRanks]Percent{RankDeferred: 10, RankInteractive: 20, RankUrgent: 30}
+	}
+	setZero(&d.QueueLimit, 512)
+	setZero(&d.RetryPercent, 10)
+	setZero(&d.EjectPercent, 33)
+	setZero(&d.SlowStartMs, 10_000)
+	setZero(&d.ShiftPercent, 20)
+	setZero(&d.ShiftIntervalMs, 5_000)
+	setZero(&d.LookupTTLMs, 5_000)
+	setZero(&d.LookupMovePercent, 20)
+	setZero(&d.ProbePercent, 2)
+	return d
+}
+
+func setZero[T comparable](p *T, v T) {
+	var zero T
+	if *p == zero {
+		*p = v
+	}
+}
+
+// Validate checks the defaults.
+func (d Defaults) Validate() error {
+	total := Percent(0)
+	for r, p := range d.RankFloors {
+		if p < 0 || p > 100 {
+			return fmt.Errorf("%w: defaults.rankFloors[%s] = %d; allowed 0 to 100", ErrInvalid, Rank(r), p)
+		}
+		total += p
+	}
+	if total > 90 {
+		return fmt.Errorf("%w: defaults.rankFloors sum to %d; allowed at most 90", ErrInvalid, total)
+	}
+	checks := []struct {
+		name     string
+		v        int64
+		min, max int64
+	}{
+		{"queueLimit", int64(d.QueueLimit), 0, 100_000},
+		{"retryPercent", int64(d.RetryPercent), 0, 50},
+		{"ejectPercent", int64(d.EjectPercent), 0, 50},
+		{"slowStartMs", int64(d.SlowStartMs), 0, 600_000},
+		{"shiftPercent", int64(d.ShiftPercent), 0, 100},
+		{"shiftIntervalMs", int64(d.ShiftIntervalMs), 0, 600_000},
+		{"lookupTtlMs", int64(d.LookupTTLMs), 0, 300_000},
+		{"lookupMovePercent", int64(d.LookupMovePercent), 0, 100},
+		{"probePercent", int64(d.ProbePercent), 0, 20},
+	}
+	for _, c := range checks {
+		if c.v < c.min || c.v > c.max {
+			return fmt.Errorf("%w: defaults.%s = %d; allowed %d to %d", ErrInvalid, c.name, c.v, c.min, c.max)
+		}
+	}
+	return nil
+}
+
+// Service is a group of interchangeable upstreams with its operations.
+type Service struct {
+	Name       ServiceName `cbor:"name" json:"name" toml:"name"`
+	Operations []Operation `cbor:"operations" json:"operations" toml:"operations"`
+}
+
+// Operation is one kind of request to a service.
+type Operation struct {
+	Name       OperationName `cbor:"name" json:"name" toml:"name"`
+	Rank       Rank          `cbor:"rank" json:"rank" toml:"rank"`
+	Idempotent bool          `cbor:"idempotent" json:"idempotent" toml:"idempotent"`
+	// TimeoutMs applies when the caller gives none, and caps what the caller gives.
+	TimeoutMs Millis `cbor:"timeoutMs" json:"timeoutMs" toml:"timeoutMs"`
+	// MaxBodyBytes bounds the request body; zero means 1 MiB.
+	MaxBodyBytes Bytes `cbor:"maxBodyBytes,omitempty" json:"maxBodyBytes,omitempty" toml:"maxBodyBytes"`
+}
+
+// DefaultMaxBody is the limit on a request body where an operation sets none.
+const DefaultMaxBody Bytes = 1 << 20
+
+// BodyLimit returns the limit on the request body.
+func (o Operation) BodyLimit() Bytes {
+	if o.MaxBodyBytes > 0 {
+		return o.MaxBodyBytes
+	}
+	return DefaultMaxBody
+}
+
+// Validate checks the service and its operations.
+func (s Service) Validate() error {
+	if err := CheckName("service name", string(s.Name)); err != nil {
+		return err
+	}
+	if len(s.Operations) == 0 || len(s.Operations) > MaxOperations {
+		return fmt.Errorf("%w: service %s has %d operations; allowed 1 to %d", ErrInvalid, s.Name, len(s.Operations), MaxOperations)
+	}
+	seen := map[OperationName]bool{}
+	for _, o := range s.Operations {
+		if seen[o.Name] {
+			return fmt.Errorf("%w: operation %s/%s is listed twice", ErrInvalid, s.Name, o.Name)
+		}
+		seen[o.Name] = true
+		if err := o.Validate(); err != nil {
+			return fmt.Errorf("service %s: %w", s.Name, err)
+		}
+	}
+	return nil
+}
+
+// MaxTimeoutMs is the longest accepted request timeout.
+const MaxTimeoutMs Millis = 600_000
+
+// Validate checks the operation.
+func (o Operation) Validate() error {
+	if err := CheckName("operation name", string(o.Name)); err != nil {
+		return err
+	}
+	if err := o.Rank.Validate(); err != nil {
+		return err
+	}
+	if o.TimeoutMs < 1 || o.TimeoutMs > MaxTimeoutMs {
+		return fmt.Errorf("%w: operation %s: timeoutMs = %d; allowed 1 to %d", ErrInvalid, o.Name, o.TimeoutMs, MaxTimeoutMs)
+	}
+	if o.MaxBodyBytes < 0 || o.MaxBodyBytes > 1<<30 {
+		return fmt.Errorf("%w: operation %s: maxBodyBytes = %d; allowed 0 to %d", ErrInvalid, o.Name, o.MaxBodyBytes, 1<<30)
+	}
+	return nil
+}
+
+// Region lists the failure domains of a region.
+type Region struct {
+	Name           RegionName          `cbor:"name" json:"name" toml:"name"`
+	FailureDomains []FailureDomainName `cbor:"failureDomains" json:"failureDomains" toml:"failureDomains"`
+}
+
+// Link is the bandwidth from one region to another, in that direction.
+type Link struct {
+	From    RegionName     `cbor:"from" json:"from" toml:"from"`
+	To      RegionName     `cbor:"to" json:"to" toml:"to"`
+	LimitBs BytesPerSecond `cbor:"limitBytesPerSecond" json:"limitBytesPerSecond" toml:"limitBytesPerSecond"`
+}
+
+// ExceptionSetting names what an Exception changes.
+type ExceptionSetting string
+
+const (
+	// SettingWeight sets the weight of an upstream or failure domain in percent of the normal one.
+	SettingWeight ExceptionSetting = "weightPercent"
+	// SettingSlots caps the slots used at an upstream.
+	SettingSlots ExceptionSetting = "slots"
+)
+
+// TargetKind names the kind of thing that an exception or a drain applies to.
+type TargetKind string
+
+const (
+	// TargetUpstream is a single upstream.
+	TargetUpstream TargetKind = "upstream"
+	// TargetFailureDomain is a failure domain with all its upstreams.
+	TargetFailureDomain TargetKind = "failureDomain"
+	// TargetInstance is an entry instance of azurestair.
+	TargetInstance TargetKind = "instance"
+)
+
+// Target is the thing that an exception or a drain applies to.
+type Target struct {
+	Kind TargetKind `cbor:"kind" json:"kind" toml:"kind"`
+	Name string     `cbor:"name" json:"name" toml:"name"`
+}
+
+// Validate checks the target.
+func (t Target) Validate() error {
+	switch t.Kind {
+	case TargetUpstream, TargetFailureDomain, TargetInstance:
+	default:
+		return fmt.Errorf("%w: target kind %q; allowed are upstream, failureDomain and instance", ErrInvalid, t.Kind)
+	}
+	return CheckName("target name", t.Name)
+}
+
+// Exception overrides one setting for one target.
+type Exception struct {
+	Target  Target           `cbor:"target" json:"target" toml:"target"`
+	Setting ExceptionSetting `cbor:"setting" json:"setting" toml:"setting"`
+	Value   int64            `cbor:"value" json:"value" toml:"value"`
+	Reason  string           `cbor:"reason" json:"reason" toml:"reason"`
+}
+
+// Validate checks the exception.
+func (e Exception) Validate() error {
+	if err := e.Target.Validate(); err != nil {
+		return err
+	}
+	if e.Target.Kind == TargetInstance {
+		return fmt.Errorf("%w: exception for instance %s; allowed targets are upstream and failureDomain", ErrInvalid, e.Target.Name)
+	}
+	switch e.Setting {
+	case SettingWeight, SettingSlots:
+	default:
+		return fmt.Errorf("%w: exception setting %q; allowed are weightPercent and slots", ErrInvalid, e.Setting)
+	}
+	if e.Value < 0 || e.Value > 1000 {
+		return fmt.Errorf("%w: exception %s = %d; allowed 0 to 1000", ErrInvalid, e.Setting, e.Value)
+	}
+	return CheckReason(e.Reason)
+}
+
+// Validate checks the configuration as a whole.
+func (c *Config) Validate() error {
+	if err := c.Defaults.Validate(); err != nil {
+		return err
+	}
+	if len(c.Services) > MaxServices || len(c.Regions) > MaxRegions || len(c.Exceptions) > MaxExceptions {
+		return fmt.Errorf("%w: more than %d services, %d regions or %d exceptions", ErrInvalid, MaxServices, MaxRegions, MaxExceptions)
+	}
+	if err := c.validateServices(); err != nil {
+		return err
+	}
+	regions, err := c.validateRegions()
+	if err != nil {
+		return err
+	}
+	if err := c.validateLinks(regions); err != nil {
+		return err
+	}
+	for _, e := range c.Exceptions {
+		if err := e.Validate(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Config) validateServices() error {
+	seen := map[ServiceName]bool{}
+	for _, s := range c.Services {
+		if seen[s.Name] {
+			return fmt.Errorf("%w: service %s is listed twice", ErrInvalid, s.Name)
+		}
+		seen[s.Name] = true
+		if err := s.Validate(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Config) validateRegions() (map[RegionName]bool, error) {
+	regions := map[RegionName]bool{}
+	domains := map[FailureDomainName]bool{}
+	for _, r := range c.Regions {
+		if err := CheckName("region name", string(r.Name)); err != nil {
+			return nil, err
+		}
+		if regions[r.Name] {
+			return nil, fmt.Errorf("%w: region %s is listed twice", ErrInvalid, r.Name)
+		}
+		regions[r.Name] = true
+		for _, d := range r.FailureDomains {
+			if err := CheckName("failure domain name", string(d)); err != nil {
+				return nil, err
+			}
+			if domains[d] {
+				return nil, fmt.Errorf("%w: failure domain %s is listed twice", ErrInvalid, d)
+			}
+			domains[d] = true
+		}
+	}
+	if len(domains) > MaxDomains {
+		return nil, fmt.Errorf("%w: %d failure domains; allowed %d", ErrInvalid, len(domains), MaxDomains)
+	}
+	return regions, nil
+}
+
+func (c *Config) validateLinks(regions map[RegionName]bool) error {
+	seen := map[[2]RegionName]bool{}
+	for _, l := range c.Links {
+		if !regions[l.From] || !regions[l.To] || l.From == l.To {
+			return fmt.Errorf("%w: link %s to %s needs two different listed regions", ErrInvalid, l.From, l.To)
+		}
+		if seen[[2]RegionName{l.From, l.To}] {
+			return fmt.Errorf("%w: link %s to %s is listed twice", ErrInvalid, l.From, l.To)
+		}
+		seen[[2]RegionName{l.From, l.To}] = true
+		if l.LimitBs < 1 {
+			return fmt.Errorf("%w: link %s to %s: limitBytesPerSecond must be positive", ErrInvalid, l.From, l.To)
+		}
+	}
+	return nil
+}
+
+// Operation finds an operation of a service.
+func (c *Config) Operation(s ServiceName, o OperationName) (Operation, bool) {
+	for i := range c.Services {
+		if c.Services[i].Name != s {
+			continue
+		}
+		for _, op := range c.Services[i].Operations {
+			if op.Name == o {
+				return op, true
+			}
+		}
+	}
+	return Operation{}, false
+}
--- /dev/null
+++ b/raftlog.go
@@ -0,0 +1,200 @@
+package azurestair
+
+import (
+	"fmt"
+	"slices"
+)
+
+type (
+	// Term numbers the leaderships of the replicated log.
+	Term uint64
+	// Index numbers the entries of the replicated log, starting at 1.
+	Index uint64
+)
+
+// EntryKind says what a log entry holds.
+type EntryKind uint8
+
+const (
+	// EntryCommands holds encoded commands of the state machine.
+	EntryCommands EntryKind = iota
+	// EntryEmpty is the entry that a new leader appends to commit its term.
+	EntryEmpty
+	// EntryMembership holds a membership of the log.
+	EntryMembership
+)
+
+// MaxEntryBytes bounds the data of one log entry.
+const MaxEntryBytes Bytes = 4 << 20
+
+// LogEntry is one entry of the replicated log. Data is opaque to the log
+// except for EntryMembership, whose Membership is set instead.
+type LogEntry struct {
+	Index      Index       `cbor:"1,keyasint" json:"index"`
+	Term       Term        `cbor:"2,keyasint" json:"term"`
+	Kind       EntryKind   `cbor:"3,keyasint,omitempty" json:"kind"`
+	Data       []byte      `cbor:"4,keyasint,omitempty" json:"data,omitempty"`
+	Membership *Membership `cbor:"5,keyasint,omitempty" json:"membership,omitempty"`
+}
+
+// Validate checks the entry.
+func (e LogEntry) Validate() error {
+	if e.Index == 0 || e.Term == 0 {
+		return fmt.Errorf("%w: log entry without index or term", ErrInvalid)
+	}
+	if Bytes(len(e.Data)) > MaxEntryBytes {
+		return fmt.Errorf("%w: log entry %d holds more than %d bytes", ErrInvalid, e.Index, MaxEntryBytes)
+	}
+	if (e.Kind == EntryMembership) != (e.Membership != nil) {
+		return fmt.Errorf("%w: log entry %d: membership does not match its kind", ErrInvalid, e.Index)
+	}
+	if e.Membership != nil {
+		return e.Membership.Validate()
+	}
+	return nil
+}
+
+// MaxVoters bounds the voters and the learners of the log.
+const MaxVoters = 7
+
+// Membership lists the instances that replicate the log.
+type Membership struct {
+	Voters   []InstanceID `cbor:"1,keyasint" json:"voters"`
+	Learners []InstanceID `cbor:"2,keyasint,omitempty" json:"learners,omitempty"`
+}
+
+// Validate checks the membership.
+func (m Membership) Validate() error {
+	if len(m.Voters) == 0 || len(m.Voters) > MaxVoters || len(m.Learners) > MaxVoters {
+		return fmt.Errorf("%w: membership needs 1 to %d voters and at most %d learners", ErrInvalid, MaxVoters, MaxVoters)
+	}
+	seen := map[InstanceID]bool{}
+	for _, id := range slices.Concat(m.Voters, m.Learners) {
+		if err := CheckName("member", string(id)); err != nil {
+			return err
+		}
+		if seen[id] {
+			return fmt.Errorf("%w: member %s is listed twice", ErrInvalid, id)
+		}
+		seen[id] = true
+	}
+	return nil
+}
+
+// HardState is what a replica must remember across restarts besides its entries.
+type HardState struct {
+	Term   Term       `cbor:"1,keyasint" json:"term"`
+	Vote   InstanceID `cbor:"2,keyasint,omitempty" json:"vote,omitempty"`
+	Commit Index      `cbor:"3,keyasint" json:"commit"`
+}
+
+// SnapshotMeta describes the prefix of the log that a stored snapshot replaces.
+type SnapshotMeta struct {
+	Index      Index      `cbor:"1,keyasint" json:"index"`
+	Term       Term       `cbor:"2,keyasint" json:"term"`
+	Membership Membership `cbor:"3,keyasint" json:"membership"`
+}
+
+// LogState is all that a LogStore holds, as read at start.
+type LogState struct {
+	Hard     HardState
+	Snapshot SnapshotMeta
+	// SnapshotData is the encoded state machine at Snapshot.Index.
+	SnapshotData []byte
+	Entries      []LogEntry
+}
+
+// RaftKind is the kind of a RaftMessage.
+type RaftKind uint8
+
+// Kinds of messages between replicas.
+const (
+	RaftPreVote RaftKind = iota + 1
+	RaftPreVoteReply
+	RaftVote
+	RaftVoteReply
+	RaftAppend
+	RaftAppendReply
+	RaftHeartbeat
+	RaftHeartbeatReply
+	RaftSnapshot
+	RaftSnapshotReply
+	RaftTimeoutNow
+)
+
+// RaftMessage is a message between two replicas of the log.
+type RaftMessage struct {
+	Kind RaftKind   `cbor:"1,keyasint" json:"kind"`
+	From InstanceID `cbor:"2,keyasint" json:"from"`
+	To   InstanceID `cbor:"3,keyasint" json:"to"`
+	Term Term       `cbor:"4,keyasint" json:"term"`
+	// PrevIndex and PrevTerm name the entry before Entries in an append, and
+	// the last entry of a candidate in a vote.
+	PrevIndex Index      `cbor:"5,keyasint,omitempty" json:"prevIndex,omitempty"`
+	PrevTerm  Term       `cbor:"6,keyasint,omitempty" json:"prevTerm,omitempty"`
+	Commit    Index      `cbor:"7,keyasint,omitempty" json:"commit,omitempty"`
+	Entries   []LogEntry `cbor:"8,keyasint,omitempty" json:"entries,omitempty"`
+	Reject    bool       `cbor:"9,keyasint,omitempty" json:"reject,omitempty"`
+	// Match is the last index known to be stored by the sender of a reply, or
+	// its hint after a rejected append.
+	Match Index `cbor:"10,keyasint,omitempty" json:"match,omitempty"`
+	// HintTerm is the term of the entry at Match after a rejected append.
+	HintTerm Term `cbor:"14,keyasint,omitempty" json:"hintTerm,omitempty"`
+	// Round ties replies to a leader's heartbeat round, for leased reads.
+	Round uint64 `cbor:"11,keyasint,omitempty" json:"round,omitempty"`
+	// Snapshot and the piece fields carry one piece of a snapshot.
+	Snapshot *SnapshotMeta  `cbor:"12,keyasint,omitempty" json:"snapshot,omitempty"`
+	Piece    *SnapshotPiece `cbor:"13,keyasint,omitempty" json:"piece,omitempty"`
+}
+
+// MaxPieceBytes bounds one piece of a snapshot on the wire.
+const MaxPieceBytes Bytes = 256 << 10
+
+// SnapshotPiece is one piece of an encoded snapshot.
+type SnapshotPiece struct {
+	Offset Bytes  `cbor:"1,keyasint" json:"offset"`
+	Total  Bytes  `cbor:"2,keyasint" json:"total"`
+	Data   []byte `cbor:"3,keyasint" json:"data"`
+}
+
+// MaxEntriesPerMessage bounds the entries in one append.
+const MaxEntriesPerMessage = 1024
+
+// Validate checks the message.
+func (m RaftMessage) Validate() error {
+	if m.Kind < RaftPreVote || m.Kind > RaftTimeoutNow {
+		return fmt.Errorf("%w: raft message kind %d is unknown", ErrInvalid, m.Kind)
+	}
+	if err := CheckName("from", string(m.From)); err != nil {
+		return err
+	}
+	if len(m.Entries) > MaxEntriesPerMessage {
+		return fmt.Errorf("%w: raft message holds more than %d entries", ErrInvalid, MaxEntriesPerMessage)
+	}
+	next := m.PrevIndex + 1
+	for _, e := range m.Entries {
+		if err := e.Validate(); err != nil {
+			return err
+		}
+		if e.Index != next {
+			return fmt.Errorf("%w: raft message has entry %d where %d follows", ErrInvalid, e.Index, next)
+		}
+		next++
+	}
+	if (m.Kind == RaftSnapshot) != (m.Snapshot != nil && m.Piece != nil) {
+		return fmt.Errorf("%w: raft message: snapshot fields do not match its kind", ErrInvalid)
+	}
+	return m.validatePiece()
+}
+
+func (m RaftMessage) validatePiece() error {
+	p := m.Piece
+	if p == nil {
+		return nil
+	}
+	n := Bytes(len(p.Data))
+	if n > MaxPieceBytes || p.Offset < 0 || p.Total < 0 || p.Offset+n > p.Total {
+		return fmt.Errorf("%w: snapshot piece lies outside its snapshot", ErrInvalid)
+	}
+	return m.Snapshot.Membership.Validate()
+}
--- /dev/null
+++ b/snapshot.go
@@ -0,0 +1,107 @@
+package azurestair
+
+import "fmt"
+
+// Snapshot is the control state that an instance works from. It is immutable
+// once published; a newer one replaces it as a whole.
+type Snapshot struct {
+	Term     Term     `cbor:"1,keyasint" json:"term"`
+	Revision Revision `cbor:"2,keyasint" json:"revision"`
+	// Commit is the log index that the snapshot reflects.
+	Commit    Index          `cbor:"3,keyasint" json:"commit"`
+	Config    *Config        `cbor:"4,keyasint,omitempty" json:"config,omitempty"`
+	Drains    []Drain        `cbor:"5,keyasint,omitempty" json:"drains,omitempty"`
+	Instances []InstanceInfo `cbor:"6,keyasint,omitempty" json:"instances,omitempty"`
+	Upstreams []UpstreamInfo `cbor:"7,keyasint,omitempty" json:"upstreams,omitempty"`
+}
+
+// Drain is a target that is out of service on an operator's word.
+type Drain struct {
+	Target   Target       `cbor:"target" json:"target"`
+	Operator OperatorName `cbor:"operator" json:"operator"`
+	Reason   string       `cbor:"reason" json:"reason"`
+	At       UnixMillis   `cbor:"at" json:"at"`
+}
+
+// InstanceInfo is what the leader knows of an instance of azurestair.
+type InstanceInfo struct {
+	ID            InstanceID        `cbor:"id" json:"id"`
+	Incarnation   Incarnation       `cbor:"incarnation" json:"incarnation"`
+	CallerAddr    string            `cbor:"callerAddr,omitempty" json:"callerAddr,omitempty"`
+	UpstreamAddr  string            `cbor:"upstreamAddr,omitempty" json:"upstreamAddr,omitempty"`
+	PeerAddr      string            `cbor:"peerAddr" json:"peerAddr"`
+	Region        RegionName        `cbor:"region" json:"region"`
+	FailureDomain FailureDomainName `cbor:"failureDomain" json:"failureDomain"`
+	// Ready is true when the instance may be named in look-up answers.
+	Ready bool `cbor:"ready" json:"ready"`
+	// InForce is the configuration version that the instance works from.
+	InForce ConfigVersion `cbor:"inForce" json:"inForce"`
+}
+
+// Validate checks the instance's description.
+func (i InstanceInfo) Validate() error {
+	if err := CheckName("instance id", string(i.ID)); err != nil {
+		return err
+	}
+	if err := CheckName("region", string(i.Region)); err != nil {
+		return err
+	}
+	if err := CheckName("failureDomain", string(i.FailureDomain)); err != nil {
+		return err
+	}
+	for _, addr := range []string{i.CallerAddr, i.UpstreamAddr, i.PeerAddr} {
+		if addr == "" {
+			continue
+		}
+		if err := CheckAddr(addr); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// UpstreamInfo is what the leader knows of an upstream.
+type UpstreamInfo struct {
+	Announcement Announcement `cbor:"1,keyasint" json:"announcement"`
+	// Confirmed is false when the upstream's lease has lapsed but the guard
+	// against mass expiry keeps it listed.
+	Confirmed bool `cbor:"2,keyasint" json:"confirmed"`
+}
+
+// Validate checks the snapshot.
+func (s *Snapshot) Validate() error {
+	if s.Config != nil {
+		if err := s.Config.Validate(); err != nil {
+			return err
+		}
+	}
+	for _, i := range s.Instances {
+		if err := i.Validate(); err != nil {
+			return err
+		}
+	}
+	for _, u := range s.Upstreams {
+		if err := u.Announcement.Validate(); err != nil {
+			return fmt.Errorf("upstream %s: %w", u.Announcement.Upstream, err)
+		}
+	}
+	return nil
+}
+
+// IsDrained reports whether an operator has drained the target.
+func (s *Snapshot) IsDrained(kind TargetKind, name string) bool {
+	for _, d := range s.Drains {
+		if d.Target.Kind == kind && d.Target.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// ConfigVersion returns the version of the configuration, zero without one.
+func (s *Snapshot) ConfigVersion() ConfigVersion {
+	if s == nil || s.Config == nil {
+		return 0
+	}
+	return s.Config.Version
+}
