--- /dev/null
+++ b/caller/handler.go
@@ -0,0 +1,281 @@
+package caller
+
+import (
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"azurestair.example/azurestair"
+)
+
+// Headers of the protocol between a caller and an entry.
+const (
+	HeaderTimeout  = "Azurestair-Timeout-Ms"
+	HeaderCaller   = "Azurestair-Caller"
+	HeaderOutcome  = "Azurestair-Outcome"
+	HeaderReason   = "Azurestair-Reason"
+	HeaderReplayed = "Azurestair-Replayed"
+	HeaderKey      = "Idempotency-Key"
+	headerPrefix   = "Azurestair-"
+)
+
+// headersNotForwarded are the hop-by-hop headers and those that an entry sets itself.
+var headersNotForwarded = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Expect",
+}
+
+type handler struct {
+	server Server
+	clock  azurestair.Clock
+}
+
+// NewHandler returns the HTTP handler for callers.
+func NewHandler(s Server, clock azurestair.Clock) http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	h := &handler{server: s, clock: clock}
+	e := gin.New()
+	e.UseRawPath = true
+	e.UnescapePathValues = false
+	e.GET("/v1/lookup", h.lookup)
+	e.Any("/v1/request/:service/:operation/*path", h.request)
+	e.Any("/v1/request/:service/:operation", h.request)
+	e.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", h.ready)
+	return e
+}
+
+func (h *handler) ready(c *gin.Context) {
+	if err := h.server.Ready(); err != nil {
+		c.String(http.StatusServiceUnavailable, "%s\n", err)
+		return
+	}
+	c.String(http.StatusOK, "ready\n")
+}
+
+func (h *handler) lookup(c *gin.Context) {
+	addr, err := lookupAddr(c)
+	if err != nil {
+		writeInvalid(c, azurestair.ReasonBadRequest)
+		return
+	}
+	answer := h.server.Lookup(addr)
+	if len(answer.Entries) == 0 {
+		h.writeError(c, "", Reply{Outcome: azurestair.OutcomeRefused, Reason: azurestair.ReasonNotReady, NotRun: true})
+		return
+	}
+	c.Header("Cache-Control", fmt.Sprintf("max-age=%d", answer.TTLMs/1000))
+	c.JSON(http.StatusOK, answer)
+}
+
+func lookupAddr(c *gin.Context) (netip.Addr, error) {
+	if block := c.Query("block"); block != "" {
+		return netip.ParseAddr(block)
+	}
+	ap, err := netip.ParseAddrPort(c.Request.RemoteAddr)
+	return ap.Addr().Unmap(), err
+}
+
+func (h *handler) request(c *gin.Context) {
+	r, err := h.parse(c)
+	if err != nil {
+		writeInvalid(c, azurestair.ReasonBadRequest)
+		return
+	}
+	rc := http.NewResponseController(c.Writer)
+	if !r.Deadline.IsZero() {
+		_ = rc.SetReadDeadline(r.Deadline)
+	}
+	reply := h.server.Serve(c.Request.Context(), r)
+	if reply.Outcome != azurestair.OutcomeDone {
+		h.writeError(c, r.ID, reply)
+		return
+	}
+	writeAnswer(c, reply)
+}
+
+func (h *handler) parse(c *gin.Context) (*Request, error) {
+	q := c.Request
+	r := &Request{
+		ID:        azurestair.RequestID(rand.Text()),
+		Service:   azurestair.ServiceName(c.Param("service")),
+		Operation: azurestair.OperationName(c.Param("operation")),
+		Method:    q.Method,
+		Path:      upstreamPath(c),
+		Header:    forwardedHeader(q.Header),
+		Body:      q.Body,
+		BodyLen:   q.ContentLength,
+		Key:       azurestair.RequestKey(q.Header.Get(HeaderKey)),
+		Caller:    azurestair.CallerID(q.Header.Get(HeaderCaller)),
+	}
+	if len(q.Header.Values(HeaderKey)) > 1 {
+		return nil, fmt.Errorf("%w: more than one %s header", azurestair.ErrInvalid, HeaderKey)
+	}
+	if r.Key != "" {
+		if err := r.Key.Validate(); err != nil {
+			return nil, err
+		}
+	}
+	if err := h.parseCaller(q, r); err != nil {
+		return nil, err
+	}
+	return r, h.parseTimeout(q.Header.Get(HeaderTimeout), r)
+}
+
+func (h *handler) parseCaller(q *http.Request, r *Request) error {
+	if r.Caller != "" {
+		return azurestair.CheckName(HeaderCaller, string(r.Caller))
+	}
+	ap, err := netip.ParseAddrPort(q.RemoteAddr)
+	if err != nil {
+		return fmt.Errorf("%w: remote address %q", azurestair.ErrInvalid, q.RemoteAddr)
+	}
+	r.Caller = azurestair.CallerID(ap.Addr().Unmap().String())
+	return nil
+}
+
+func (h *handler) parseTimeout(s string, r *Request) error {
+	if s == "" {
+		return nil
+	}
+	n, err := strconv.ParseInt(s, 10, 64)
+	if err != nil || n < 1 || azurestair.Millis(n) > azurestair.MaxTimeoutMs {
+		return fmt.Errorf("%w: %s = %q; allowed 1 to %d", azurestair.ErrInvalid, HeaderTimeout, s, azurestair.MaxTimeoutMs)
+	}
+	r.Deadline = h.clock.Now().Add(azurestair.Millis(n).Duration())
+	return nil
+}
+
+// upstreamPath is the path at the upstream: operation, rest of the path and query.
+func upstreamPath(c *gin.Context) string {
+	p := "/" + c.Param("operation") + c.Param("path")
+	if c.Request.URL.RawQuery != "" {
+		p += "?" + c.Request.URL.RawQuery
+	}
+	return p
+}
+
+func forwardedHeader(h http.Header) http.Header {
+	out := h.Clone()
+	for _, field := range h.Values("Connection") {
+		for name := range strings.SplitSeq(field, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range headersNotForwarded {
+		out.Del(name)
+	}
+	for name := range out {
+		if strings.HasPrefix(name, headerPrefix) {
+			out.Del(name)
+		}
+	}
+	return out
+}
+
+func writeInvalid(c *gin.Context, reason azurestair.Reason) {
+	c.Header(HeaderOutcome, string(azurestair.OutcomeInvalid))
+	c.Header(HeaderReason, string(reason))
+	c.JSON(http.StatusBadRequest, ErrorBody{Outcome: azurestair.OutcomeInvalid, Reason: reason, NotRun: true})
+}
+
+// statusOf maps a reply without an upstream's answer to its HTTP status.
+func statusOf(r Reply) int {
+	switch r.Outcome {
+	case azurestair.OutcomeInProgress:
+		return http.StatusConflict
+	case azurestair.OutcomeUnknown:
+		return http.StatusGatewayTimeout
+	case azurestair.OutcomeInvalid:
+		return invalidStatus(r.Reason)
+	}
+	if r.Reason == azurestair.ReasonCallerShare {
+		return http.StatusTooManyRequests
+	}
+	return http.StatusServiceUnavailable
+}
+
+func invalidStatus(reason azurestair.Reason) int {
+	switch reason {
+	case azurestair.ReasonUnknownOperation:
+		return http.StatusNotFound
+	case azurestair.ReasonKeyReused:
+		return http.StatusUnprocessableEntity
+	}
+	return http.StatusBadRequest
+}
+
+func (h *handler) writeError(c *gin.Context, id azurestair.RequestID, r Reply) {
+	c.Header(HeaderOutcome, string(r.Outcome))
+	c.Header(HeaderReason, string(r.Reason))
+	if r.RetryAfter > 0 {
+		c.Header("Retry-After", strconv.FormatInt(int64(r.RetryAfter+999)/1000, 10))
+	}
+	c.JSON(statusOf(r), ErrorBody{
+		Outcome: r.Outcome, Reason: r.Reason, NotRun: r.NotRun, RetryAfterMs: r.RetryAfter, RequestID: id,
+	})
+}
+
+// writeAnswer passes on the upstream's answer. It aborts the connection when
+// the answer breaks off, so that the caller never takes a part for the whole.
+func writeAnswer(c *gin.Context, r Reply) {
+	defer r.Body.Close() //nolint:errcheck // nothing is left to do
+	h := c.Writer.Header()
+	for name, values := range forwardedHeader(r.Header) {
+		h[name] = values
+	}
+	h.Set(HeaderOutcome, string(azurestair.OutcomeDone))
+	if r.Replayed {
+		h.Set(HeaderReplayed, "true")
+	}
+	if r.Length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(r.Length, 10))
+	}
+	c.Writer.WriteHeader(r.Status)
+	if _, err := io.Copy(flushWriter{c.Writer}, r.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// flushWriter passes each piece of a streamed answer on at once.
+type flushWriter struct{ gin.ResponseWriter }
+
+func (w flushWriter) Write(p []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(p)
+	if err == nil {
+		w.Flush()
+	}
+	return n, err
+}
+
+// Limits on the connections of callers.
+type Limits struct {
+	MaxHeaderBytes int
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// NewHTTPServer returns a server for h with limits that keep a slow or silent
+// caller from holding a connection for ever.
+func NewHTTPServer(h http.Handler, l Limits) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: l.HeaderTimeout,
+		IdleTimeout:       l.IdleTimeout,
+		MaxHeaderBytes:    l.MaxHeaderBytes,
+	}
+}
+
+// ErrServerClosed is what Serve returns after a shutdown.
+var ErrServerClosed = http.ErrServerClosed
+
+// IsClosed reports whether a server ended because it was shut down.
+func IsClosed(err error) bool { return errors.Is(err, http.ErrServerClosed) }
--- a/errors.go
+++ b/errors.go
@@ -31,3 +31,19 @@
 	// ErrTooLarge reports input beyond a size limit.
 	ErrTooLarge = errs.New("too large")
 )
+
+// NotLeaderError is an ErrNotLeader that may name the leader.
+type NotLeaderError struct {
+	Leader InstanceID
+}
+
+// Error describes the error.
+func (e NotLeaderError) Error() string {
+	if e.Leader == "" {
+		return "not the leader; no leader is known"
+	}
+	return "not the leader; the leader is " + string(e.Leader)
+}
+
+// Is reports whether target is ErrNotLeader.
+func (e NotLeaderError) Is(target error) bool { return target == ErrNotLeader }
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,142 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"azurestair.example/azurestair"
+)
+
+// Address is where an instance accepts peers.
+type Address struct {
+	ID   azurestair.InstanceID
+	Addr string
+}
+
+// tryTimeout bounds one try at one control instance, so that a frozen or
+// silent one does not use up the caller's whole deadline.
+const tryTimeout = 700 * time.Millisecond
+
+// pauseBetweenTries keeps a client without a leader from calling in a tight loop.
+const pauseBetweenTries = 25 * time.Millisecond
+
+// Client calls the leader among the control instances. It is safe for concurrent use.
+type Client struct {
+	conns *Conns
+
+	mu     sync.Mutex
+	peers  []Address
+	leader int
+}
+
+// NewClient returns a client that looks for the leader among control.
+func NewClient(conns *Conns, control []Address) *Client {
+	return &Client{conns: conns, peers: control}
+}
+
+// SetPeers replaces the control instances.
+func (c *Client) SetPeers(control []Address) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.peers = control
+	c.leader = 0
+}
+
+// Propose has the leader apply a command. It repeats the command until ctx ends.
+func (c *Client) Propose(ctx context.Context, cmd azurestair.Command) (azurestair.Result, error) {
+	var res azurestair.Result
+	err := c.untilLeader(ctx, methodPropose, &cmd, &res)
+	return res, err
+}
+
+// Report exchanges a report for the leader's reply.
+func (c *Client) Report(ctx context.Context, r azurestair.Report) (azurestair.ReportReply, error) {
+	var reply azurestair.ReportReply
+	err := c.untilLeader(ctx, methodReport, &r, &reply)
+	return reply, err
+}
+
+// Notify tells an instance that a newer snapshot is available.
+func (c *Client) Notify(ctx context.Context, to Address) error {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	return c.call(ctx, to, methodNotify, &empty{}, &empty{})
+}
+
+func (c *Client) untilLeader(ctx context.Context, method string, q, a any) error {
+	for {
+		to, ok := c.target()
+		if !ok {
+			return azurestair.NotLeaderError{}
+		}
+		err := c.tryOnce(ctx, to, method, q, a)
+		if err == nil || isFinal(err) {
+			return err
+		}
+		c.lookElsewhere(to, err)
+		t := time.NewTimer(pauseBetweenTries)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return err
+		case <-t.C:
+		}
+	}
+}
+
+func isFinal(err error) bool {
+	return errors.Is(err, azurestair.ErrInvalid) || errors.Is(err, azurestair.ErrFull) || errors.Is(err, azurestair.ErrUnauthorized)
+}
+
+func (c *Client) target() (Address, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.peers) == 0 {
+		return Address{}, false
+	}
+	return c.peers[c.leader%len(c.peers)], true
+}
+
+// lookElsewhere chooses the next control instance after a failed try at tried.
+func (c *Client) lookElsewhere(tried Address, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := len(c.peers)
+	if n == 0 || c.peers[c.leader%n] != tried {
+		return
+	}
+	var notLeader azurestair.NotLeaderError
+	if errors.As(err, &notLeader) {
+		for i, p := range c.peers {
+			if p.ID == notLeader.Leader && p != tried {
+				c.leader = i
+				return
+			}
+		}
+	}
+	c.leader = (c.leader + 1) % n
+}
+
+func (c *Client) tryOnce(ctx context.Context, to Address, method string, q, a any) error {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	return c.call(ctx, to, method, q, a)
+}
+
+func (c *Client) call(ctx context.Context, to Address, method string, q, a any) error {
+	cc, err := c.conns.get(to.ID, to.Addr)
+	if err != nil {
+		return err
+	}
+	err = cc.Invoke(ctx, method, q, a, grpc.WaitForReady(false))
+	if status.Code(err) == codes.DeadlineExceeded {
+		c.conns.drop(to.ID, cc)
+	}
+	return fromStatus(err)
+}
--- /dev/null
+++ b/peer/errors.go
@@ -0,0 +1,74 @@
+package peer
+
+import (
+	"context"
+	"errors"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"azurestair.example/azurestair"
+)
+
+// notLeaderPrefix starts the status message of an ErrNotLeader; the leader's id follows.
+const notLeaderPrefix = "notLeader:"
+
+var codeErrors = []struct {
+	code codes.Code
+	err  error
+}{
+	{codes.InvalidArgument, azurestair.ErrInvalid},
+	{codes.ResourceExhausted, azurestair.ErrFull},
+	{codes.Unavailable, azurestair.ErrNoQuorum},
+	{codes.DeadlineExceeded, azurestair.ErrDeadline},
+	{codes.Unauthenticated, azurestair.ErrUnauthorized},
+}
+
+// toStatus turns an error of a Handler into a gRPC status.
+func toStatus(err error) error {
+	if err == nil {
+		return nil
+	}
+	var notLeader azurestair.NotLeaderError
+	if errors.As(err, &notLeader) {
+		return status.Error(codes.FailedPrecondition, notLeaderPrefix+string(notLeader.Leader))
+	}
+	for _, c := range codeErrors {
+		if errors.Is(err, c.err) {
+			return status.Error(c.code, err.Error())
+		}
+	}
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		return status.FromContextError(err).Err()
+	}
+	return status.Error(codes.Internal, err.Error())
+}
+
+// fromStatus turns a gRPC status into the project's errors.
+func fromStatus(err error) error {
+	if err == nil {
+		return nil
+	}
+	s, ok := status.FromError(err)
+	if !ok {
+		return err
+	}
+	if msg := s.Message(); s.Code() == codes.FailedPrecondition && len(msg) >= len(notLeaderPrefix) && msg[:len(notLeaderPrefix)] == notLeaderPrefix {
+		return azurestair.NotLeaderError{Leader: azurestair.InstanceID(msg[len(notLeaderPrefix):])}
+	}
+	for _, c := range codeErrors {
+		if c.code == s.Code() {
+			return wrapped{msg: s.Message(), kind: c.err}
+		}
+	}
+	return err
+}
+
+// wrapped is a remote error of a known kind.
+type wrapped struct {
+	msg  string
+	kind error
+}
+
+func (w wrapped) Error() string { return w.msg }
+func (w wrapped) Unwrap() error { return w.kind }
--- /dev/null
+++ b/upstream/announce.go
@@ -0,0 +1,87 @@
+package upstream
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"azurestair.example/azurestair"
+)
+
+// maxAnnounceBytes bounds the body of an announcement.
+const maxAnnounceBytes = 8 << 10
+
+// AnnounceReply is what an entry answers to an announcement.
+type AnnounceReply struct {
+	AnnounceEveryMs azurestair.Millis `json:"announceEveryMs"`
+	LeaseMs         azurestair.Millis `json:"leaseMs"`
+	// Entries lists where upstreams may announce themselves.
+	Entries []string `json:"entries"`
+}
+
+// ErrorBody is the body of an error answer.
+type ErrorBody struct {
+	Error string `json:"error"`
+}
+
+// Announcer takes announcements.
+type Announcer interface {
+	Announce(a azurestair.Announcement) (AnnounceReply, error)
+}
+
+// Authorizer checks a bearer token and returns the name that it belongs to.
+type Authorizer func(token string) (name string, err error)
+
+// NewAnnounceHandler returns the HTTP handler for announcements.
+func NewAnnounceHandler(an Announcer, auth Authorizer) http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	e := gin.New()
+	e.Use(gin.Recovery())
+	e.POST("/v1/announce", func(c *gin.Context) { announce(c, an, auth) })
+	return e
+}
+
+func announce(c *gin.Context, an Announcer, auth Authorizer) {
+	if _, err := auth(BearerToken(c.Request)); err != nil {
+		c.JSON(http.StatusUnauthorized, ErrorBody{Error: err.Error()})
+		return
+	}
+	var a azurestair.Announcement
+	dec := json.NewDecoder(http.MaxBytesReader(c.Writer, c.Request.Body, maxAnnounceBytes))
+	if err := dec.Decode(&a); err != nil {
+		c.JSON(http.StatusBadRequest, ErrorBody{Error: "announcement: " + err.Error()})
+		return
+	}
+	if err := a.Validate(); err != nil {
+		c.JSON(http.StatusBadRequest, ErrorBody{Error: "announcement: " + err.Error()})
+		return
+	}
+	reply, err := an.Announce(a)
+	switch {
+	case errors.Is(err, azurestair.ErrFull):
+		c.JSON(http.StatusServiceUnavailable, ErrorBody{Error: err.Error()})
+	case err != nil:
+		c.JSON(http.StatusConflict, ErrorBody{Error: err.Error()})
+	default:
+		c.JSON(http.StatusOK, reply)
+	}
+}
+
+// BearerToken returns the token of the Authorization header, empty without one.
+func BearerToken(r *http.Request) string {
+	const prefix = "Bearer "
+	h := r.Header.Get("Authorization")
+	if len(h) <= len(prefix) || h[:len(prefix)] != prefix {
+		return ""
+	}
+	return h[len(prefix):]
+}
+
+// Spans of the announcement protocol.
+const (
+	AnnounceEvery = time.Second
+	LeaseTime     = 3 * time.Second
+)
--- /dev/null
+++ b/upstream/client.go
@@ -0,0 +1,273 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"azurestair.example/azurestair"
+)
+
+// Headers of the protocol between an entry and an upstream.
+const (
+	HeaderRequest  = "Azurestair-Request"
+	HeaderDeadline = "Azurestair-Deadline"
+	HeaderRank     = "Azurestair-Rank"
+	HeaderState    = "Azurestair-State"
+	HeaderNotRun   = "Azurestair-Not-Run"
+)
+
+// dialTimeout bounds the opening of a connection, which normally takes about 1 ms
+// plus a round trip between regions.
+const dialTimeout = 300 * time.Millisecond
+
+// Attempt is one try of a request at one upstream.
+type Attempt struct {
+	ID         azurestair.RequestID
+	Method     string
+	Path       string
+	Header     http.Header
+	Body       io.Reader
+	BodyLen    int64
+	Rank       azurestair.Rank
+	Idempotent bool
+	Deadline   time.Time
+	// BeforeSend runs directly before the first byte; an error keeps the attempt from being sent.
+	BeforeSend func() error
+}
+
+// Answer is what came of an attempt. Header and Body are set for
+// AttemptDone and for an upstream's own shed answer; the caller closes Body.
+type Answer struct {
+	Result  azurestair.AttemptResult
+	Reason  azurestair.Reason
+	Status  int
+	Header  http.Header
+	Length  int64
+	Body    io.ReadCloser
+	State   azurestair.UpstreamState
+	Reused  bool
+	Started time.Time
+}
+
+// Client sends attempts to upstreams. It is safe for concurrent use.
+type Client struct {
+	dial  Dialer
+	clock azurestair.Clock
+
+	mu    sync.Mutex
+	pools map[string]*pool
+}
+
+// NewClient returns a client; dial may be nil.
+func NewClient(dial Dialer, clock azurestair.Clock) *Client {
+	if dial == nil {
+		d := &net.Dialer{}
+		dial = func(ctx context.Context, addr string) (net.Conn, error) {
+			return d.DialContext(ctx, "tcp", addr)
+		}
+	}
+	return &Client{dial: dial, clock: clock, pools: map[string]*pool{}}
+}
+
+// SetLimit bounds the connections to the upstream at addr.
+func (c *Client) SetLimit(addr string, n azurestair.Conns) {
+	p := c.pool(addr)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = max(1, int(n))
+}
+
+// Retain closes the pools of upstreams that keep does not name.
+func (c *Client) Retain(keep map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr, p := range c.pools {
+		if keep[addr] {
+			p.prune(c.clock.Now())
+			continue
+		}
+		p.suspect(c.clock.Now())
+		delete(c.pools, addr)
+	}
+}
+
+// Close closes all idle connections.
+func (c *Client) Close() { c.Retain(nil) }
+
+func (c *Client) pool(addr string) *pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.pools[addr]
+	if !ok {
+		p = &pool{addr: addr, limit: defaultMaxConns}
+		c.pools[addr] = p
+	}
+	return p
+}
+
+// Do sends an attempt to the upstream at addr and returns when the head of
+// the answer has arrived or the attempt has failed.
+func (c *Client) Do(ctx context.Context, addr string, a Attempt) (Answer, error) {
+	p := c.pool(addr)
+	uc, err := c.connect(ctx, p, a)
+	if err != nil {
+		return Answer{Result: azurestair.AttemptNotRun, Reason: azurestair.ReasonConnect}, err
+	}
+	if a.BeforeSend != nil {
+		if err := a.BeforeSend(); err != nil {
+			p.put(uc, c.clock.Now())
+			return Answer{Result: azurestair.AttemptNotRun, Reason: azurestair.ReasonDeadline}, err
+		}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = uc.SetDeadline(time.Unix(1, 0)) })
+	resp, err := uc.exchange(a) //nolint:bodyclose // Answer.Body closes it
+	if err != nil {
+		stop()
+		return c.failed(p, uc, err)
+	}
+	return c.answered(p, uc, a, resp, stop)
+}
+
+func (c *Client) connect(ctx context.Context, p *pool, a Attempt) (*conn, error) {
+	uc := p.take(!a.Idempotent, c.clock.Now())
+	if uc == nil {
+		if err := p.reserve(); err != nil {
+			return nil, err
+		}
+		dctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		nc, err := c.dial(dctx, p.addr)
+		if err != nil {
+			p.release()
+			return nil, fmt.Errorf("connect to %s: %w", p.addr, err)
+		}
+		uc = newConn(nc, p.addr, c.clock.Now())
+	}
+	uc.written = 0
+	if err := uc.SetDeadline(a.Deadline); err != nil {
+		p.discard(uc)
+		return nil, fmt.Errorf("connect to %s: %w", p.addr, err)
+	}
+	return uc, nil
+}
+
+// exchange writes the request and reads the head of the answer.
+func (c *conn) exchange(a Attempt) (*http.Response, error) {
+	r, err := newRequest(c.key, a)
+	if err != nil {
+		return nil, err
+	}
+	werr := r.Write(c)
+	if werr != nil && (c.written == 0 || isTimeout(werr)) {
+		return nil, werr
+	}
+	// An upstream may answer and close before it has read the whole request,
+	// for instance when it sheds load; such an answer still counts.
+	resp, err := c.readHead(r)
+	if werr != nil && err != nil {
+		return nil, werr
+	}
+	if werr != nil {
+		resp.Close = true
+	}
+	return resp, err
+}
+
+func (c *conn) readHead(r *http.Request) (*http.Response, error) {
+	for {
+		c.headLeft = maxHeadBytes
+		resp, err := http.ReadResponse(c.r, r)
+		c.headLeft = -1
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+}
+
+func newRequest(addr string, a Attempt) (*http.Request, error) {
+	r, err := http.NewRequest(a.Method, "http://"+addr+a.Path, a.Body) //nolint:noctx // the deadline is set on the connection
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", azurestair.ErrInvalid, err)
+	}
+	r.Header = a.Header.Clone()
+	if r.Header == nil {
+		r.Header = http.Header{}
+	}
+	r.Header.Set(HeaderRequest, string(a.ID))
+	r.Header.Set(HeaderDeadline, strconv.FormatInt(a.Deadline.UnixMilli(), 10))
+	r.Header.Set(HeaderRank, a.Rank.String())
+	r.ContentLength = a.BodyLen
+	if a.BodyLen == 0 {
+		r.Body = http.NoBody
+	}
+	return r, nil
+}
+
+// failed classifies an attempt that brought no answer.
+func (c *Client) failed(p *pool, uc *conn, err error) (Answer, error) {
+	ans := Answer{Reused: uc.reused}
+	switch {
+	case uc.written == 0:
+		ans.Result, ans.Reason = azurestair.AttemptNotRun, azurestair.ReasonConnect
+	case isTimeout(err):
+		ans.Result, ans.Reason = azurestair.AttemptTimeout, azurestair.ReasonTimeout
+	default:
+		ans.Result, ans.Reason = azurestair.AttemptBroken, azurestair.ReasonBroken
+	}
+	p.discard(uc)
+	if ans.Result == azurestair.AttemptTimeout && uc.reused {
+		p.suspect(c.clock.Now())
+	}
+	return ans, fmt.Errorf("attempt at %s: %w", p.addr, err)
+}
+
+var (
+	errEcho    = errors.New("answer does not name this attempt")
+	errFraming = errors.New("answer has neither a length nor chunks")
+)
+
+// answered checks that the answer belongs to the attempt and can be verified to be whole.
+func (c *Client) answered(p *pool, uc *conn, a Attempt, resp *http.Response, stop func() bool) (Answer, error) {
+	ans := Answer{
+		Result: azurestair.AttemptDone,
+		Status: resp.StatusCode,
+		Header: resp.Header,
+		Length: resp.ContentLength,
+		State:  azurestair.UpstreamState(resp.Header.Get(HeaderState)),
+		Reused: uc.reused,
+	}
+	var err error
+	switch {
+	case resp.Header.Get(HeaderRequest) != string(a.ID):
+		err = errEcho
+	case resp.ContentLength < 0 && resp.Close && len(resp.TransferEncoding) == 0:
+		err = errFraming
+	}
+	if err != nil {
+		stop()
+		p.discard(uc)
+		return Answer{Result: azurestair.AttemptBroken, Reason: azurestair.ReasonBroken}, fmt.Errorf("attempt at %s: %w", p.addr, err)
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) == string(a.ID) {
+		ans.Result, ans.Reason = azurestair.AttemptNotRun, azurestair.ReasonShed
+	}
+	ans.Body = &body{ReadCloser: resp.Body, done: func(whole bool) {
+		reusable := stop() && whole && !resp.Close
+		if reusable {
+			p.put(uc, c.clock.Now())
+			return
+		}
+		p.discard(uc)
+	}}
+	return ans, nil
+}
