--- /dev/null
+++ b/control/config.go
@@ -0,0 +1,173 @@
+package control
+
+import (
+	"fmt"
+
+	"azurestair.example/azurestair"
+)
+
+const (
+	// MaxHistory bounds the configuration versions that the state keeps.
+	MaxHistory = 50
+	// MaxDiffLines bounds the diff in the result of a conflict.
+	MaxDiffLines = 64
+)
+
+// ConfigRecord is one version of the configuration with its origin.
+type ConfigRecord struct {
+	Config   *azurestair.Config      `cbor:"1,keyasint" json:"config"`
+	Operator azurestair.OperatorName `cbor:"2,keyasint" json:"operator"`
+	Reason   string                  `cbor:"3,keyasint" json:"reason"`
+	ChangeID azurestair.ChangeID     `cbor:"4,keyasint" json:"changeId"`
+	At       azurestair.UnixMillis   `cbor:"5,keyasint" json:"at"`
+}
+
+// Validate checks the record.
+func (r ConfigRecord) Validate() error {
+	if r.Config == nil {
+		return fmt.Errorf("%w: configuration record without configuration", azurestair.ErrInvalid)
+	}
+	return r.Config.Validate()
+}
+
+// emptyConfig is the built-in configuration of version 0.
+var emptyConfig = &azurestair.Config{}
+
+// Config returns the configuration in effect. It is immutable and never nil.
+func (s *State) Config() *azurestair.Config {
+	n := len(s.history.items)
+	if n == 0 {
+		return emptyConfig
+	}
+	return s.history.items[n-1].Config
+}
+
+// History returns the newest versions of the configuration, oldest first, at
+// most MaxHistory of them.
+func (s *State) History() []ConfigRecord { return s.history.view() }
+
+func (s *State) applyConfig(c azurestair.Command) azurestair.Result {
+	current := s.Config().Version
+	if c.Config.BaseVersion != current {
+		return azurestair.Result{
+			Code:    azurestair.ResultConflict,
+			Detail:  fmt.Sprintf("base version is %d, current version is %d", c.Config.BaseVersion, current),
+			Version: current,
+			Diff:    s.diff(c.Config.BaseVersion, current),
+		}
+	}
+	next := c.Config.Config
+	next.Version = current + 1
+	s.history.push(ConfigRecord{
+		Config:   &next,
+		Operator: c.Config.Change.Operator,
+		Reason:   c.Config.Change.Reason,
+		ChangeID: c.Config.Change.ID,
+		At:       c.At,
+	}, MaxHistory)
+	return azurestair.Result{Code: azurestair.ResultAccepted, Version: next.Version}
+}
+
+// version finds a configuration that is still held.
+func (s *State) version(v azurestair.ConfigVersion) *azurestair.Config {
+	if v == 0 {
+		return emptyConfig
+	}
+	for _, r := range s.history.items {
+		if r.Config.Version == v {
+			return r.Config
+		}
+	}
+	return nil
+}
+
+// diff lists the differences between two versions, nil if one is not held.
+func (s *State) diff(from, to azurestair.ConfigVersion) []string {
+	before, after := s.version(from), s.version(to)
+	if before == nil || after == nil {
+		return nil
+	}
+	return Diff(before, after)
+}
+
+// Diff lists the differences between two configurations, one readable line
+// each, at most MaxDiffLines and a line with the number of those left out.
+func Diff(before, after *azurestair.Config) []string {
+	was, is := facts(before), facts(after)
+	old, now := indexFacts(was), indexFacts(is)
+	var lines []string
+	for _, f := range is {
+		previous, ok := old[f.name]
+		if !ok {
+			lines = append(lines, fmt.Sprintf("%s: added (%s)", f.name, f.value))
+		} else if previous != f.value {
+			lines = append(lines, fmt.Sprintf("%s: %s -> %s", f.name, previous, f.value))
+		}
+	}
+	for _, f := range was {
+		if _, ok := now[f.name]; !ok {
+			lines = append(lines, fmt.Sprintf("%s: removed (was %s)", f.name, f.value))
+		}
+	}
+	if extra := len(lines) - MaxDiffLines; extra > 0 {
+		lines = append(lines[:MaxDiffLines], fmt.Sprintf("and %d more", extra))
+	}
+	return lines
+}
+
+// fact is one named value of a configuration.
+type fact struct {
+	name, value string
+}
+
+func indexFacts(list []fact) map[string]string {
+	m := make(map[string]string, len(list))
+	for _, f := range list {
+		m[f.name] = f.value
+	}
+	return m
+}
+
+// facts lists the values of a configuration in a fixed order, each name once.
+func facts(c *azurestair.Config) []fact {
+	list := defaultFacts(c.Defaults)
+	for _, s := range c.Services {
+		for _, o := range s.Operations {
+			value := fmt.Sprintf("rank=%s idempotent=%t timeoutMs=%d maxBodyBytes=%d",
+				o.Rank, o.Idempotent, o.TimeoutMs, o.MaxBodyBytes)
+			list = append(list, fact{fmt.Sprintf("operation %s/%s", s.Name, o.Name), value})
+		}
+	}
+	for _, r := range c.Regions {
+		list = append(list, fact{fmt.Sprintf("region %s", r.Name), fmt.Sprintf("failureDomains=%v", r.FailureDomains)})
+	}
+	for _, l := range c.Links {
+		name := fmt.Sprintf("link %s>%s", l.From, l.To)
+		list = append(list, fact{name, fmt.Sprintf("limitBytesPerSecond=%d", l.LimitBs)})
+	}
+	seen := map[string]int{}
+	for _, e := range c.Exceptions {
+		name := fmt.Sprintf("exception %s %s %s", e.Target.Kind, e.Target.Name, e.Setting)
+		seen[name]++
+		if n := seen[name]; n > 1 {
+			name = fmt.Sprintf("%s #%d", name, n)
+		}
+		list = append(list, fact{name, fmt.Sprintf("%d, reason %q", e.Value, e.Reason)})
+	}
+	return list
+}
+
+func defaultFacts(d azurestair.Defaults) []fact {
+	return []fact{
+		{"defaults.rankFloors", fmt.Sprint(d.RankFloors)},
+		{"defaults.queueLimit", fmt.Sprint(d.QueueLimit)},
+		{"defaults.retryPercent", fmt.Sprint(d.RetryPercent)},
+		{"defaults.ejectPercent", fmt.Sprint(d.EjectPercent)},
+		{"defaults.slowStartMs", fmt.Sprint(d.SlowStartMs)},
+		{"defaults.shiftPercent", fmt.Sprint(d.ShiftPercent)},
+		{"defaults.shiftIntervalMs", fmt.Sprint(d.ShiftIntervalMs)},
+		{"defaults.lookupTtlMs", fmt.Sprint(d.LookupTTLMs)},
+		{"defaults.lookupMovePercent", fmt.Sprint(d.LookupMovePercent)},
+		{"defaults.probePercent", fmt.Sprint(d.ProbePercent)},
+	}
+}
--- /dev/null
+++ b/control/expiry.go
@@ -0,0 +1,56 @@
+package control
+
+import "container/heap"
+
+// expiryNode is a record's place in the structures of the ledger.
+type expiryNode struct {
+	record *LedgerRecord
+	// position is the place in the heap.
+	position int
+	// older and newer link the records that keep an answer.
+	older, newer *expiryNode
+}
+
+// expiryHeap orders records by their expiry; each operation costs O(log n).
+type expiryHeap struct {
+	nodes expiryNodes
+}
+
+func (h *expiryHeap) first() *expiryNode {
+	if len(h.nodes) == 0 {
+		return nil
+	}
+	return h.nodes[0]
+}
+
+func (h *expiryHeap) add(n *expiryNode)    { heap.Push(&h.nodes, n) }
+func (h *expiryHeap) update(n *expiryNode) { heap.Fix(&h.nodes, n.position) }
+func (h *expiryHeap) remove(n *expiryNode) { heap.Remove(&h.nodes, n.position) }
+
+// expiryNodes implements heap.Interface.
+type expiryNodes []*expiryNode
+
+func (e expiryNodes) Len() int           { return len(e) }
+func (e expiryNodes) Less(i, j int) bool { return e[i].record.Expires < e[j].record.Expires }
+
+func (e expiryNodes) Swap(i, j int) {
+	e[i], e[j] = e[j], e[i]
+	e[i].position = i
+	e[j].position = j
+}
+
+// Push implements heap.Interface.
+func (e *expiryNodes) Push(x any) {
+	n := x.(*expiryNode)
+	n.position = len(*e)
+	*e = append(*e, n)
+}
+
+// Pop implements heap.Interface.
+func (e *expiryNodes) Pop() any {
+	last := len(*e) - 1
+	n := (*e)[last]
+	(*e)[last] = nil
+	*e = (*e)[:last]
+	return n
+}
--- /dev/null
+++ b/control/image.go
@@ -0,0 +1,154 @@
+package control
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"azurestair.example/azurestair"
+)
+
+// Image is the whole state in the form in which snapshots of the log keep it.
+// It shares immutable memory with the state that it was taken from.
+type Image struct {
+	Applied azurestair.Index `cbor:"1,keyasint" json:"applied"`
+	// History holds the versions of the configuration, the current one last.
+	History []ConfigRecord           `cbor:"2,keyasint,omitempty" json:"history,omitempty"`
+	Drains  []azurestair.Drain       `cbor:"3,keyasint,omitempty" json:"drains,omitempty"`
+	Changes []ChangeRecord           `cbor:"4,keyasint,omitempty" json:"changes,omitempty"`
+	Audit   []azurestair.AuditRecord `cbor:"5,keyasint,omitempty" json:"audit,omitempty"`
+	Ledger  []*LedgerRecord          `cbor:"6,keyasint,omitempty" json:"ledger,omitempty"`
+	// LastKept is the number of the newest answer that was ever kept.
+	LastKept uint64 `cbor:"7,keyasint,omitempty" json:"lastKept,omitempty"`
+}
+
+// Image returns the state. It copies references only and may be encoded on
+// another goroutine.
+func (s *State) Image() Image {
+	records := make([]*LedgerRecord, len(s.ledger.expiry.nodes))
+	for i, n := range s.ledger.expiry.nodes {
+		records[i] = n.record
+	}
+	return Image{
+		Applied:  s.applied,
+		History:  s.history.view(),
+		Drains:   s.drains,
+		Changes:  s.changes.order.view(),
+		Audit:    s.audit.view(),
+		Ledger:   records,
+		LastKept: s.ledger.answers.last,
+	}
+}
+
+// FromImage returns the state that an image holds. The state keeps the image's memory.
+func FromImage(i Image) (*State, error) {
+	if err := i.Validate(); err != nil {
+		return nil, err
+	}
+	s := &State{applied: i.Applied, drains: i.Drains}
+	s.history.items = slices.Clip(i.History)
+	s.audit.items = slices.Clip(i.Audit)
+	for _, r := range i.Changes {
+		s.changes.add(r)
+	}
+	s.ledger.restore(i.Ledger, i.LastKept)
+	return s, nil
+}
+
+// restore adds the records in the order of the image, which is heap order, so
+// that the heap keeps it.
+func (l *ledger) restore(records []*LedgerRecord, lastKept uint64) {
+	l.byKey = make(map[claimKey]*expiryNode, len(records))
+	var kept []*expiryNode
+	for _, r := range records {
+		n := l.add(r)
+		if r.Kept != 0 {
+			kept = append(kept, n)
+		}
+	}
+	slices.SortFunc(kept, func(a, b *expiryNode) int {
+		return cmp.Compare(a.record.Kept, b.record.Kept)
+	})
+	for _, n := range kept {
+		l.answers.add(n)
+	}
+	l.answers.last = lastKept
+}
+
+// Validate checks the image.
+func (i Image) Validate() error {
+	if len(i.History) > MaxHistory || len(i.Drains) > MaxDrains || len(i.Changes) > MaxChanges ||
+		len(i.Audit) > MaxAudit || len(i.Ledger) > MaxClaims {
+		return fmt.Errorf("%w: image exceeds a limit of the state", azurestair.ErrInvalid)
+	}
+	if err := i.validateHistory(); err != nil {
+		return err
+	}
+	if err := i.validateDrains(); err != nil {
+		return err
+	}
+	if err := i.validateChanges(); err != nil {
+		return err
+	}
+	return i.validateLedger()
+}
+
+func (i Image) validateHistory() error {
+	for n, r := range i.History {
+		if err := r.Validate(); err != nil {
+			return err
+		}
+		if r.Config.Version == 0 || (n > 0 && r.Config.Version != i.History[n-1].Config.Version+1) {
+			return fmt.Errorf("%w: image: configuration version %d is out of order", azurestair.ErrInvalid, r.Config.Version)
+		}
+	}
+	return nil
+}
+
+func (i Image) validateDrains() error {
+	for n, d := range i.Drains {
+		if err := d.Target.Validate(); err != nil {
+			return err
+		}
+		if n > 0 && compareDrain(i.Drains[n-1], d.Target) >= 0 {
+			return fmt.Errorf("%w: image: drain of %s is out of order", azurestair.ErrInvalid, d.Target.Name)
+		}
+	}
+	return nil
+}
+
+func (i Image) validateChanges() error {
+	seen := make(map[changeKey]bool, len(i.Changes))
+	for _, r := range i.Changes {
+		if err := r.Validate(); err != nil {
+			return err
+		}
+		if seen[changeKey{r.Operator, r.ID}] {
+			return fmt.Errorf("%w: image: change %s is listed twice", azurestair.ErrInvalid, r.ID)
+		}
+		seen[changeKey{r.Operator, r.ID}] = true
+	}
+	return nil
+}
+
+func (i Image) validateLedger() error {
+	seen := make(map[claimKey]bool, len(i.Ledger))
+	kept := map[uint64]bool{}
+	for _, r := range i.Ledger {
+		if r == nil {
+			return fmt.Errorf("%w: image: ledger record is missing", azurestair.ErrInvalid)
+		}
+		if err := r.Validate(); err != nil {
+			return err
+		}
+		if seen[r.key()] {
+			return fmt.Errorf("%w: image: key %s is listed twice", azurestair.ErrInvalid, r.Key)
+		}
+		seen[r.key()] = true
+		if r.Kept > i.LastKept || (r.Kept != 0 && kept[r.Kept]) {
+			return fmt.Errorf("%w: image: kept answer %d is out of order", azurestair.ErrInvalid, r.Kept)
+		}
+		kept[r.Kept] = true
+	}
+	return nil
+}
--- /dev/null
+++ b/control/ledger.go
@@ -0,0 +1,295 @@
+package control
+
+import (
+	"bytes"
+	"fmt"
+
+	"azurestair.example/azurestair"
+)
+
+const (
+	// MaxClaims bounds the records of the ledger.
+	MaxClaims = 200_000
+	// MaxKeptAnswers bounds the recorded answers in all.
+	MaxKeptAnswers azurestair.Bytes = 32 << 20
+	// ClaimRetention is how long a record is kept after its deadline, so that a
+	// caller's late retry finds it.
+	ClaimRetention azurestair.Millis = 3_600_000
+	// DeadlineMargin is added to a claim's deadline before another claim turns
+	// it to unknown. It covers the difference between the clocks of the leader
+	// and the entry, whose answer would otherwise arrive just too late.
+	DeadlineMargin azurestair.Millis = 1_000
+	// expiriesPerCommand bounds the records that one command expires. More than
+	// one lets the ledger shrink, and the bound keeps a command short after a
+	// long pause. A record that is kept longer is safe.
+	expiriesPerCommand = 8
+)
+
+// LedgerRecord is the ledger's record of one key. A record is immutable.
+// Operation is empty when only the notRun of an abandoned attempt is known.
+type LedgerRecord struct {
+	Service     azurestair.ServiceName   `cbor:"1,keyasint" json:"service"`
+	Key         azurestair.RequestKey    `cbor:"2,keyasint" json:"key"`
+	Operation   azurestair.OperationName `cbor:"3,keyasint,omitempty" json:"operation,omitempty"`
+	Fingerprint []byte                   `cbor:"4,keyasint,omitempty" json:"fingerprint,omitempty"`
+	Instance    azurestair.InstanceID    `cbor:"5,keyasint" json:"instance"`
+	Incarnation azurestair.Incarnation   `cbor:"6,keyasint" json:"incarnation"`
+	Attempt     uint64                   `cbor:"7,keyasint" json:"attempt"`
+	Deadline    azurestair.UnixMillis    `cbor:"8,keyasint,omitempty" json:"deadline,omitempty"`
+	State       azurestair.ClaimState    `cbor:"9,keyasint" json:"state"`
+	Answer      *azurestair.Answer       `cbor:"10,keyasint,omitempty" json:"answer,omitempty"`
+	// Expires is when the record may be removed.
+	Expires azurestair.UnixMillis `cbor:"11,keyasint" json:"expires"`
+	// Kept orders the kept answers by age; zero when the record keeps none.
+	Kept uint64 `cbor:"12,keyasint,omitempty" json:"kept,omitempty"`
+}
+
+// Validate checks the record.
+func (r *LedgerRecord) Validate() error {
+	switch r.State {
+	case azurestair.ClaimHeld, azurestair.ClaimDone, azurestair.ClaimNotRun, azurestair.ClaimUnknown:
+	default:
+		return fmt.Errorf("%w: ledger record in state %q", azurestair.ErrInvalid, r.State)
+	}
+	if (r.State == azurestair.ClaimDone) != (r.Answer != nil) || (r.Kept != 0 && r.Answer == nil) {
+		return fmt.Errorf("%w: ledger record: answer does not match state %s", azurestair.ErrInvalid, r.State)
+	}
+	if r.Operation == "" && r.State == azurestair.ClaimNotRun {
+		return r.validateAbandoned()
+	}
+	return r.claim().Validate()
+}
+
+func (r *LedgerRecord) validateAbandoned() error {
+	if err := azurestair.CheckName("service", string(r.Service)); err != nil {
+		return err
+	}
+	if err := azurestair.CheckName("instance", string(r.Instance)); err != nil {
+		return err
+	}
+	return r.Key.Validate()
+}
+
+func (r *LedgerRecord) claim() azurestair.Claim {
+	return azurestair.Claim{
+		Service:     r.Service,
+		Operation:   r.Operation,
+		Key:         r.Key,
+		Fingerprint: r.Fingerprint,
+		Instance:    r.Instance,
+		Incarnation: r.Incarnation,
+		Attempt:     r.Attempt,
+		Deadline:    r.Deadline,
+	}
+}
+
+// view returns the record in the form of results.
+func (r *LedgerRecord) view() *azurestair.ClaimRecord {
+	return &azurestair.ClaimRecord{Claim: r.claim(), State: r.State, Answer: r.Answer}
+}
+
+func (r *LedgerRecord) key() claimKey { return claimKey{r.Service, r.Key} }
+
+func (r *LedgerRecord) isHolder(i azurestair.InstanceID, n azurestair.Incarnation, attempt uint64) bool {
+	return r.Instance == i && r.Incarnation == n && r.Attempt == attempt
+}
+
+// isAbandoned reports whether the claim belongs to an attempt that its entry
+// gave up at or before the recorded one: a delayed message whose sender no
+// longer waits for the grant.
+func (r *LedgerRecord) isAbandoned(c azurestair.Claim) bool {
+	if r.Instance != c.Instance {
+		return false
+	}
+	if r.Incarnation != c.Incarnation {
+		return c.Incarnation < r.Incarnation
+	}
+	return c.Attempt <= r.Attempt
+}
+
+// isOtherRequest reports whether the claim uses the record's key for a
+// different request.
+func (r *LedgerRecord) isOtherRequest(c azurestair.Claim) bool {
+	if r.Operation == "" {
+		return false
+	}
+	return r.Operation != c.Operation || !bytes.Equal(r.Fingerprint, c.Fingerprint)
+}
+
+type claimKey struct {
+	service azurestair.ServiceName
+	key     azurestair.RequestKey
+}
+
+// ledger holds one record for each key.
+type ledger struct {
+	byKey   map[claimKey]*expiryNode
+	expiry  expiryHeap
+	answers answerQueue
+}
+
+// Claim returns the ledger's record of a key.
+func (s *State) Claim(service azurestair.ServiceName, key azurestair.RequestKey) (azurestair.ClaimRecord, bool) {
+	n, ok := s.ledger.byKey[claimKey{service, key}]
+	if !ok {
+		return azurestair.ClaimRecord{}, false
+	}
+	return *n.record.view(), true
+}
+
+// Claims returns the number of records in the ledger.
+func (s *State) Claims() int { return len(s.ledger.byKey) }
+
+func (l *ledger) claim(at azurestair.UnixMillis, c azurestair.Claim) azurestair.Result {
+	l.expire(at)
+	n, ok := l.byKey[claimKey{c.Service, c.Key}]
+	if !ok {
+		return l.insert(newClaim(at, c), azurestair.ResultGranted)
+	}
+	r := n.record
+	if r.isOtherRequest(c) {
+		return azurestair.Result{Code: azurestair.ResultKeyReused}
+	}
+	switch r.State {
+	case azurestair.ClaimHeld:
+		return l.claimHeld(at, n, c)
+	case azurestair.ClaimNotRun:
+		if r.isAbandoned(c) {
+			return azurestair.Result{Code: azurestair.ResultHeld, Record: r.view()}
+		}
+		l.replace(n, newClaim(at, c))
+		return azurestair.Result{Code: azurestair.ResultGranted}
+	default:
+		return azurestair.Result{Code: azurestair.ResultRecorded, Record: r.view()}
+	}
+}
+
+// claimHeld answers a claim for a key that is held. Past the deadline the
+// holder may still have sent the request, so that its record becomes unknown
+// and the key is never granted again.
+func (l *ledger) claimHeld(at azurestair.UnixMillis, n *expiryNode, c azurestair.Claim) azurestair.Result {
+	r := n.record
+	if r.isHolder(c.Instance, c.Incarnation, c.Attempt) {
+		return azurestair.Result{Code: azurestair.ResultGranted}
+	}
+	if at <= r.Deadline.Add(DeadlineMargin) {
+		return azurestair.Result{Code: azurestair.ResultHeld, Record: r.view()}
+	}
+	next := *r
+	next.State = azurestair.ClaimUnknown
+	l.replace(n, &next)
+	return azurestair.Result{Code: azurestair.ResultRecorded, Record: next.view()}
+}
+
+// newClaim returns the record of a granted claim. The deadline comes from the
+// entry's clock: it is capped at the longest timeout after the leader's time,
+// so that a wrong clock cannot pin a record, and retention counts from the
+// leader's time at least, so that it cannot drop one early either.
+func newClaim(at azurestair.UnixMillis, c azurestair.Claim) *LedgerRecord {
+	deadline := min(c.Deadline, at.Add(azurestair.MaxTimeoutMs))
+	return &LedgerRecord{
+		Service:     c.Service,
+		Key:         c.Key,
+		Operation:   c.Operation,
+		Fingerprint: c.Fingerprint,
+		Instance:    c.Instance,
+		Incarnation: c.Incarnation,
+		Attempt:     c.Attempt,
+		Deadline:    deadline,
+		State:       azurestair.ClaimHeld,
+		Expires:     max(deadline, at).Add(ClaimRetention),
+	}
+}
+
+func (l *ledger) finish(at azurestair.UnixMillis, f azurestair.ClaimFinish) azurestair.Result {
+	if err := azurestair.CheckName("instance", string(f.Instance)); err != nil {
+		return azurestair.Result{Code: azurestair.ResultInvalid, Detail: err.Error()}
+	}
+	l.expire(at)
+	n, ok := l.byKey[claimKey{f.Service, f.Key}]
+	if !ok {
+		return l.finishMissing(at, f)
+	}
+	r := n.record
+	if !r.isHolder(f.Instance, f.Incarnation, f.Attempt) {
+		return azurestair.Result{Code: azurestair.ResultConflict, Detail: "another attempt holds the key", Record: r.view()}
+	}
+	if r.State == f.State {
+		return azurestair.Result{Code: azurestair.ResultUnchanged}
+	}
+	if !mayFinish(r.State, f.State) {
+		detail := fmt.Sprintf("%s cannot replace %s", f.State, r.State)
+		return azurestair.Result{Code: azurestair.ResultConflict, Detail: detail, Record: r.view()}
+	}
+	next := *r
+	next.State = f.State
+	l.replace(n, &next)
+	if f.State == azurestair.ClaimDone {
+		l.keepAnswer(n, f.Answer)
+	}
+	return azurestair.Result{Code: azurestair.ResultAccepted}
+}
+
+// mayFinish says which final state may replace a state. Only done replaces
+// unknown: a caller may have been told that the request possibly ran, and
+// unknown promises that it is never sent again.
+func mayFinish(from, to azurestair.ClaimState) bool {
+	if from == azurestair.ClaimHeld {
+		return true
+	}
+	return from == azurestair.ClaimUnknown && to == azurestair.ClaimDone
+}
+
+// finishMissing handles the end of an attempt whose claim has not arrived. A
+// notRun is kept, so that the claim gets no grant when it arrives afterwards.
+func (l *ledger) finishMissing(at azurestair.UnixMillis, f azurestair.ClaimFinish) azurestair.Result {
+	if f.State != azurestair.ClaimNotRun {
+		return azurestair.Result{Code: azurestair.ResultNotFound}
+	}
+	return l.insert(&LedgerRecord{
+		Service:     f.Service,
+		Key:         f.Key,
+		Instance:    f.Instance,
+		Incarnation: f.Incarnation,
+		Attempt:     f.Attempt,
+		State:       azurestair.ClaimNotRun,
+		Expires:     at.Add(azurestair.MaxTimeoutMs + ClaimRetention),
+	}, azurestair.ResultAccepted)
+}
+
+func (l *ledger) insert(r *LedgerRecord, code azurestair.ResultCode) azurestair.Result {
+	if len(l.byKey) >= MaxClaims {
+		detail := fmt.Sprintf("the ledger holds %d records, which is the limit", MaxClaims)
+		return azurestair.Result{Code: azurestair.ResultFull, Detail: detail}
+	}
+	l.add(r)
+	return azurestair.Result{Code: code}
+}
+
+func (l *ledger) add(r *LedgerRecord) *expiryNode {
+	if l.byKey == nil {
+		l.byKey = map[claimKey]*expiryNode{}
+	}
+	n := &expiryNode{record: r}
+	l.byKey[r.key()] = n
+	l.expiry.add(n)
+	return n
+}
+
+func (l *ledger) replace(n *expiryNode, r *LedgerRecord) {
+	n.record = r
+	l.expiry.update(n)
+}
+
+// expire removes records past their retention, a bounded number at a time.
+func (l *ledger) expire(at azurestair.UnixMillis) {
+	for range expiriesPerCommand {
+		n := l.expiry.first()
+		if n == nil || n.record.Expires > at {
+			return
+		}
+		l.expiry.remove(n)
+		l.answers.remove(n)
+		delete(l.byKey, n.record.key())
+	}
+}
