--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,143 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/control"
+)
+
+// Client calls the administration API. The zero value with an Addr works for
+// an instance on the same machine.
+type Client struct {
+	Addr  string
+	Token string
+	HTTP  *http.Client
+}
+
+// maxAnswerBytes bounds an answer of the API.
+const maxAnswerBytes = 64 << 20
+
+// Config returns the configuration in effect.
+func (c *Client) Config(ctx context.Context) (ConfigAnswer, error) {
+	return call[ConfigAnswer](ctx, c, http.MethodGet, "/v1/config", nil)
+}
+
+// History returns the newest versions of the configuration.
+func (c *Client) History(ctx context.Context) (HistoryAnswer, error) {
+	return call[HistoryAnswer](ctx, c, http.MethodGet, "/v1/config/history", nil)
+}
+
+// Apply replaces the configuration. A conflict is an ErrConflict with its answer.
+func (c *Client) Apply(ctx context.Context, q ConfigRequest) (ChangeAnswer, error) {
+	return call[ChangeAnswer](ctx, c, http.MethodPut, "/v1/config", q)
+}
+
+// Drain takes a target out of service.
+func (c *Client) Drain(ctx context.Context, q DrainRequest) (ChangeAnswer, error) {
+	return call[ChangeAnswer](ctx, c, http.MethodPost, "/v1/drain", q)
+}
+
+// Undrain returns a target to service.
+func (c *Client) Undrain(ctx context.Context, q DrainRequest) (ChangeAnswer, error) {
+	return call[ChangeAnswer](ctx, c, http.MethodPost, "/v1/undrain", q)
+}
+
+// Status returns what the instance knows.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	return call[Status](ctx, c, http.MethodGet, "/v1/status", nil)
+}
+
+// Audit queries the audit trail.
+func (c *Client) Audit(ctx context.Context, q control.AuditQuery) (AuditAnswer, error) {
+	v := url.Values{}
+	if q.Operator != "" {
+		v.Set("operator", string(q.Operator))
+	}
+	for name, n := range map[string]int64{"limit": int64(q.Limit), "from": int64(q.From), "to": int64(q.To)} {
+		if n > 0 {
+			v.Set(name, strconv.FormatInt(n, 10))
+		}
+	}
+	return call[AuditAnswer](ctx, c, http.MethodGet, "/v1/audit?"+v.Encode(), nil)
+}
+
+func call[A any](ctx context.Context, c *Client, method, path string, q any) (A, error) {
+	var a A
+	var body io.Reader
+	if q != nil {
+		data, err := json.Marshal(q)
+		if err != nil {
+			return a, err
+		}
+		body = bytes.NewReader(data)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.Addr+path, body)
+	if err != nil {
+		return a, err
+	}
+	r.Header.Set("Authorization", "Bearer "+c.Token)
+	client := c.HTTP
+	if client == nil {
+		client = http.DefaultClient
+	}
+	resp, err := client.Do(r)
+	if err != nil {
+		return a, err
+	}
+	defer resp.Body.Close() //nolint:errcheck // the body was read
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return a, err
+	}
+	return answerOf[A](resp.StatusCode, data)
+}
+
+func answerOf[A any](status int, data []byte) (A, error) {
+	var a A
+	if status == http.StatusOK || status == http.StatusConflict {
+		if err := json.Unmarshal(data, &a); err != nil {
+			return a, err
+		}
+	}
+	if err := statusError(status, data); err != nil {
+		return a, err
+	}
+	return a, nil
+}
+
+func statusError(status int, data []byte) error {
+	var kind error
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusConflict:
+		return azurestair.ErrConflict
+	case http.StatusBadRequest:
+		kind = azurestair.ErrInvalid
+	case http.StatusUnauthorized:
+		kind = azurestair.ErrUnauthorized
+	case http.StatusNotFound:
+		kind = azurestair.ErrNotFound
+	case http.StatusServiceUnavailable:
+		kind = azurestair.ErrNoQuorum
+	default:
+		kind = errUnexpected
+	}
+	var e struct {
+		Error  string `json:"error"`
+		Detail string `json:"detail"`
+	}
+	_ = json.Unmarshal(data, &e)
+	return fmt.Errorf("%w: status %d: %s%s", kind, status, e.Error, e.Detail)
+}
+
+var errUnexpected = errors.New("unexpected answer")
--- /dev/null
+++ b/operator/handler.go
@@ -0,0 +1,302 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/control"
+)
+
+// Backend carries out what operators ask for.
+type Backend interface {
+	azurestair.Proposer
+	Query(ctx context.Context, q control.Query) (control.QueryResult, error)
+	Status(ctx context.Context) Status
+	// Ready reports whether this instance may be named in look-ups.
+	Ready() error
+}
+
+// Authorizer checks a bearer token and returns the operator that it belongs to.
+type Authorizer func(token string) (azurestair.OperatorName, error)
+
+// Limits of the administration API.
+const (
+	maxBodyBytes   = 1 << 20
+	requestTimeout = 10 * time.Second
+	// pollEvery is how often a change looks for instances that have not applied it.
+	pollEvery = 20 * time.Millisecond
+)
+
+type handler struct {
+	backend Backend
+	clock   azurestair.Clock
+}
+
+// NewHandler returns the HTTP handler; metrics may be nil.
+func NewHandler(b Backend, auth Authorizer, clock azurestair.Clock, metrics http.Handler) http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	h := &handler{backend: b, clock: clock}
+	e := gin.New()
+	e.Use(gin.Recovery())
+	e.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", h.ready)
+	if metrics != nil {
+		e.GET("/metrics", gin.WrapH(metrics))
+	}
+	v1 := e.Group("/v1", authorize(auth))
+	v1.GET("/config", h.getConfig)
+	v1.PUT("/config", h.putConfig)
+	v1.GET("/config/history", h.history)
+	v1.POST("/drain", func(c *gin.Context) { h.drain(c, true) })
+	v1.POST("/undrain", func(c *gin.Context) { h.drain(c, false) })
+	v1.GET("/status", func(c *gin.Context) { c.JSON(http.StatusOK, h.backend.Status(c.Request.Context())) })
+	v1.GET("/audit", h.audit)
+	return e
+}
+
+// operatorKey is where authorize leaves the operator's name.
+const operatorKey = "operator"
+
+func authorize(auth Authorizer) gin.HandlerFunc {
+	return func(c *gin.Context) {
+		name, err := auth(bearerToken(c.Request))
+		if err != nil {
+			c.AbortWithStatusJSON(http.StatusUnauthorized, ErrorBody{Error: err.Error()})
+			return
+		}
+		c.Set(operatorKey, name)
+	}
+}
+
+func bearerToken(r *http.Request) string {
+	const prefix = "Bearer "
+	h := r.Header.Get("Authorization")
+	if len(h) <= len(prefix) || h[:len(prefix)] != prefix {
+		return ""
+	}
+	return h[len(prefix):]
+}
+
+func operatorOf(c *gin.Context) azurestair.OperatorName {
+	name, _ := c.Get(operatorKey)
+	op, _ := name.(azurestair.OperatorName)
+	return op
+}
+
+func (h *handler) ready(c *gin.Context) {
+	if err := h.backend.Ready(); err != nil {
+		c.String(http.StatusServiceUnavailable, "%s\n", err)
+		return
+	}
+	c.String(http.StatusOK, "ready\n")
+}
+
+// writeError maps an error to its HTTP status.
+func writeError(c *gin.Context, err error) {
+	status := http.StatusInternalServerError
+	switch {
+	case errors.Is(err, azurestair.ErrInvalid):
+		status = http.StatusBadRequest
+	case errors.Is(err, azurestair.ErrNotFound):
+		status = http.StatusNotFound
+	case errors.Is(err, azurestair.ErrTooLarge):
+		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, azurestair.ErrNotLeader), errors.Is(err, azurestair.ErrNoQuorum),
+		errors.Is(err, azurestair.ErrDeadline), errors.Is(err, context.DeadlineExceeded):
+		status = http.StatusServiceUnavailable
+	}
+	c.JSON(status, ErrorBody{Error: err.Error()})
+}
+
+// decode reads a JSON body strictly and checks it.
+func decode(c *gin.Context, v azurestair.Validator) error {
+	dec := json.NewDecoder(http.MaxBytesReader(c.Writer, c.Request.Body, maxBodyBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return fmt.Errorf("%w: body is larger than %d bytes", azurestair.ErrTooLarge, maxBodyBytes)
+		}
+		return fmt.Errorf("%w: body: %w", azurestair.ErrInvalid, err)
+	}
+	return v.Validate()
+}
+
+func (h *handler) getConfig(c *gin.Context) {
+	ctx, cancel := context.WithTimeout(c.Request.Context(), requestTimeout)
+	defer cancel()
+	res, err := h.backend.Query(ctx, control.Query{History: true})
+	if err != nil {
+		writeError(c, err)
+		return
+	}
+	var a ConfigAnswer
+	if n := len(res.History); n > 0 {
+		a.Config = *res.History[n-1].Config
+		a.Version = a.Config.Version
+	}
+	c.JSON(http.StatusOK, a)
+}
+
+func (h *handler) history(c *gin.Context) {
+	ctx, cancel := context.WithTimeout(c.Request.Context(), requestTimeout)
+	defer cancel()
+	res, err := h.backend.Query(ctx, control.Query{History: true})
+	if err != nil {
+		writeError(c, err)
+		return
+	}
+	c.JSON(http.StatusOK, HistoryAnswer{Versions: res.History})
+}
+
+func (h *handler) putConfig(c *gin.Context) {
+	var q ConfigRequest
+	if err := decode(c, &q); err != nil {
+		writeError(c, err)
+		return
+	}
+	cmd := azurestair.Command{Config: &azurestair.ConfigChange{
+		Change:      azurestair.Change{ID: q.ChangeID, Operator: operatorOf(c), Reason: q.Reason},
+		BaseVersion: q.BaseVersion,
+		Config:      q.Config,
+	}}
+	a, ok := h.change(c, cmd)
+	if !ok {
+		return
+	}
+	if a.Code == azurestair.ResultAccepted {
+		wait := q.WaitMs
+		if wait == 0 {
+			wait = DefaultWaitMs
+		}
+		a.InForce, a.NotInForce = h.waitInForce(c.Request.Context(), a.Version, wait)
+	}
+	writeChange(c, a)
+}
+
+func (h *handler) drain(c *gin.Context, drained bool) {
+	var q DrainRequest
+	if err := decode(c, &q); err != nil {
+		writeError(c, err)
+		return
+	}
+	cmd := azurestair.Command{Drain: &azurestair.DrainChange{
+		Change:  azurestair.Change{ID: q.ChangeID, Operator: operatorOf(c), Reason: q.Reason},
+		Target:  q.Target,
+		Drained: drained,
+	}}
+	if a, ok := h.change(c, cmd); ok {
+		writeChange(c, a)
+	}
+}
+
+// change proposes a command; it has answered the request when it returns false.
+func (h *handler) change(c *gin.Context, cmd azurestair.Command) (ChangeAnswer, bool) {
+	ctx, cancel := context.WithTimeout(c.Request.Context(), requestTimeout)
+	defer cancel()
+	if err := cmd.Validate(); err != nil {
+		writeError(c, err)
+		return ChangeAnswer{}, false
+	}
+	res, err := h.backend.Propose(ctx, cmd)
+	if err != nil {
+		writeError(c, err)
+		return ChangeAnswer{}, false
+	}
+	return ChangeAnswer{Code: res.Code, Detail: res.Detail, Version: res.Version, Diff: res.Diff}, true
+}
+
+func writeChange(c *gin.Context, a ChangeAnswer) {
+	status := http.StatusOK
+	switch a.Code {
+	case azurestair.ResultConflict:
+		status = http.StatusConflict
+	case azurestair.ResultInvalid:
+		status = http.StatusBadRequest
+	case azurestair.ResultNotFound:
+		status = http.StatusNotFound
+	case azurestair.ResultFull:
+		status = http.StatusInsufficientStorage
+	}
+	c.JSON(status, a)
+}
+
+// waitInForce waits until every known instance has applied the version.
+func (h *handler) waitInForce(ctx context.Context, v azurestair.ConfigVersion, wait azurestair.Millis) (in, out []azurestair.InstanceID) {
+	deadline := h.clock.Now().Add(wait.Duration())
+	ticker := time.NewTicker(pollEvery)
+	defer ticker.Stop()
+	for {
+		in, out = inForce(h.backend.Status(ctx).Instances, v)
+		if (len(out) == 0 && len(in) > 0) || h.clock.Now().After(deadline) {
+			return in, out
+		}
+		select {
+		case <-ctx.Done():
+			return in, out
+		case <-ticker.C:
+		}
+	}
+}
+
+func inForce(instances []azurestair.InstanceInfo, v azurestair.ConfigVersion) (in, out []azurestair.InstanceID) {
+	for _, i := range instances {
+		if i.InForce >= v {
+			in = append(in, i.ID)
+			continue
+		}
+		out = append(out, i.ID)
+	}
+	return in, out
+}
+
+func (h *handler) audit(c *gin.Context) {
+	q, err := auditQuery(c)
+	if err != nil {
+		writeError(c, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(c.Request.Context(), requestTimeout)
+	defer cancel()
+	res, err := h.backend.Query(ctx, control.Query{Audit: &q})
+	if err != nil {
+		writeError(c, err)
+		return
+	}
+	c.JSON(http.StatusOK, AuditAnswer{Records: res.Audit})
+}
+
+func auditQuery(c *gin.Context) (control.AuditQuery, error) {
+	q := control.AuditQuery{Operator: azurestair.OperatorName(c.Query("operator"))}
+	limit, err := number(c, "limit")
+	if err != nil {
+		return q, err
+	}
+	from, err := number(c, "from")
+	if err != nil {
+		return q, err
+	}
+	to, err := number(c, "to")
+	q.Limit, q.From, q.To = int(limit), azurestair.UnixMillis(from), azurestair.UnixMillis(to)
+	return q, err
+}
+
+func number(c *gin.Context, name string) (int64, error) {
+	s := c.Query(name)
+	if s == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseInt(s, 10, 64)
+	if err != nil || n < 0 {
+		return 0, fmt.Errorf("%w: %s = %q; allowed is a whole number of at least 0", azurestair.ErrInvalid, name, s)
+	}
+	return n, nil
+}
--- /dev/null
+++ b/operator/messages.go
@@ -0,0 +1,119 @@
+package operator
+
+import (
+	"fmt"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/control"
+)
+
+// ConfigAnswer is the configuration in effect.
+type ConfigAnswer struct {
+	Version azurestair.ConfigVersion `json:"version"`
+	Config  azurestair.Config        `json:"config"`
+}
+
+// ConfigRequest replaces the configuration if BaseVersion is still current.
+type ConfigRequest struct {
+	ChangeID    azurestair.ChangeID      `json:"changeId"`
+	Reason      string                   `json:"reason"`
+	BaseVersion azurestair.ConfigVersion `json:"baseVersion"`
+	Config      azurestair.Config        `json:"config"`
+	// WaitMs is how long to wait for the instances to apply the change; zero means DefaultWaitMs.
+	WaitMs azurestair.Millis `json:"waitMs,omitempty"`
+}
+
+// Limits on how long an answer waits for the instances.
+const (
+	DefaultWaitMs azurestair.Millis = 2_000
+	MaxWaitMs     azurestair.Millis = 30_000
+)
+
+// Validate checks the request; the change itself is checked with its operator.
+func (r ConfigRequest) Validate() error {
+	if r.WaitMs < 0 || r.WaitMs > MaxWaitMs {
+		return fmt.Errorf("%w: waitMs = %d; allowed 0 to %d", azurestair.ErrInvalid, r.WaitMs, MaxWaitMs)
+	}
+	return nil
+}
+
+// DrainRequest drains a target or ends its drain.
+type DrainRequest struct {
+	ChangeID azurestair.ChangeID `json:"changeId"`
+	Reason   string              `json:"reason"`
+	Target   azurestair.Target   `json:"target"`
+}
+
+// Validate checks the request.
+func (r DrainRequest) Validate() error { return r.Target.Validate() }
+
+// ChangeAnswer is the result of a change.
+type ChangeAnswer struct {
+	Code    azurestair.ResultCode    `json:"code"`
+	Detail  string                   `json:"detail,omitempty"`
+	Version azurestair.ConfigVersion `json:"version,omitempty"`
+	// Diff lists what changed since the base version, for a conflict.
+	Diff []string `json:"diff,omitempty"`
+	// InForce and NotInForce list the instances that have and have not yet applied the change.
+	InForce    []azurestair.InstanceID `json:"inForce,omitempty"`
+	NotInForce []azurestair.InstanceID `json:"notInForce,omitempty"`
+}
+
+// HistoryAnswer lists the newest versions of the configuration, oldest first.
+type HistoryAnswer struct {
+	Versions []control.ConfigRecord `json:"versions"`
+}
+
+// AuditAnswer lists records of the audit trail, newest first.
+type AuditAnswer struct {
+	Records []azurestair.AuditRecord `json:"records"`
+}
+
+// Budget is a leased budget as the status shows it.
+type Budget struct {
+	Resource string `json:"resource"`
+	Usable   int64  `json:"usable"`
+	Floor    int64  `json:"floor"`
+	Leased   bool   `json:"leased"`
+}
+
+// UpstreamStatus is an upstream as the status shows it.
+type UpstreamStatus struct {
+	Announcement azurestair.Announcement `json:"announcement"`
+	Confirmed    bool                    `json:"confirmed"`
+	Drained      bool                    `json:"drained"`
+}
+
+// Status is what an instance knows.
+type Status struct {
+	Self          azurestair.InstanceInfo      `json:"self"`
+	Leader        azurestair.InstanceID        `json:"leader,omitempty"`
+	Term          azurestair.Term              `json:"term"`
+	Commit        azurestair.Index             `json:"commit"`
+	ConfigVersion azurestair.ConfigVersion     `json:"configVersion"`
+	Current       bool                         `json:"current"`
+	Instances     []azurestair.InstanceInfo    `json:"instances"`
+	Upstreams     []UpstreamStatus             `json:"upstreams"`
+	Drains        []azurestair.Drain           `json:"drains"`
+	Budgets       []Budget                     `json:"budgets"`
+	Refusals      map[azurestair.Reason]int64  `json:"refusals"`
+	Outcomes      map[azurestair.Outcome]int64 `json:"outcomes"`
+	Replica       *ReplicaStatus               `json:"replica,omitempty"`
+}
+
+// ReplicaStatus is the state of the replicated log on an instance.
+type ReplicaStatus struct {
+	State   string                                     `json:"state"`
+	Term    azurestair.Term                            `json:"term"`
+	Leader  azurestair.InstanceID                      `json:"leader,omitempty"`
+	Commit  azurestair.Index                           `json:"commit"`
+	Applied azurestair.Index                           `json:"applied"`
+	Members azurestair.Membership                      `json:"members"`
+	Match   map[azurestair.InstanceID]azurestair.Index `json:"match,omitempty"`
+	Claims  int                                        `json:"claims"`
+}
+
+// ErrorBody is the body of an error answer.
+type ErrorBody struct {
+	Error string `json:"error"`
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/status"
 
 	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/control"
 )
 
 // Address is where an instance accepts peers.
@@ -62,6 +63,19 @@
 	return reply, err
 }
 
+// Query reads the control state at the leader.
+func (c *Client) Query(ctx context.Context, q control.Query) (control.QueryResult, error) {
+	var res control.QueryResult
+	err := c.untilLeader(ctx, methodQuery, &q, &res)
+	return res, err
+}
+
+// QueryClaim reads the ledger at the leader.
+func (c *Client) QueryClaim(ctx context.Context, q azurestair.ClaimQuery) (azurestair.ClaimStatus, error) {
+	res, err := c.Query(ctx, control.Query{Claim: &q})
+	return azurestair.ClaimStatus{Record: res.Claim}, err
+}
+
 // Notify tells an instance that a newer snapshot is available.
 func (c *Client) Notify(ctx context.Context, to Address) error {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
--- a/peer/server.go
+++ b/peer/server.go
@@ -13,12 +13,15 @@
 	"google.golang.org/grpc/keepalive"
 
 	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/control"
 )
 
 // Handler serves the calls of other instances.
 type Handler interface {
 	azurestair.Proposer
 	azurestair.Reporter
+	// Query reads the control state at the leader.
+	Query(ctx context.Context, q control.Query) (control.QueryResult, error)
 	// Step takes a raft message; it does not block for long.
 	Step(ctx context.Context, m azurestair.RaftMessage) error
 	// Notify says that a newer snapshot than the one reported is available.
@@ -29,6 +32,7 @@
 	serviceName   = "azurestair.Peer"
 	methodPropose = "/" + serviceName + "/Propose"
 	methodReport  = "/" + serviceName + "/Report"
+	methodQuery   = "/" + serviceName + "/Query"
 	methodNotify  = "/" + serviceName + "/Notify"
 	methodStep    = "/" + serviceName + "/Step"
 )
@@ -76,6 +80,7 @@
 		Methods: []grpc.MethodDesc{
 			{MethodName: "Propose", Handler: unary(Handler.Propose)},
 			{MethodName: "Report", Handler: unary(Handler.Report)},
+			{MethodName: "Query", Handler: unary(Handler.Query)},
 			{MethodName: "Notify", Handler: unary(notify)},
 		},
 		Streams: []grpc.StreamDesc{{StreamName: "Step", Handler: stepStream, ClientStreams: true}},
