--- /dev/null
+++ b/control/state_test.go
@@ -0,0 +1,273 @@
+package control_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/control"
+)
+
+func TestControl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "control state")
+}
+
+const start azurestair.UnixMillis = 1_800_000_000_000
+
+// driver applies commands at the following log indexes.
+type driver struct {
+	state *control.State
+	at    azurestair.UnixMillis
+}
+
+func newDriver() *driver { return &driver{state: &control.State{}, at: start} }
+
+func (d *driver) apply(c azurestair.Command) azurestair.Result {
+	c.At = d.at
+	return d.state.Apply(d.state.Applied()+1, c)
+}
+
+func change(id string) azurestair.Change {
+	return azurestair.Change{ID: azurestair.ChangeID(id), Operator: "ada", Reason: "test"}
+}
+
+func configChange(id string, base azurestair.ConfigVersion, queue int) azurestair.Command {
+	c := azurestair.Config{Defaults: azurestair.Defaults{QueueLimit: queue}}
+	return azurestair.Command{Config: &azurestair.ConfigChange{Change: change(id), BaseVersion: base, Config: c}}
+}
+
+func drainChange(id, name string, drained bool) azurestair.Command {
+	target := azurestair.Target{Kind: azurestair.TargetUpstream, Name: name}
+	return azurestair.Command{Drain: &azurestair.DrainChange{Change: change(id), Target: target, Drained: drained}}
+}
+
+func (d *driver) expect(c azurestair.Command, code azurestair.ResultCode) azurestair.Result {
+	GinkgoHelper()
+	r := d.apply(c)
+	Expect(r.Code).To(Equal(code), "detail %q", r.Detail)
+	return r
+}
+
+var _ = Describe("configuration", func() {
+	It("starts with an empty version 0", func() {
+		var s control.State
+		Expect(s.Config()).To(Equal(&azurestair.Config{}))
+	})
+
+	// Guards against an operator overwriting a change that it has not seen.
+	It("answers a stale base with the current version and the difference", func() {
+		d := newDriver()
+		Expect(d.expect(configChange("a", 0, 10), azurestair.ResultAccepted).Version).To(BeEquivalentTo(1))
+		d.expect(configChange("b", 1, 20), azurestair.ResultAccepted)
+		r := d.expect(configChange("c", 1, 30), azurestair.ResultConflict)
+		Expect(r.Version).To(BeEquivalentTo(2))
+		Expect(r.Diff).To(Equal([]string{"defaults.queueLimit: 10 -> 20"}))
+		d.expect(configChange("d", 9, 30), azurestair.ResultConflict)
+		Expect(d.state.Config().Defaults.QueueLimit).To(Equal(20))
+	})
+
+	// Guards against a lost response that makes an operator's resend a second
+	// change, or a conflict with itself.
+	It("repeats the first result to a resend", func() {
+		d := newDriver()
+		first := d.expect(configChange("a", 0, 10), azurestair.ResultAccepted)
+		conflict := d.expect(configChange("b", 0, 11), azurestair.ResultConflict)
+		d.expect(configChange("c", 1, 20), azurestair.ResultAccepted)
+		Expect(d.apply(configChange("a", 0, 10))).To(Equal(first))
+		Expect(d.apply(configChange("b", 0, 11))).To(Equal(conflict))
+		d.expect(configChange("a", 0, 12), azurestair.ResultInvalid)
+		Expect(d.state.Config().Version).To(BeEquivalentTo(2))
+	})
+
+	It("refuses an invalid configuration and records the attempt", func() {
+		d := newDriver()
+		d.expect(configChange("a", 0, -1), azurestair.ResultInvalid)
+		Expect(d.state.Config().Version).To(BeZero())
+		Expect(d.state.Audit(control.AuditQuery{})[0].Result).To(Equal(azurestair.ResultInvalid))
+		d.expect(configChange("a", 0, 1), azurestair.ResultAccepted)
+	})
+
+	// Guards against unbounded history and change memory, and against a bound
+	// that forgets the newest instead of the oldest.
+	It("bounds history, audit trail and change memory, oldest first", func() {
+		d := newDriver()
+		for i := range control.MaxChanges + 1 {
+			d.expect(configChange(fmt.Sprint("c", i), azurestair.ConfigVersion(i), 1), azurestair.ResultAccepted)
+		}
+		h := d.state.History()
+		Expect(h).To(HaveLen(control.MaxHistory))
+		Expect(h[len(h)-1].Config).To(BeIdenticalTo(d.state.Config()))
+		Expect(d.state.Image().Audit).To(HaveLen(control.MaxAudit))
+		d.expect(configChange("c1", 1, 1), azurestair.ResultAccepted)
+		r := d.expect(configChange("c0", 0, 1), azurestair.ResultConflict)
+		Expect(r.Version).To(BeEquivalentTo(control.MaxChanges + 1))
+	})
+
+	It("names each kind of difference", func() {
+		before := &azurestair.Config{Regions: []azurestair.Region{{Name: "r1"}}, Exceptions: []azurestair.Exception{
+			{Setting: azurestair.SettingSlots, Value: 1, Reason: "old"},
+		}}
+		after := &azurestair.Config{Services: []azurestair.Service{{
+			Name: "s", Operations: []azurestair.Operation{{Name: "o", TimeoutMs: 5}},
+		}}}
+		Expect(control.Diff(before, after)).To(Equal([]string{
+			"operation s/o: added (rank=deferred idempotent=false timeoutMs=5 maxBodyBytes=0)",
+			"region r1: removed (was failureDomains=[])",
+			`exception   slots: removed (was 1, reason "old")`,
+		}))
+	})
+})
+
+var _ = Describe("drains and audit", func() {
+	It("drains and returns targets in the order of their names", func() {
+		d := newDriver()
+		d.expect(drainChange("a", "u2", true), azurestair.ResultAccepted)
+		held := d.state.Drains()
+		d.expect(drainChange("b", "u1", true), azurestair.ResultAccepted)
+		d.expect(drainChange("c", "u1", true), azurestair.ResultUnchanged)
+		Expect(d.state.Drains()[0].Target.Name).To(Equal("u1"))
+		d.expect(drainChange("d", "u2", false), azurestair.ResultAccepted)
+		d.expect(drainChange("a", "u2", true), azurestair.ResultAccepted)
+		Expect(d.state.Drains()).To(HaveLen(1))
+		Expect(held).To(HaveLen(1), "a list that was handed out must not change")
+	})
+
+	It("finds records by time, operator and limit, newest first", func() {
+		d := newDriver()
+		for i := range 5 {
+			d.at = start.Add(azurestair.Millis(i))
+			d.expect(drainChange(fmt.Sprint(i), "u1", i%2 == 0), azurestair.ResultAccepted)
+		}
+		member := &azurestair.MemberChange{Change: change("m"), Action: azurestair.MemberRemove, Instance: "i1"}
+		member.Change.Operator = "bob"
+		d.expect(azurestair.Command{Members: member}, azurestair.ResultAccepted)
+		found := d.state.Audit(control.AuditQuery{From: start + 1, To: start + 4, Operator: "ada", Limit: 2})
+		Expect(found).To(HaveLen(2))
+		Expect(found[0].ChangeID).To(BeEquivalentTo("3"))
+		found = d.state.Audit(control.AuditQuery{Operator: "bob"})
+		Expect(found).To(HaveLen(1))
+		Expect(found[0].Action).To(Equal("remove i1"))
+	})
+})
+
+var _ = Describe("log entries", func() {
+	// Guards against a second application after a restart from a snapshot.
+	It("ignores an index that is already applied", func() {
+		var s control.State
+		Expect(s.Apply(5, configChange("a", 0, 1)).Code).To(Equal(azurestair.ResultAccepted))
+		Expect(s.Apply(5, configChange("b", 1, 1)).Code).To(Equal(azurestair.ResultUnchanged))
+		Expect(s.Config().Version).To(BeEquivalentTo(1))
+	})
+
+	It("applies all commands of one entry", func() {
+		var s control.State
+		r := s.ApplyBatch(1, []azurestair.Command{configChange("a", 0, 1), configChange("b", 1, 2)})
+		Expect(r[1].Version).To(BeEquivalentTo(2))
+		Expect(s.ApplyBatch(2, nil)).To(BeEmpty())
+		Expect(s.Applied()).To(BeEquivalentTo(2))
+	})
+})
+
+// logged returns the command as a log entry carries it.
+func logged(c azurestair.Command) azurestair.Command {
+	GinkgoHelper()
+	data, err := cbor.Marshal(c)
+	Expect(err).NotTo(HaveOccurred())
+	var decoded azurestair.Command
+	Expect(cbor.Unmarshal(data, &decoded)).To(Succeed())
+	return decoded
+}
+
+// randomCommand draws a command from a small space, so that keys and ids meet again.
+func randomCommand(rng *rand.Rand, s *control.State) azurestair.Command {
+	id := fmt.Sprint("c", rng.IntN(60))
+	switch rng.IntN(8) {
+	case 0:
+		return configChange(id, s.Config().Version-azurestair.ConfigVersion(rng.IntN(2)), rng.IntN(9))
+	case 1:
+		return drainChange(id, fmt.Sprint("u", rng.IntN(4)), rng.IntN(2) == 0)
+	case 2, 3, 4:
+		c := claim(fmt.Sprint("k", rng.IntN(30)), fmt.Sprint("i", rng.IntN(3)), uint64(rng.IntN(3)))
+		return azurestair.Command{Claim: &c}
+	default:
+		c := claim(fmt.Sprint("k", rng.IntN(30)), fmt.Sprint("i", rng.IntN(3)), uint64(rng.IntN(3)))
+		states := []azurestair.ClaimState{azurestair.ClaimDone, azurestair.ClaimNotRun, azurestair.ClaimUnknown}
+		return finish(c, states[rng.IntN(3)], make([]byte, rng.IntN(9)))
+	}
+}
+
+func encode(s *control.State) []byte {
+	GinkgoHelper()
+	data, err := cbor.Marshal(s.Image())
+	Expect(err).NotTo(HaveOccurred())
+	return data
+}
+
+func decode(data []byte) *control.State {
+	GinkgoHelper()
+	var image control.Image
+	Expect(cbor.Unmarshal(data, &image)).To(Succeed())
+	s, err := control.FromImage(image)
+	Expect(err).NotTo(HaveOccurred())
+	return s
+}
+
+var _ = Describe("image", func() {
+	// Guards against state that a snapshot loses and that only a later command
+	// would miss.
+	DescribeTable("continues like the state that it was taken from",
+		func(seed uint64) {
+			rng := rand.New(rand.NewPCG(seed, 1))
+			d := newDriver()
+			other := newDriver()
+			for step := range 3000 {
+				d.at += azurestair.UnixMillis(rng.IntN(20_000))
+				other.at = d.at
+				if step%250 == 0 {
+					other.state = decode(encode(d.state))
+				}
+				c := logged(randomCommand(rng, d.state))
+				Expect(other.apply(c)).To(Equal(d.apply(c)))
+			}
+			Expect(encode(other.state)).To(Equal(encode(d.state)))
+		},
+		Entry(nil, uint64(1)), Entry(nil, uint64(2)), Entry(nil, uint64(3)),
+	)
+
+	It("does not change with later commands", func() {
+		d := newDriver()
+		c := claim("k", "i1", 1)
+		d.expect(azurestair.Command{Claim: &c}, azurestair.ResultGranted)
+		d.expect(drainChange("a", "u1", true), azurestair.ResultAccepted)
+		image := d.state.Image()
+		before, _ := cbor.Marshal(image)
+		d.expect(finish(c, azurestair.ClaimDone, []byte("x")), azurestair.ResultAccepted)
+		d.expect(drainChange("b", "u1", false), azurestair.ResultAccepted)
+		d.expect(configChange("c", 0, 1), azurestair.ResultAccepted)
+		Expect(cbor.Marshal(image)).To(Equal(before))
+	})
+
+	DescribeTable("rejects a malformed one",
+		func(spoil func(*control.Image)) {
+			d := newDriver()
+			c := claim("k", "i1", 1)
+			d.expect(azurestair.Command{Claim: &c}, azurestair.ResultGranted)
+			d.expect(configChange("a", 0, 1), azurestair.ResultAccepted)
+			image := d.state.Image()
+			spoil(&image)
+			_, err := control.FromImage(image)
+			Expect(err).To(MatchError(azurestair.ErrInvalid))
+		},
+		Entry("key twice", func(i *control.Image) { i.Ledger = append(i.Ledger, i.Ledger[0]) }),
+		Entry("missing record", func(i *control.Image) { i.Ledger[0] = nil }),
+		Entry("change twice", func(i *control.Image) { i.Changes = append(i.Changes, i.Changes[0]) }),
+		Entry("gap in the history", func(i *control.Image) { i.History = append(i.History, i.History[0]) }),
+		Entry("too many drains", func(i *control.Image) { i.Drains = make([]azurestair.Drain, control.MaxDrains+1) }),
+	)
+})
