--- /dev/null
+++ b/instance/replica.go
@@ -0,0 +1,393 @@
+package instance
+
+import (
+	"fmt"
+	"log/slog"
+	"slices"
+	"time"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/control"
+	"azurestair.example/azurestair/peer"
+	"azurestair.example/azurestair/raft"
+)
+
+const (
+	// storeDepth bounds the jobs that wait for the log writer. While one is
+	// being synced, the next collects proposals; a deeper queue would only
+	// spread them over more syncs.
+	storeDepth = 2
+	// batchBytes bounds the commands in one log entry.
+	batchBytes azurestair.Bytes = 512 << 10
+	// compactAfter and compactBytes say when a replica replaces its log by an image.
+	compactAfter azurestair.Index = 20_000
+	compactBytes azurestair.Bytes = 16 << 20
+	// controlTTL is for how long a reply to a report lets an instance trust its configuration.
+	controlTTL azurestair.Millis = 3_000
+)
+
+// commandBatch is what a log entry of commands holds.
+type commandBatch struct {
+	Commands []azurestair.Command `cbor:"1,keyasint"`
+}
+
+// waiter is a proposed batch whose proposers wait for its results.
+type waiter struct {
+	term    azurestair.Term
+	replies []chan<- proposeReply
+}
+
+// ReplicaStatus describes the replicated log on an instance; the zero value
+// stands for an instance that does not replicate it.
+type ReplicaStatus struct {
+	Raft   raft.Status
+	Claims int
+}
+
+// Replica replicates the log and, on the leader, answers reports. It belongs
+// to the control goroutine.
+type Replica struct {
+	log       *slog.Logger
+	codec     peer.Codec
+	node      *raft.Node
+	state     *control.State
+	transport azurestair.Transport
+	writer    *logWriter
+	imager    *imager
+	notifier  *notifier
+	self      azurestair.InstanceID
+
+	pending    []proposeEvent
+	waiting    map[azurestair.Index]waiter
+	storing    int
+	imaging    bool
+	compactedAt azurestair.Index
+
+	// leading is the term in which this replica last set up its soft state.
+	leading   azurestair.Term
+	registry  *control.Registry
+	publisher *control.Publisher
+}
+
+// newReplica starts from what the log store holds.
+func newReplica(opts raft.Options, ls azurestair.LogState, now time.Time, log *slog.Logger) (*Replica, error) {
+	node, err := raft.New(opts, ls, now)
+	if err != nil {
+		return nil, err
+	}
+	r := &Replica{
+		log: log, node: node, self: opts.ID, state: &control.State{},
+		waiting: map[azurestair.Index]waiter{}, compactedAt: ls.Snapshot.Index,
+	}
+	if len(ls.SnapshotData) > 0 {
+		if err := r.restore(ls.SnapshotData); err != nil {
+			return nil, err
+		}
+	}
+	return r, nil
+}
+
+func (r *Replica) restore(data []byte) error {
+	var image control.Image
+	if err := r.codec.Unmarshal(data, &image); err != nil {
+		return fmt.Errorf("read image of the control state: %w", err)
+	}
+	state, err := control.FromImage(image)
+	if err != nil {
+		return err
+	}
+	r.state = state
+	return nil
+}
+
+// propose collects a command for the next log entry.
+func (r *Replica) propose(e proposeEvent, now time.Time) {
+	if _, err := r.node.ReadIndex(now); err != nil {
+		e.reply <- proposeReply{err: r.notLeader()}
+		return
+	}
+	e.command.At = azurestair.UnixMillisOf(now)
+	r.pending = append(r.pending, e)
+}
+
+func (r *Replica) notLeader() error {
+	leader := r.node.Leader()
+	if leader == r.self {
+		return fmt.Errorf("%w: the leader's lease has run out", azurestair.ErrNoQuorum)
+	}
+	return azurestair.NotLeaderError{Leader: leader}
+}
+
+// readable reports whether a read now sees every change that was acknowledged before.
+func (r *Replica) readable(now time.Time) error {
+	index, err := r.node.ReadIndex(now)
+	if err != nil {
+		return r.notLeader()
+	}
+	if r.state.Applied() >= index {
+		return nil
+	}
+	if err := r.work(now); err != nil || r.state.Applied() < index {
+		return fmt.Errorf("%w: entry %d is not applied yet", azurestair.ErrNoQuorum, index)
+	}
+	return nil
+}
+
+// settle writes, sends and applies what is due, and publishes the result.
+func (r *Replica) settle(now time.Time, held *azurestair.Snapshot) error {
+	r.node.Tick(now)
+	if err := r.work(now); err != nil {
+		return err
+	}
+	r.lead(now, held)
+	r.maybeCompact()
+	return nil
+}
+
+// work proposes the collected commands and takes what the log has to do.
+func (r *Replica) work(now time.Time) error {
+	for r.storing < storeDepth {
+		r.flush(now)
+		rd, ok := r.node.Ready()
+		if !ok {
+			return nil
+		}
+		if err := r.take(rd); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// flush proposes the collected commands as one log entry or, if they are large, several.
+func (r *Replica) flush(now time.Time) {
+	for len(r.pending) > 0 {
+		data, n, err := r.encodeBatch()
+		batch := r.pending[:n]
+		r.pending = r.pending[n:]
+		var index azurestair.Index
+		var term azurestair.Term
+		if err == nil {
+			index, term, err = r.node.Propose(data, now)
+		}
+		w := waiter{term: term}
+		for _, p := range batch {
+			if err != nil {
+				p.reply <- proposeReply{err: err}
+				continue
+			}
+			w.replies = append(w.replies, p.reply)
+		}
+		if err == nil {
+			r.waiting[index] = w
+		}
+	}
+	r.pending = nil
+}
+
+// encodeBatch encodes as many of the collected commands as fit and returns their number.
+func (r *Replica) encodeBatch() ([]byte, int, error) {
+	n := len(r.pending)
+	for {
+		batch := commandBatch{Commands: make([]azurestair.Command, n)}
+		for i, p := range r.pending[:n] {
+			batch.Commands[i] = p.command
+		}
+		data, err := r.codec.Marshal(&batch)
+		if err != nil || azurestair.Bytes(len(data)) <= batchBytes || n == 1 {
+			return data, n, err
+		}
+		n = (n + 1) / 2
+	}
+}
+
+// take carries out one Ready of the log.
+func (r *Replica) take(rd raft.Ready) error {
+	for _, m := range rd.Messages {
+		r.transport.Send(m)
+	}
+	if rd.Seq > 0 {
+		r.storing++
+		r.writer.jobs <- &storeJob{ready: rd}
+	}
+	if rd.Snapshot != nil && rd.Restore {
+		if err := r.restore(rd.Snapshot.Data); err != nil {
+			return err
+		}
+		r.compactedAt = rd.Snapshot.Meta.Index
+		r.abandon(rd.Snapshot.Meta.Index)
+	}
+	for _, e := range rd.Committed {
+		if err := r.apply(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// abandon ends the waits for entries that a snapshot has replaced.
+func (r *Replica) abandon(upTo azurestair.Index) {
+	for index, w := range r.waiting {
+		if index <= upTo {
+			w.answer(nil, azurestair.ErrNoQuorum)
+			delete(r.waiting, index)
+		}
+	}
+}
+
+func (w waiter) answer(results []azurestair.Result, err error) {
+	for i, ch := range w.replies {
+		if err != nil {
+			ch <- proposeReply{err: err}
+			continue
+		}
+		ch <- proposeReply{result: results[i]}
+	}
+}
+
+func (r *Replica) apply(e azurestair.LogEntry) error {
+	var batch commandBatch
+	if e.Kind == azurestair.EntryCommands {
+		if err := r.codec.Unmarshal(e.Data, &batch); err != nil {
+			return fmt.Errorf("log entry %d: %w", e.Index, err)
+		}
+	}
+	results := r.state.ApplyBatch(e.Index, batch.Commands)
+	w, ok := r.waiting[e.Index]
+	if !ok {
+		return nil
+	}
+	delete(r.waiting, e.Index)
+	if w.term != e.Term {
+		w.answer(nil, azurestair.ErrNoQuorum)
+		return nil
+	}
+	w.answer(results, nil)
+	return nil
+}
+
+func (r *Replica) stored(job *storeJob) {
+	r.storing--
+	r.node.Stored(job.ready.Seq)
+}
+
+// lead keeps the leader's soft state and publishes a snapshot when it has changed.
+func (r *Replica) lead(now time.Time, held *azurestair.Snapshot) {
+	if _, err := r.node.ReadIndex(now); err != nil {
+		return
+	}
+	term := r.node.Status().Term
+	if r.leading != term {
+		r.leading = term
+		r.registry = &control.Registry{}
+		r.registry.Seed(held, now)
+		r.publisher = &control.Publisher{}
+		r.log.Info("leading", "term", term, "commit", r.state.Applied())
+	}
+	r.registry.Expire(now)
+	r.publish(now)
+}
+
+func (r *Replica) publish(now time.Time) {
+	prev := r.publisher.Current()
+	snap, changed := r.publisher.Publish(control.Source{
+		Term: r.leading, Commit: r.state.Applied(), Config: r.state.Config(), Drains: r.state.Drains(), Registry: r.registry,
+	}, now)
+	if changed && isUrgent(prev, snap) {
+		r.notifier.notify(snap.Instances)
+	}
+}
+
+// isUrgent reports whether instances should fetch the snapshot at once rather
+// than with their next report; load reports and versions in force can wait.
+func isUrgent(prev, next *azurestair.Snapshot) bool {
+	if prev == nil || prev.ConfigVersion() != next.ConfigVersion() || !slices.Equal(prev.Drains, next.Drains) {
+		return true
+	}
+	if len(prev.Upstreams) != len(next.Upstreams) || len(prev.Instances) != len(next.Instances) {
+		return true
+	}
+	for i, u := range next.Upstreams {
+		p := prev.Upstreams[i]
+		if u.Announcement.Upstream != p.Announcement.Upstream || u.Announcement.State != p.Announcement.State ||
+			u.Announcement.Addr != p.Announcement.Addr {
+			return true
+		}
+	}
+	for i, n := range next.Instances {
+		if n.ID != prev.Instances[i].ID || n.Ready != prev.Instances[i].Ready {
+			return true
+		}
+	}
+	return false
+}
+
+// report answers an instance's report.
+func (r *Replica) report(q azurestair.Report, now time.Time) (azurestair.ReportReply, error) {
+	var reply azurestair.ReportReply
+	if err := r.readable(now); err != nil {
+		return reply, err
+	}
+	if r.leading != r.node.Status().Term {
+		return reply, fmt.Errorf("%w: the leader is starting", azurestair.ErrNoQuorum)
+	}
+	if q.Leaving {
+		r.registry.InstanceLeaving(q.Instance.ID, now)
+	} else if err := r.registry.Instance(q.Instance, now); err != nil {
+		return reply, err
+	}
+	for _, a := range q.Announcements {
+		if err := r.registry.Announce(a, now); err != nil {
+			r.log.Warn("announcement rejected", "upstream", a.Upstream, "from", q.Instance.ID, "err", err)
+		}
+	}
+	reply.Unknown = r.registry.Alive(q.Alive, now)
+	r.publish(now)
+	reply.Term = r.leading
+	reply.ControlTTLMs = controlTTL
+	reply.Delta, reply.Snapshot = r.publisher.Delta(q.HeldTerm, q.HeldRevision)
+	return reply, nil
+}
+
+// maybeCompact starts to encode an image when the log has grown enough.
+func (r *Replica) maybeCompact() {
+	if r.imaging {
+		return
+	}
+	st := r.node.Status()
+	if st.Applied-r.compactedAt < compactAfter && st.LogBytes < compactBytes {
+		return
+	}
+	r.imaging = true
+	r.imager.jobs <- r.state.Image()
+}
+
+// compact replaces the log up to the image's index by the image.
+func (r *Replica) compact(e imageEvent) error {
+	r.imaging = false
+	if e.err != nil {
+		return e.err
+	}
+	if e.index <= r.compactedAt {
+		return nil
+	}
+	if _, err := r.node.Compact(e.index, e.data); err != nil {
+		return err
+	}
+	r.compactedAt = e.index
+	return nil
+}
+
+func (r *Replica) nextDeadline() time.Time {
+	next := r.node.NextDeadline()
+	if r.registry != nil && r.node.IsLeader() {
+		if d := r.registry.NextDeadline(); !d.IsZero() && d.Before(next) {
+			next = d
+		}
+	}
+	return next
+}
+
+func (r *Replica) status() ReplicaStatus {
+	return ReplicaStatus{Raft: r.node.Status(), Claims: r.state.Claims()}
+}
