--- a/raftlog.go
+++ b/raftlog.go
@@ -145,6 +145,12 @@
 	// Snapshot and the piece fields carry one piece of a snapshot.
 	Snapshot *SnapshotMeta  `cbor:"12,keyasint,omitempty" json:"snapshot,omitempty"`
 	Piece    *SnapshotPiece `cbor:"13,keyasint,omitempty" json:"piece,omitempty"`
+	// Transfer marks a vote that the leader itself asked for, which voters
+	// grant although they hear that leader.
+	Transfer bool `cbor:"15,keyasint,omitempty" json:"transfer,omitempty"`
+	// Offset is the next byte of the snapshot at PrevIndex that the sender of
+	// a RaftSnapshotReply needs.
+	Offset Bytes `cbor:"16,keyasint,omitempty" json:"offset,omitempty"`
 }
 
 // MaxPieceBytes bounds one piece of a snapshot on the wire.
@@ -181,7 +187,8 @@
 		}
 		next++
 	}
-	if (m.Kind == RaftSnapshot) != (m.Snapshot != nil && m.Piece != nil) {
+	isSnapshot := m.Kind == RaftSnapshot
+	if isSnapshot != (m.Snapshot != nil) || isSnapshot != (m.Piece != nil) {
 		return fmt.Errorf("%w: raft message: snapshot fields do not match its kind", ErrInvalid)
 	}
 	return m.validatePiece()
