--- /dev/null
+++ b/instance/member.go
@@ -0,0 +1,289 @@
+package instance
+
+import (
+	"log/slog"
+	"time"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/control"
+	"azurestair.example/azurestair/lookup"
+)
+
+const (
+	// reportEvery is the interval of reports while nothing changes.
+	reportEvery = time.Second
+	// reportSpacing is the least time between two reports.
+	reportSpacing = 20 * time.Millisecond
+	// tickEvery is how often leases, demands and look-up moves are looked at.
+	tickEvery = 100 * time.Millisecond
+	// announcedFor is how long an upstream counts as announcing itself here.
+	announcedFor = 2 * time.Second
+)
+
+// Member follows the leader. It belongs to the control goroutine.
+type Member struct {
+	log      *slog.Logger
+	self     azurestair.InstanceInfo
+	entry    *Entry
+	reporter *reporter
+
+	snapshot        *azurestair.Snapshot
+	controlDeadline time.Time
+	holder          control.Holder
+	table           *lookup.Table
+	tableDone       bool
+	announced       map[azurestair.UpstreamID]*announced
+
+	leaving   bool
+	reporting bool
+	due       bool
+	sentAt    time.Time
+	nextTick  time.Time
+	nextMove  time.Time
+	connected bool
+}
+
+// announced is an upstream that announces itself at this entry.
+type announced struct {
+	last    azurestair.Announcement
+	heard   time.Time
+	unsent  bool
+	sentNow azurestair.Load
+}
+
+func newMember(self azurestair.InstanceInfo, entry *Entry, rep *reporter, log *slog.Logger) *Member {
+	return &Member{
+		log: log, self: self, entry: entry, reporter: rep, due: true,
+		announced: map[azurestair.UpstreamID]*announced{},
+	}
+}
+
+// reportSoon has the next report sent at once.
+func (m *Member) reportSoon() { m.due = true }
+
+// leave takes this instance out of look-ups.
+func (m *Member) leave(now time.Time) {
+	m.leaving = true
+	m.reportSoon()
+	m.publish(now)
+}
+
+// announce takes an upstream's announcement.
+func (m *Member) announce(a azurestair.Announcement, now time.Time) error {
+	old, known := m.announced[a.Upstream]
+	if known && !a.Newer(old.last) {
+		return azurestair.ErrConflict
+	}
+	if !known && len(m.announced) >= azurestair.MaxReportUpstreams {
+		return azurestair.ErrFull
+	}
+	if !known {
+		old = &announced{}
+		m.announced[a.Upstream] = old
+	}
+	if !known || isNews(old.last, a) {
+		old.unsent = true
+		m.reportSoon()
+	}
+	old.last, old.heard = a, now
+	if m.entry != nil {
+		m.entry.confirm(a.Service, a.Upstream, a.State)
+	}
+	return nil
+}
+
+// isNews reports whether an announcement should reach the leader at once.
+func isNews(old, a azurestair.Announcement) bool {
+	return old.Incarnation != a.Incarnation || old.State != a.State || old.Addr != a.Addr || old.Slots != a.Slots
+}
+
+// settle sends a report when one is due and keeps the published view up to date.
+func (m *Member) settle(now time.Time) {
+	if !now.Before(m.nextTick) {
+		m.nextTick = now.Add(tickEvery)
+		m.tick(now)
+	}
+	if m.reporting || now.Sub(m.sentAt) < reportSpacing {
+		return
+	}
+	if m.due || now.Sub(m.sentAt) >= reportEvery {
+		m.send(now)
+	}
+}
+
+func (m *Member) tick(now time.Time) {
+	for id, a := range m.announced {
+		if now.Sub(a.heard) > announcedFor {
+			delete(m.announced, id)
+		}
+	}
+	if m.entry == nil {
+		return
+	}
+	m.moveTable(now)
+	m.entry.tick(now)
+	if m.entry.isPressed(now) {
+		m.reportSoon()
+	}
+}
+
+// moveTable takes the next step of a planned change of the look-up table.
+func (m *Member) moveTable(now time.Time) {
+	if m.snapshot == nil || m.tableDone || now.Before(m.nextMove) {
+		return
+	}
+	m.buildTable(now)
+	m.publish(now)
+}
+
+func (m *Member) buildTable(now time.Time) {
+	d := m.snapshot.Config.Defaults.WithDefaults()
+	m.table, m.tableDone = lookup.Build(m.table, lookup.EntriesOf(m.snapshot), d.LookupMovePercent)
+	if !m.tableDone {
+		m.nextMove = now.Add(d.ShiftIntervalMs.Duration())
+	}
+}
+
+func (m *Member) nextDeadline() time.Time {
+	next := m.nextTick
+	if m.reporting {
+		return next
+	}
+	at := m.sentAt.Add(reportEvery)
+	if m.due {
+		at = m.sentAt.Add(reportSpacing)
+	}
+	if at.Before(next) {
+		return at
+	}
+	return next
+}
+
+// send hands a report to the reporter.
+func (m *Member) send(now time.Time) {
+	r := azurestair.Report{Instance: m.self, Leaving: m.leaving && m.entry.isIdle()}
+	r.Instance.Ready = m.entry != nil && !m.leaving && m.isCurrent(now)
+	r.Instance.InForce = m.snapshot.ConfigVersion()
+	if m.snapshot != nil {
+		r.HeldTerm, r.HeldRevision = m.snapshot.Term, m.snapshot.Revision
+	}
+	for id, a := range m.announced {
+		if a.unsent || a.last.Load != a.sentNow {
+			r.Announcements = append(r.Announcements, a.last)
+			a.unsent, a.sentNow = false, a.last.Load
+			continue
+		}
+		r.Alive = append(r.Alive, id)
+	}
+	if m.entry != nil && m.snapshot != nil {
+		r.Demands = m.entry.demands(m.snapshot, &m.holder, now)
+	}
+	m.due, m.reporting, m.sentAt = false, true, now
+	m.reporter.jobs <- r
+}
+
+// reported takes over the leader's reply to the last report.
+func (m *Member) reported(e reportedEvent, now time.Time) {
+	m.reporting = false
+	if e.err != nil {
+		m.failed(e.err)
+		return
+	}
+	if !m.connected {
+		m.connected = true
+		m.log.Info("control reached", "term", e.reply.Term)
+	}
+	before := m.snapshot
+	if err := m.adopt(e.reply); err != nil {
+		m.log.Warn("snapshot rejected", "err", err)
+		return
+	}
+	if d := e.sent.Add(e.reply.ControlTTLMs.Duration()); d.After(m.controlDeadline) {
+		m.controlDeadline = d
+	}
+	m.holder.Apply(e.reply.Grants, e.sent, now)
+	m.resend(e.reply.Unknown)
+	if m.snapshot != before {
+		m.changed(before, now)
+	}
+	m.publish(now)
+}
+
+// failed keeps what has not reached the leader for the next report.
+func (m *Member) failed(err error) {
+	if m.connected {
+		m.connected = false
+		m.log.Warn("control lost", "err", err)
+	}
+	for _, a := range m.announced {
+		a.unsent = true
+	}
+}
+
+// resend repeats announcements that the leader does not know.
+func (m *Member) resend(unknown []azurestair.UpstreamID) {
+	for _, id := range unknown {
+		if a, ok := m.announced[id]; ok {
+			a.unsent = true
+			m.reportSoon()
+		}
+	}
+}
+
+// adopt takes over the snapshot or delta of a reply. An older configuration
+// than the one in force is never taken over.
+func (m *Member) adopt(reply azurestair.ReportReply) error {
+	next := reply.Snapshot
+	if reply.Delta != nil {
+		if m.snapshot == nil || m.snapshot.Term != reply.Term {
+			m.snapshot = m.snapshot.Unheld()
+			return azurestair.ErrConflict
+		}
+		s, err := control.ApplyDelta(m.snapshot, reply.Delta)
+		if err != nil {
+			m.snapshot = m.snapshot.Unheld()
+			return err
+		}
+		next = s
+	}
+	if next == nil {
+		return nil
+	}
+	if next.ConfigVersion() < m.snapshot.ConfigVersion() || (m.snapshot != nil && next.Term < m.snapshot.Term) {
+		return azurestair.ErrConflict
+	}
+	m.snapshot = next
+	return nil
+}
+
+// changed reacts to a new snapshot.
+func (m *Member) changed(before *azurestair.Snapshot, now time.Time) {
+	if before.ConfigVersion() != m.snapshot.ConfigVersion() {
+		m.log.Info("configuration in force", "version", m.snapshot.ConfigVersion(), "commit", m.snapshot.Commit)
+		m.reportSoon()
+	}
+	if m.entry == nil {
+		return
+	}
+	m.buildTable(now)
+	m.entry.update(m.snapshot)
+}
+
+func (m *Member) isCurrent(now time.Time) bool {
+	return m.snapshot.ConfigVersion() > 0 && now.Before(m.controlDeadline)
+}
+
+// publish makes the present state visible to traffic.
+func (m *Member) publish(now time.Time) {
+	if m.entry == nil || m.snapshot == nil {
+		return
+	}
+	wasReady := m.entry.isReady(now)
+	m.entry.publish(&view{
+		snapshot: m.snapshot, table: m.table, leases: m.holder.Leases(),
+		controlDeadline: m.controlDeadline, leaving: m.leaving,
+	})
+	if m.entry.isReady(now) != wasReady {
+		m.reportSoon()
+	}
+}
--- a/snapshot.go
+++ b/snapshot.go
@@ -98,6 +98,17 @@
 	return false
 }
 
+// Unheld returns the same snapshot with revision zero, so that the next report
+// asks for a whole snapshot. It returns nil for nil.
+func (s *Snapshot) Unheld() *Snapshot {
+	if s == nil {
+		return nil
+	}
+	c := *s
+	c.Term, c.Revision = 0, 0
+	return &c
+}
+
 // ConfigVersion returns the version of the configuration, zero without one.
 func (s *Snapshot) ConfigVersion() ConfigVersion {
 	if s == nil || s.Config == nil {
