--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,98 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/admission"
+)
+
+func TestAdmission(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "admission")
+}
+
+const queueLimit = 512
+
+func urgent(load float64) stream {
+	return stream{name: "urgent", rank: azurestair.RankUrgent, callers: 20, load: load, service: 20 * time.Millisecond, timeout: 500 * time.Millisecond}
+}
+
+func interactive(load float64) stream {
+	return stream{name: "interactive", rank: azurestair.RankInteractive, callers: 20, load: load, service: 20 * time.Millisecond, timeout: time.Second}
+}
+
+func deferred(load float64) stream {
+	return stream{name: "deferred", rank: azurestair.RankDeferred, callers: 20, load: load, service: 50 * time.Millisecond, timeout: 10 * time.Second}
+}
+
+// compare runs the streams through an Admitter and the baseline and prints both.
+func compare(slots int, streams ...stream) (got, baseline []*tally) {
+	GinkgoHelper()
+	const length = 20 * time.Second
+	got = simulate(admission.New(admission.Options{QueueLimit: queueLimit}), slots, length, streams...)
+	baseline = simulate(&fifo{limit: azurestair.NumRanks * queueLimit}, slots, length, streams...)
+	for i, st := range streams {
+		_, _ = fmt.Fprintf(GinkgoWriter, "slots=%d stream=%s load=%.2f admitter %s\n", slots, st.name, st.load, got[i])
+		_, _ = fmt.Fprintf(GinkgoWriter, "slots=%d stream=%s load=%.2f baseline %s\n", slots, st.name, st.load, baseline[i])
+	}
+	return got, baseline
+}
+
+// expectFloor checks that a stream that offers more than its floor gets the
+// floor in slot time, less 5% for random arrivals and late work.
+func expectFloor(t *tally, load float64, floor azurestair.Percent) {
+	GinkgoHelper()
+	Expect(t.share()*load).To(BeNumerically(">=", 0.95*float64(floor)/100), t.String())
+}
+
+var _ = Describe("a flood", func() {
+	// Guards against urgent and interactive work that waits behind deferred work.
+	DescribeTable("of deferred work at 10 times capacity",
+		func(slots int) {
+			got, _ := compare(slots, urgent(0.1), interactive(1), deferred(10))
+			Expect(got[0].share()).To(BeNumerically(">=", 0.999))
+			expectFloor(got[1], 1, 20)
+			expectFloor(got[2], 10, 10)
+		},
+		Entry("at 5 slots", 5), Entry("at 10 slots", 10), Entry("at 40 slots", 40),
+	)
+
+	// Guards against urgent work that starves all other work.
+	DescribeTable("of urgent work at 10 times capacity",
+		func(slots int) {
+			got, _ := compare(slots, urgent(10), interactive(0.5), deferred(0.5))
+			expectFloor(got[1], 0.5, 20)
+			expectFloor(got[2], 0.5, 10)
+		},
+		Entry("at 1 slot", 1), Entry("at 2 slots", 2), Entry("at 5 slots", 5), Entry("at 40 slots", 40),
+	)
+
+	// Guards against work that starts too late to be of use.
+	It("starts little work that then misses its deadline", func() {
+		brief := deferred(10)
+		brief.timeout = 500 * time.Millisecond
+		got, baseline := compare(40, brief)
+		started := got[0].late + got[0].inTime
+		Expect(float64(got[0].late)).To(BeNumerically("<=", 0.15*float64(started)))
+		Expect(got[0].late).To(BeNumerically("<", baseline[0].late/4))
+	})
+})
+
+// Guards against a caller that takes the capacity of the others.
+var _ = DescribeTable("one caller at 100 times its fair share",
+	func(slots int) {
+		const callers = 20
+		others, greedy := interactive(0.9*(callers-1)/callers), interactive(100.0/callers)
+		others.name, others.callers = "others", callers-1
+		greedy.name, greedy.callers = "greedy", 1
+		got, _ := compare(slots, others, greedy)
+		Expect(got[0].share()).To(BeNumerically(">=", 0.95))
+	},
+	Entry("at 1 slot", 1), Entry("at 5 slots", 5), Entry("at 40 slots", 40),
+)
--- /dev/null
+++ b/admission/share.go
@@ -0,0 +1,86 @@
+package admission
+
+import "azurestair.example/azurestair"
+
+// shares divides the slots among the ranks.
+type shares struct {
+	slots int
+	// floors gives each rank the slots that it gets before a rank above its
+	// own floor. All are zero when there are fewer slots than ranks.
+	floors [azurestair.NumRanks]int
+	// reserve is the part of the urgent floor that lower ranks never use.
+	reserve int
+}
+
+func divide(slots int, percent [azurestair.NumRanks]azurestair.Percent) shares {
+	s := shares{slots: slots}
+	if slots < azurestair.NumRanks {
+		return s
+	}
+	sum := 0
+	for r, p := range percent {
+		if p > 0 {
+			s.floors[r] = max(1, (slots*int(p)+50)/100)
+			sum += s.floors[r]
+		}
+	}
+	for ; sum > slots; sum-- {
+		s.floors[s.largest()]--
+	}
+	s.reserve = reserveOf(slots, s.floors[azurestair.RankUrgent])
+	return s
+}
+
+// largest returns the rank with the largest floor.
+func (s *shares) largest() int {
+	found := 0
+	for r, f := range s.floors {
+		if f > s.floors[found] {
+			found = r
+		}
+	}
+	return found
+}
+
+// reserveDivisor is the part of the urgent floor that lower ranks never use.
+const reserveDivisor = 2
+
+// minReserveSlots is the least number of slots at which one is kept free. With
+// fewer slots an idle one costs lower ranks more than a fifth of the capacity.
+const minReserveSlots = 6
+
+func reserveOf(slots, floor int) int {
+	if slots < minReserveSlots {
+		return 0
+	}
+	return (floor + reserveDivisor - 1) / reserveDivisor
+}
+
+// turns gives ranks their share of admissions instead of slots. It applies
+// when there are fewer slots than ranks, where a whole slot for each rank is
+// not possible.
+type turns struct {
+	credit [azurestair.NumRanks]azurestair.Percent
+}
+
+// fullTurn is the credit that one admission costs.
+const fullTurn azurestair.Percent = 100
+
+// next chooses among the ranks with waiting work. A rank gains its floor as
+// credit for each admission that it waits for.
+func (t *turns) next(waiting [azurestair.NumRanks]bool, percent [azurestair.NumRanks]azurestair.Percent) azurestair.Rank {
+	chosen, byCredit := azurestair.RankDeferred, false
+	for r := range azurestair.Rank(azurestair.NumRanks) {
+		if !waiting[r] {
+			t.credit[r] = 0
+			continue
+		}
+		t.credit[r] = min(t.credit[r]+percent[r], 2*fullTurn)
+		due := t.credit[r] >= fullTurn
+		if due || !byCredit {
+			chosen, byCredit = r, due
+		}
+	}
+	t.credit[chosen] = max(t.credit[chosen]-fullTurn, 0)
+	return chosen
+}
