--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,468 @@
+package routing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/routing"
+)
+
+func TestRouting(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "worker selection")
+}
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const latency = 10 * time.Millisecond
+
+// upstreams returns n serving upstreams of one region in two failure domains.
+func upstreams(region azurestair.RegionName, n int, slots azurestair.Slots) []azurestair.UpstreamInfo {
+	list := make([]azurestair.UpstreamInfo, n)
+	for i := range list {
+		list[i] = azurestair.UpstreamInfo{Confirmed: true, Announcement: azurestair.Announcement{
+			Upstream: azurestair.UpstreamID(fmt.Sprintf("%s-%d", region, i)), Region: region,
+			FailureDomain: azurestair.FailureDomainName(fmt.Sprintf("%s-%c", region, 'a'+i%2)),
+			Slots:         slots, MaxConns: 330, State: azurestair.StateServing, Incarnation: 1, Sequence: 1,
+		}}
+	}
+	return list
+}
+
+// bench drives one picker in virtual time.
+type bench struct {
+	*routing.Weighted
+	now  time.Time
+	snap azurestair.Snapshot
+}
+
+func newBench(o routing.Options, list ...azurestair.UpstreamInfo) *bench {
+	o.Rand = rand.NewPCG(7, 7)
+	b := &bench{Weighted: routing.NewWeighted(o), now: start}
+	b.set(list...)
+	return b
+}
+
+// set publishes a snapshot with the upstreams and the same drains and configuration.
+func (b *bench) set(list ...azurestair.UpstreamInfo) {
+	b.snap.Upstreams = list
+	s := b.snap
+	b.Update(&s, b.now)
+}
+
+// pass lets time pass in contact with control.
+func (b *bench) pass(d time.Duration) {
+	for end := b.now.Add(d); b.now.Before(end); {
+		b.now = b.now.Add(500 * time.Millisecond)
+		b.set(b.snap.Upstreams...)
+	}
+}
+
+func (b *bench) pick(avoid ...azurestair.UpstreamID) azurestair.Choice {
+	GinkgoHelper()
+	c, err := b.Pick(azurestair.Work{}, avoid, b.now)
+	Expect(err).NotTo(HaveOccurred())
+	return c
+}
+
+// run does n requests one after another, 1 ms apart, in contact with control,
+// and counts them by upstream.
+func (b *bench) run(n int, result func(azurestair.Choice) azurestair.AttemptResult) map[azurestair.UpstreamID]int {
+	counts := map[azurestair.UpstreamID]int{}
+	for i := range n {
+		b.now = b.now.Add(time.Millisecond)
+		if i%500 == 499 {
+			b.set(b.snap.Upstreams...)
+		}
+		c, err := b.Pick(azurestair.Work{}, nil, b.now)
+		if err != nil {
+			continue
+		}
+		counts[c.Upstream]++
+		b.Done(c, result(c), latency, b.now)
+	}
+	return counts
+}
+
+// fill picks until refused and returns the choices and the refusal's reason.
+func (b *bench) fill() ([]azurestair.Choice, azurestair.Reason) {
+	var all []azurestair.Choice
+	for {
+		c, err := b.Pick(azurestair.Work{}, nil, b.now)
+		if err != nil {
+			ExpectWithOffset(1, err).To(MatchError(azurestair.ErrNoUpstream))
+			return all, routing.ReasonOf(err)
+		}
+		all = append(all, c)
+	}
+}
+
+func always(r azurestair.AttemptResult) func(azurestair.Choice) azurestair.AttemptResult {
+	return func(azurestair.Choice) azurestair.AttemptResult { return r }
+}
+
+// failing makes the named upstreams fail with r.
+func failing(r azurestair.AttemptResult, ids ...azurestair.UpstreamID) func(azurestair.Choice) azurestair.AttemptResult {
+	return func(c azurestair.Choice) azurestair.AttemptResult {
+		for _, id := range ids {
+			if c.Upstream == id {
+				return r
+			}
+		}
+		return azurestair.AttemptDone
+	}
+}
+
+func expectRefused(b *bench, want azurestair.Reason) {
+	GinkgoHelper()
+	_, err := b.Pick(azurestair.Work{}, nil, b.now)
+	Expect(err).To(MatchError(azurestair.ErrNoUpstream))
+	Expect(routing.ReasonOf(err)).To(Equal(want))
+}
+
+func expectUnused(b *bench, id azurestair.UpstreamID) {
+	GinkgoHelper()
+	Expect(b.run(500, always(azurestair.AttemptDone))).NotTo(HaveKey(id))
+}
+
+var _ = Describe("a choice", func() {
+	// Guards against overloading a worker that other entries use too.
+	It("keeps to the share of slots and a small queue", func() {
+		b := newBench(routing.Options{Entries: 3}, upstreams("x", 2, 9)...)
+		all, reason := b.fill()
+		Expect(all).To(HaveLen(2 * (3 + 1)))
+		Expect(reason).To(Equal(azurestair.ReasonNoUpstream))
+	})
+
+	It("prefers the own failure domain while it is not busier", func() {
+		b := newBench(routing.Options{Region: "x", FailureDomain: "x-a"}, upstreams("x", 12, 9)...)
+		counts := b.run(500, always(azurestair.AttemptDone))
+		for id := range counts {
+			Expect(string(id)).To(MatchRegexp(`x-(0|2|4|6|8|10)$`))
+		}
+	})
+
+	// Guards against a retry that meets the worker that just failed.
+	It("avoids the named workers while others are left", func() {
+		b := newBench(routing.Options{}, upstreams("x", 3, 100)...)
+		for range 100 {
+			Expect(b.pick("x-0", "x-2").Upstream).To(BeEquivalentTo("x-1"))
+		}
+		b.set(upstreams("x", 1, 200)...)
+		Expect(b.pick("x-0").Upstream).To(BeEquivalentTo("x-0"))
+	})
+
+	// Guards against a crash or a wrong answer before the first snapshot.
+	It("is refused without upstreams", func() {
+		expectRefused(newBench(routing.Options{}), azurestair.ReasonNoUpstream)
+	})
+})
+
+var _ = Describe("spilling to another region", func() {
+	both := append(upstreams("x", 1, 2), upstreams("y", 4, 9)...)
+	allow := func(limit azurestair.Slots) routing.ShiftBudget {
+		return func(_ azurestair.RegionName, n azurestair.Slots, _ time.Time) bool { return n < limit }
+	}
+
+	// Guards R1: late slots and attempts together stay under the cap.
+	It("waits for local saturation and stays under the budget", func() {
+		b := newBench(routing.Options{Region: "x", Shift: allow(5)}, both...)
+		all, reason := b.fill()
+		Expect(all).To(HaveLen(3 + 5))
+		Expect(reason).To(Equal(azurestair.ReasonShiftCap))
+		for i, c := range all {
+			Expect(c.Shift).To(Equal(i >= 3))
+		}
+		Expect(b.Shifted("y")).To(BeEquivalentTo(5))
+		b.Done(all[7], azurestair.AttemptTimeout, latency, b.now)
+		expectRefused(b, azurestair.ReasonShiftCap)
+		b.pass(routing.DefaultLateSlot)
+		Expect(b.pick().Shift).To(BeTrue())
+	})
+
+	It("is not permitted without a budget", func() {
+		b := newBench(routing.Options{Region: "z"}, both...)
+		expectRefused(b, azurestair.ReasonShiftCap)
+	})
+
+	// Guards against a count of shifted work that drifts when an upstream restarts.
+	It("returns to a count of zero across a restart", func() {
+		b := newBench(routing.Options{Region: "x", Shift: allow(9)}, both...)
+		all, _ := b.fill()
+		next := append(upstreams("x", 1, 2), upstreams("y", 4, 9)...)
+		for i := range next {
+			next[i].Announcement.Incarnation = 2
+		}
+		b.Done(all[4], azurestair.AttemptTimeout, latency, b.now)
+		b.set(next...)
+		for i, c := range all {
+			if i != 4 {
+				b.Done(c, azurestair.AttemptDone, latency, b.now)
+			}
+		}
+		Expect(b.Shifted("y")).To(BeZero())
+	})
+})
+
+var _ = Describe("timed-out attempts", func() {
+	// Guards against more work for a worker that is still busy with abandoned requests.
+	It("keep their slots until the late bound or the answer", func() {
+		b := newBench(routing.Options{Without: routing.Mechanisms{Ejection: true}}, upstreams("x", 1, 3)...)
+		all, _ := b.fill()
+		for _, c := range all {
+			b.Done(c, azurestair.AttemptTimeout, latency, b.now)
+		}
+		b.pass(routing.DefaultLateSlot - time.Second)
+		expectRefused(b, azurestair.ReasonNoUpstream)
+		b.Answered(all[0], b.now)
+		b.pick()
+		expectRefused(b, azurestair.ReasonNoUpstream)
+		b.pass(time.Second)
+		again, _ := b.fill()
+		Expect(again).To(HaveLen(len(all) - 1))
+	})
+})
+
+var _ = Describe("leaving workers", func() {
+	// Guards R6: no new work after the first word of it, whatever older reports say.
+	DescribeTable("get no new work",
+		func(leave func(b *bench)) {
+			b := newBench(routing.Options{}, upstreams("x", 3, 9)...)
+			leave(b)
+			expectUnused(b, "x-1")
+		},
+		Entry("draining header", func(b *bench) { b.Confirm("x-1", azurestair.StateDraining, b.now) }),
+		Entry("older report after the header", func(b *bench) {
+			b.Confirm("x-1", azurestair.StateDraining, b.now)
+			list := upstreams("x", 3, 9)
+			list[1].Announcement.Sequence = 2
+			b.set(list...)
+		}),
+		Entry("leaving, then serving", func(b *bench) {
+			b.Confirm("x-1", azurestair.StateLeaving, b.now)
+			b.pass(time.Minute)
+			b.Confirm("x-1", azurestair.StateServing, b.now)
+		}),
+		Entry("operator's drain", func(b *bench) {
+			b.snap.Drains = []azurestair.Drain{{Target: azurestair.Target{Kind: azurestair.TargetUpstream, Name: "x-1"}}}
+			b.set(b.snap.Upstreams...)
+		}),
+		Entry("drain of the failure domain", func(b *bench) {
+			b.snap.Drains = []azurestair.Drain{{Target: azurestair.Target{Kind: azurestair.TargetFailureDomain, Name: "x-b"}}}
+			b.set(b.snap.Upstreams...)
+		}),
+		Entry("weight of zero", func(b *bench) {
+			b.snap.Config = &azurestair.Config{Exceptions: []azurestair.Exception{{
+				Target:  azurestair.Target{Kind: azurestair.TargetUpstream, Name: "x-1"},
+				Setting: azurestair.SettingWeight,
+			}}}
+			b.set(b.snap.Upstreams...)
+		}),
+		Entry("gone from the snapshot", func(b *bench) {
+			list := upstreams("x", 3, 9)
+			b.set(list[0], list[2])
+		}),
+	)
+
+	It("come back when they serve again", func() {
+		b := newBench(routing.Options{}, upstreams("x", 3, 9)...)
+		b.Confirm("x-1", azurestair.StateDraining, b.now)
+		b.pass(3 * time.Second)
+		b.Confirm("x-1", azurestair.StateServing, b.now)
+		Expect(b.run(500, always(azurestair.AttemptDone))).To(HaveKey(azurestair.UpstreamID("x-1")))
+	})
+})
+
+var _ = Describe("exceptions", func() {
+	It("cap slots and reduce weight", func() {
+		b := newBench(routing.Options{}, upstreams("x", 2, 9)...)
+		b.snap.Config = &azurestair.Config{Exceptions: []azurestair.Exception{
+			{Target: azurestair.Target{Kind: azurestair.TargetUpstream, Name: "x-0"}, Setting: azurestair.SettingSlots, Value: 2},
+			{Target: azurestair.Target{Kind: azurestair.TargetFailureDomain, Name: "x-b"}, Setting: azurestair.SettingWeight, Value: 10},
+		}}
+		b.set(b.snap.Upstreams...)
+		counts := b.run(1000, always(azurestair.AttemptDone))
+		Expect(counts["x-1"]).To(BeNumerically("<", 400))
+		Expect(counts["x-1"]).To(BeNumerically(">", 10))
+		all, _ := b.fill()
+		Expect(all).To(HaveLen(2 + 1 + 9 + 2))
+	})
+})
+
+var _ = Describe("confirmation", func() {
+	// Guards against new work to a leaving worker from an entry that is cut off.
+	It("ends after three seconds without any source", func() {
+		b := newBench(routing.Options{}, upstreams("x", 3, 9)...)
+		b.now = b.now.Add(2 * time.Second)
+		b.Confirm("x-1", azurestair.StateServing, b.now)
+		b.now = b.now.Add(routing.ConfirmFor - 2*time.Second)
+		Expect(b.run(50, always(azurestair.AttemptDone))).To(HaveLen(1))
+		b.now = b.now.Add(2 * time.Second)
+		expectRefused(b, azurestair.ReasonNoUpstream)
+		b.set(b.snap.Upstreams...)
+		b.pick()
+	})
+
+	// Guards against a snapshot that keeps lapsed upstreams alive.
+	It("does not come from an upstream listed as unconfirmed", func() {
+		list := upstreams("x", 2, 9)
+		list[1].Confirmed = false
+		expectUnused(newBench(routing.Options{}, list...), "x-1")
+	})
+
+	// Guards against probes that take more slots than allowed, and against starved upstreams.
+	It("is renewed by probes within the budget, all in turn", func() {
+		b := newBench(routing.Options{Entries: 7}, upstreams("x", 100, 3)...)
+		Expect(b.ProbeCandidates(b.now)).To(BeEmpty())
+		b.now = b.now.Add(10 * time.Second)
+		probed, total := map[azurestair.UpstreamID]bool{}, 0
+		for range 100 {
+			for _, id := range b.ProbeCandidates(b.now) {
+				probed[id], total = true, total+1
+			}
+			b.now = b.now.Add(100 * time.Millisecond)
+		}
+		budget := 300.0 / 7 * 0.02 * 11 / routing.ProbeCost.Seconds()
+		Expect(float64(total)).To(BeNumerically("~", budget, budget/5))
+		Expect(float64(total)).To(BeNumerically("<=", budget))
+		Expect(probed).To(HaveLen(100))
+	})
+})
+
+var _ = Describe("slow start", func() {
+	join := func(o routing.Options) (*bench, map[azurestair.UpstreamID]int) {
+		b := newBench(o, upstreams("x", 11, 9)...)
+		b.run(500, always(azurestair.AttemptDone))
+		b.set(upstreams("x", 12, 9)...)
+		return b, b.run(600, always(azurestair.AttemptDone))
+	}
+
+	// Guards against a herd on a worker that has just joined and is cold.
+	It("gives a newcomer little at first and its part later", func() {
+		b, counts := join(routing.Options{})
+		Expect(counts["x-11"]).To(BeNumerically("~", 10, 9))
+		b.pass(10 * time.Second)
+		Expect(b.run(1200, always(azurestair.AttemptDone))["x-11"]).To(BeNumerically("~", 100, 40))
+	})
+
+	It("holds a newcomer to few requests in flight", func() {
+		b, _ := join(routing.Options{})
+		_, _ = b.fill()
+		Expect(b.InFlight("x-11")).To(BeEquivalentTo(1))
+		Expect(b.InFlight("x-10")).To(BeEquivalentTo(9 + 2))
+	})
+
+	// Guards against refusals after the entry's own start.
+	It("does not hold back a service that is new as a whole", func() {
+		b := newBench(routing.Options{}, upstreams("x", 3, 9)...)
+		all, _ := b.fill()
+		Expect(all).To(HaveLen(3 * 11))
+	})
+
+	// Guards against lost capacity after a short gap in the measurements.
+	It("is not repeated after a short gap", func() {
+		b := newBench(routing.Options{}, upstreams("x", 3, 9)...)
+		b.now = b.now.Add(5 * time.Second)
+		expectRefused(b, azurestair.ReasonNoUpstream)
+		b.set(b.snap.Upstreams...)
+		all, _ := b.fill()
+		Expect(all).To(HaveLen(3 * 11))
+	})
+})
+
+var _ = Describe("outlier ejection", func() {
+	broken := failing(azurestair.AttemptBroken, "x-0")
+	noPenalty := routing.Options{Without: routing.Mechanisms{Penalty: true}}
+
+	// Guards against a worker that attracts work because it fails fast.
+	It("is hardly needed for a worker that fails, because failures count as slow", func() {
+		b := newBench(routing.Options{Without: routing.Mechanisms{Ejection: true}}, upstreams("x", 12, 9)...)
+		Expect(b.run(20_000, broken)["x-0"]).To(BeNumerically("~", 5, 5))
+	})
+
+	It("ejects a failing worker and returns it through a trial and slow start", func() {
+		b := newBench(noPenalty, upstreams("x", 12, 9)...)
+		b.run(1000, broken)
+		Expect(b.Ejected()).To(Equal(1))
+		expectUnused(b, "x-0")
+		b.pass(5 * time.Second)
+		counts := b.run(1000, always(azurestair.AttemptDone))
+		Expect(b.Ejected()).To(BeZero())
+		Expect(counts["x-0"]).To(BeNumerically("~", 20, 18))
+	})
+
+	// Guards against a worker that takes a burst of requests at each return.
+	It("sends one trial at a time and ejects for longer each time", func() {
+		b := newBench(noPenalty, upstreams("x", 12, 9)...)
+		b.run(1000, broken)
+		b.pass(5 * time.Second)
+		_, _ = b.fill()
+		Expect(b.InFlight("x-0")).To(BeEquivalentTo(1))
+		b.Done(azurestair.Choice{Upstream: "x-0"}, azurestair.AttemptBroken, 0, b.now)
+		b.pass(9 * time.Second)
+		Expect(b.Ejected()).To(Equal(1))
+		expectRefused(b, azurestair.ReasonNoUpstream)
+		b.pass(time.Second)
+		Expect(b.pick().Upstream).To(BeEquivalentTo("x-0"))
+	})
+
+	It("ejects for a low success rate without failures in a row", func() {
+		b := newBench(noPenalty, upstreams("x", 12, 9)...)
+		n := 0
+		b.run(5000, func(c azurestair.Choice) azurestair.AttemptResult {
+			n++
+			if c.Upstream == "x-0" && n%2 == 0 {
+				return azurestair.AttemptBroken
+			}
+			return azurestair.AttemptDone
+		})
+		Expect(b.Ejected()).To(Equal(1))
+	})
+
+	// Guards against ejecting the service's capacity away.
+	DescribeTable("keeps to the limit",
+		func(n, most int) {
+			b := newBench(routing.Options{}, upstreams("x", n, 9)...)
+			var bad []azurestair.UpstreamID
+			for i := range n/2 + 1 {
+				bad = append(bad, azurestair.UpstreamID(fmt.Sprintf("x-%d", i)))
+			}
+			for range 3000 {
+				b.run(1, failing(azurestair.AttemptNotRun, bad...))
+				Expect(b.Ejected()).To(BeNumerically("<=", most))
+			}
+			Expect(b.Ejected()).To(Equal(most))
+			b.set(upstreams("x", 1, 9)...)
+			Expect(b.Ejected()).To(BeZero())
+		},
+		Entry("twelve", 12, 3), Entry("six", 6, 1), Entry("two", 2, 0),
+	)
+})
+
+func BenchmarkPickDone(b *testing.B) {
+	for _, n := range []int{12, 100, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p := routing.NewWeighted(routing.Options{Region: "x", FailureDomain: "x-a", Entries: 7, Rand: rand.NewPCG(1, 1)})
+			s := &azurestair.Snapshot{Upstreams: upstreams("x", n, 9)}
+			now := start
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				if i%1000 == 0 {
+					p.Update(s, now)
+				}
+				now = now.Add(100 * time.Microsecond)
+				c, err := p.Pick(azurestair.Work{}, nil, now)
+				if err != nil {
+					b.Fatal(err)
+				}
+				p.Done(c, azurestair.AttemptDone, latency+time.Duration(i%7)*time.Millisecond, now)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/routing/weighted.go
@@ -0,0 +1,226 @@
+package routing
+
+import (
+	"time"
+
+	"azurestair.example/azurestair"
+)
+
+// Weighted chooses among sampled candidates by own requests in flight, own
+// latency and, as a weak hint, load reports. It implements azurestair.Picker.
+type Weighted struct {
+	opts     Options
+	defaults azurestair.Defaults
+
+	snapshot  *azurestair.Snapshot
+	contactAt time.Time
+	started   bool
+
+	workers map[azurestair.UpstreamID]*worker
+	// order holds the workers in the order of their first appearance.
+	order  []*worker
+	listed int
+	agenda agenda
+
+	domain tier
+	region tier
+	remote []*tier
+	// remoteAt rotates the region that is asked first.
+	remoteAt int
+
+	mean     float64
+	failRate float64
+	ejected  int
+
+	probes    probeBudget
+	probeAt   int
+	probeList []azurestair.UpstreamID
+}
+
+var _ azurestair.Picker = (*Weighted)(nil)
+
+// NewWeighted returns a picker without upstreams.
+func NewWeighted(o Options) *Weighted {
+	return &Weighted{
+		opts:     o.withDefaults(),
+		defaults: azurestair.Defaults{}.WithDefaults(),
+		workers:  map[azurestair.UpstreamID]*worker{},
+	}
+}
+
+// Pick chooses an upstream, preferably none of avoid, and counts an attempt in
+// flight. The error is a *PickError.
+func (p *Weighted) Pick(_ azurestair.Work, avoid []azurestair.UpstreamID, now time.Time) (azurestair.Choice, error) {
+	p.advance(now)
+	w, err := p.choose(avoid, now)
+	if err != nil && len(avoid) > 0 {
+		w, err = p.choose(nil, now)
+	}
+	if err != nil {
+		return azurestair.Choice{}, err
+	}
+	p.take(w, now)
+	return azurestair.Choice{
+		Upstream: w.info.Upstream,
+		Addr:     w.info.Addr,
+		Region:   w.info.Region,
+		Shift:    w.tier.remote,
+	}, nil
+}
+
+func (p *Weighted) choose(avoid []azurestair.UpstreamID, now time.Time) (*worker, error) {
+	if w := p.chooseHome(avoid, now); w != nil {
+		return w, nil
+	}
+	return p.chooseRemote(avoid, now)
+}
+
+// chooseHome compares the best free candidate with candidates that would queue
+// only if there is none or it looks slow.
+func (p *Weighted) chooseHome(avoid []azurestair.UpstreamID, now time.Time) *worker {
+	free := p.nearer(p.best(&p.domain.free, avoid, now), p.best(&p.region.free, avoid, now), now)
+	if free != nil && p.cost(free, now) <= suspectFactor*max(p.mean, float64(minLatency)) {
+		return free
+	}
+	queued := p.nearer(p.best(&p.domain.queueing, avoid, now), p.best(&p.region.queueing, avoid, now), now)
+	return p.nearer(free, queued, now)
+}
+
+// nearer returns a unless it is missing or its score is far worse than b's.
+func (p *Weighted) nearer(a, b *worker, now time.Time) *worker {
+	if a == nil || b == nil {
+		if a == nil {
+			return b
+		}
+		return a
+	}
+	if p.score(a, now) > nearFactor*p.score(b, now) {
+		return b
+	}
+	return a
+}
+
+func (p *Weighted) chooseRemote(avoid []azurestair.UpstreamID, now time.Time) (*worker, error) {
+	capped := false
+	for i := range p.remote {
+		t := p.remote[(p.remoteAt+i)%len(p.remote)]
+		w := p.best(&t.free, avoid, now)
+		if w == nil {
+			w = p.best(&t.queueing, avoid, now)
+		}
+		if w == nil {
+			continue
+		}
+		if p.opts.Shift != nil && p.opts.Shift(t.region, t.shifted, now) {
+			p.remoteAt++
+			return w, nil
+		}
+		capped = true
+	}
+	if capped {
+		return nil, errShiftCap
+	}
+	return nil, errNoUpstream
+}
+
+// best compares sampled candidates of one set.
+func (p *Weighted) best(s *candidateSet, avoid []azurestair.UpstreamID, now time.Time) *worker {
+	best, accepted := p.draw(s, avoid)
+	if best == nil || len(s.workers) == 1 {
+		return best
+	}
+	bestScore := p.score(best, now)
+	for range p.opts.Samples - 1 {
+		w := p.drawOther(s, best, avoid)
+		if w == nil {
+			continue
+		}
+		if score := p.score(w, now); !accepted || score < bestScore {
+			best, bestScore, accepted = w, score, true
+		}
+	}
+	return best
+}
+
+func (p *Weighted) take(w *worker, now time.Time) {
+	w.inFlight++
+	if w.tier.remote {
+		w.tier.shifted++
+	}
+	if w.health.state == halfOpen {
+		w.health.trial = true
+	}
+	p.settle(w, now)
+}
+
+// Done ends an attempt. After AttemptTimeout the slot stays counted until
+// Options.LateSlot has passed, because the upstream may still be working.
+func (p *Weighted) Done(c azurestair.Choice, r azurestair.AttemptResult, latency time.Duration, now time.Time) {
+	p.advance(now)
+	w := p.workers[c.Upstream]
+	if w == nil || w.inFlight <= len(w.lateUntil) {
+		return
+	}
+	if r == azurestair.AttemptTimeout {
+		w.lateUntil = append(w.lateUntil, now.Add(p.opts.LateSlot))
+	} else {
+		p.release(w)
+	}
+	p.learn(w, r, latency, now)
+	p.judge(w, !isFailure(r), now)
+	p.settle(w, now)
+}
+
+func (p *Weighted) release(w *worker) {
+	w.inFlight--
+	if w.tier.remote {
+		w.tier.shifted--
+	}
+}
+
+// learn updates the latency statistics. A failure's own latency says nothing,
+// except that a timeout's is a lower bound.
+func (p *Weighted) learn(w *worker, r azurestair.AttemptResult, latency time.Duration, now time.Time) {
+	v := float64(max(latency, 0))
+	switch r {
+	case azurestair.AttemptDone:
+		w.record.sample(v, now)
+		p.observeMean(v)
+	case azurestair.AttemptTimeout:
+		w.record.sample(max(v, w.record.latency), now)
+		w.record.fail(now)
+	default:
+		w.record.fail(now)
+	}
+}
+
+// Answered frees the slot of one timed-out attempt whose answer arrived late
+// or whose connection the upstream closed.
+func (p *Weighted) Answered(c azurestair.Choice, now time.Time) {
+	p.advance(now)
+	w := p.workers[c.Upstream]
+	if w == nil || len(w.lateUntil) == 0 {
+		return
+	}
+	p.releaseLate(w, 1)
+	p.settle(w, now)
+}
+
+// Shifted returns how many attempts are in flight from this entry into another
+// region, late slots included.
+func (p *Weighted) Shifted(region azurestair.RegionName) azurestair.Slots {
+	for _, t := range p.remote {
+		if t.region == region {
+			return t.shifted
+		}
+	}
+	return 0
+}
+
+// InFlight returns how many attempts are counted at an upstream, late slots included.
+func (p *Weighted) InFlight(id azurestair.UpstreamID) azurestair.Slots {
+	if w := p.workers[id]; w != nil {
+		return azurestair.Slots(w.inFlight)
+	}
+	return 0
+}
