--- a/budget.go
+++ b/budget.go
@@ -38,6 +38,9 @@
 	Resource Resource `cbor:"1,keyasint" json:"resource"`
 	InUse    int64    `cbor:"2,keyasint" json:"inUse"`
 	Want     int64    `cbor:"3,keyasint" json:"want"`
+	// Floor is the floor that the entry has now. The leader keeps a larger one
+	// reserved until the entry reports the smaller one.
+	Floor int64 `cbor:"4,keyasint,omitempty" json:"floor,omitempty"`
 }
 
 // Grant is a leased part of a budget. TTLMs counts from when the holder sent
@@ -81,7 +84,7 @@
 		}
 	}
 	for _, d := range r.Demands {
-		if d.InUse < 0 || d.Want < 0 {
+		if d.InUse < 0 || d.Want < 0 || d.Floor < 0 {
 			return fmt.Errorf("%w: demand for %s is negative", ErrInvalid, d.Resource)
 		}
 	}
@@ -117,8 +120,9 @@
 	return nil
 }
 
-// Delta turns the snapshot at Base into the one at Revision. Nil parts are unchanged.
+// Delta turns the snapshot of Term at Base into the one at Revision. Nil parts are unchanged.
 type Delta struct {
+	Term             Term           `cbor:"10,keyasint" json:"term"`
 	Base             Revision       `cbor:"1,keyasint" json:"base"`
 	Revision         Revision       `cbor:"2,keyasint" json:"revision"`
 	Commit           Index          `cbor:"3,keyasint" json:"commit"`
--- /dev/null
+++ b/control/publisher_test.go
@@ -0,0 +1,252 @@
+package control_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/control"
+)
+
+func source(r *control.Registry) control.Source {
+	return control.Source{Term: 1, Config: &azurestair.Config{Version: 1}, Registry: r}
+}
+
+// expectQuiet checks that nothing is published at any of the times.
+func expectQuiet(p *control.Publisher, src control.Source, ms ...int) {
+	GinkgoHelper()
+	for _, t := range ms {
+		_, made := p.Publish(src, at(t))
+		Expect(made).To(BeFalse(), "at %d ms", t)
+	}
+}
+
+func expectPublished(p *control.Publisher, src control.Source, ms int) *azurestair.Snapshot {
+	GinkgoHelper()
+	s, made := p.Publish(src, at(ms))
+	Expect(made).To(BeTrue())
+	return s
+}
+
+func announceLoad(r *control.Registry, seq, load, ms int) {
+	GinkgoHelper()
+	a := worker(1)
+	a.Sequence, a.Load.InFlight = azurestair.Sequence(seq), azurestair.Slots(load)
+	Expect(r.Announce(a, at(ms))).To(Succeed())
+}
+
+var _ = Describe("publisher", func() {
+	var (
+		p   *control.Publisher
+		r   *control.Registry
+		src control.Source
+	)
+	BeforeEach(func() {
+		p, r = &control.Publisher{}, &control.Registry{}
+		announce(r, 0, 1, 2)
+		src = source(r)
+		expectPublished(p, src, 0)
+	})
+
+	// Guards against idle traffic from announcements and log entries that change nothing.
+	It("publishes nothing while only sequences and the log index move", func() {
+		for ms := 500; ms < 20_000; ms += 500 {
+			announceLoad(r, ms, 0, ms)
+			src.Commit++
+			expectQuiet(p, src, ms)
+		}
+	})
+
+	// Guards against one delta for each load report.
+	It("publishes a large change of load soon and a small one later", func() {
+		announceLoad(r, 2, 1, 500)
+		expectQuiet(p, src, 500, 1000, 1999)
+		expectPublished(p, src, 2000)
+		announceLoad(r, 3, 3, 2400)
+		expectQuiet(p, src, 2400)
+		Expect(expectPublished(p, src, 2500).Upstreams[0].Announcement.Load.InFlight).To(BeEquivalentTo(3))
+	})
+
+	// Guards against a drained or leaving upstream that gets work until the next refresh.
+	It("publishes states, drains and configurations at once", func() {
+		a := worker(1)
+		a.State, a.Sequence = azurestair.StateDraining, 2
+		Expect(r.Announce(a, at(10))).To(Succeed())
+		Expect(expectPublished(p, src, 10).Upstreams[0].Announcement.State).To(Equal(azurestair.StateDraining))
+		src.Drains = []azurestair.Drain{{Reason: "repair"}}
+		Expect(expectPublished(p, src, 11).Drains).To(HaveLen(1))
+		src.Drains = nil
+		Expect(expectPublished(p, src, 12).Drains).To(BeEmpty())
+		d, _ := p.Delta(1, 3)
+		Expect(*d.Drains).NotTo(BeNil())
+		src.Config = &azurestair.Config{Version: 2}
+		Expect(expectPublished(p, src, 13).ConfigVersion()).To(BeEquivalentTo(2))
+	})
+
+	// Guards against 690 revisions after each change of configuration.
+	It("publishes versions in effect together", func() {
+		Expect(r.Instance(entry(1), at(0))).To(Succeed())
+		expectPublished(p, src, 10)
+		e := entry(1)
+		e.InForce = 2
+		Expect(r.Instance(e, at(100))).To(Succeed())
+		expectQuiet(p, src, 100, 1900)
+		expectPublished(p, src, 2000)
+	})
+
+	It("answers with nothing, a delta or a snapshot", func() {
+		announce(r, 10, 3)
+		s := expectPublished(p, src, 10)
+		expectAnswer(p, 1, 2, nil, nil)
+		expectAnswer(p, 2, 1, nil, nil)
+		expectAnswer(p, 0, 0, nil, s)
+		expectAnswer(p, 1, 0, nil, s)
+		expectAnswer(p, 1, 9, nil, s)
+		expectAnswer(p, 1, 1, &azurestair.Delta{
+			Term: 1, Base: 1, Revision: 2, Upstreams: []azurestair.UpstreamInfo{{Announcement: worker(3), Confirmed: true}},
+		}, nil)
+	})
+
+	// Guards against a new leader that removes all that its predecessor listed.
+	It("waits for a registry without a seed, and takes over a new term", func() {
+		empty := &control.Registry{}
+		empty.Seed(nil, at(1000))
+		next := control.Source{Term: 2, Config: src.Config, Registry: empty}
+		expectQuiet(p, next, 1000, 3999)
+		seeded := &control.Registry{}
+		seeded.Seed(p.Current(), at(1000))
+		next.Registry = seeded
+		Expect(expectPublished(p, next, 1000).Upstreams).To(HaveLen(2))
+		expectQuiet(p, src, 1001)
+	})
+
+	DescribeTable("rejects a delta that does not follow", func(d azurestair.Delta) {
+		_, err := control.ApplyDelta(p.Current(), &d)
+		Expect(err).To(MatchError(azurestair.ErrConflict))
+		_, err = control.ApplyDelta(nil, &d)
+		Expect(err).To(MatchError(azurestair.ErrConflict))
+	},
+		Entry("other base", azurestair.Delta{Term: 1, Base: 2, Revision: 3}),
+		Entry("other term", azurestair.Delta{Term: 2, Base: 1, Revision: 2}),
+		Entry("older configuration", azurestair.Delta{Term: 1, Base: 1, Revision: 2, Config: &azurestair.Config{}}),
+	)
+
+	// Guards against followers that drift from the leader after lost replies.
+	It("keeps followers equal whatever replies they lose", func() {
+		for seed := range uint64(200) {
+			followRandomly(rand.New(rand.NewPCG(seed, 1)))
+		}
+	})
+})
+
+func expectAnswer(
+	p *control.Publisher, t azurestair.Term, rev azurestair.Revision, d *azurestair.Delta, s *azurestair.Snapshot,
+) {
+	GinkgoHelper()
+	gotDelta, gotSnapshot := p.Delta(t, rev)
+	Expect(gotDelta).To(Equal(d))
+	Expect(gotSnapshot).To(Equal(s))
+}
+
+// followRandomly lets followers of a changing leader miss replies, and checks
+// that each reply they get makes them equal to the leader.
+func followRandomly(rng *rand.Rand) {
+	GinkgoHelper()
+	p, r := &control.Publisher{History: 8}, &control.Registry{}
+	src := source(r)
+	followers := make([]*azurestair.Snapshot, 4)
+	for ms := 0; ms < 30_000; ms += 250 {
+		changeRandomly(rng, r, &src, ms)
+		r.Expire(at(ms))
+		p.Publish(src, at(ms))
+		for i, held := range followers {
+			if rng.IntN(2+4*i) == 0 {
+				followers[i] = follow(p, held)
+				Expect(followers[i]).To(Equal(p.Current()))
+			}
+		}
+	}
+}
+
+func follow(p *control.Publisher, held *azurestair.Snapshot) *azurestair.Snapshot {
+	GinkgoHelper()
+	if held == nil {
+		held = &azurestair.Snapshot{}
+	}
+	before, _ := json.Marshal(held)
+	d, s := p.Delta(held.Term, held.Revision)
+	switch {
+	case d != nil:
+		next, err := control.ApplyDelta(held, d)
+		Expect(err).NotTo(HaveOccurred())
+		after, _ := json.Marshal(held)
+		Expect(after).To(Equal(before), "the delta changed the held snapshot")
+		return next
+	case s != nil:
+		return s
+	}
+	return held
+}
+
+func changeRandomly(rng *rand.Rand, r *control.Registry, src *control.Source, ms int) {
+	a := worker(rng.IntN(6))
+	a.Sequence = azurestair.Sequence(ms)
+	a.Load.InFlight = azurestair.Slots(rng.IntN(10))
+	a.State = []azurestair.UpstreamState{"serving", "serving", "serving", "draining", "leaving"}[rng.IntN(5)]
+	_ = r.Announce(a, at(ms))
+	e := entry(rng.IntN(3))
+	e.InForce, e.Incarnation = src.Config.Version, azurestair.Incarnation(ms)
+	_ = r.Instance(e, at(ms))
+	switch rng.IntN(30) {
+	case 0:
+		src.Config = &azurestair.Config{Version: src.Config.Version + 1}
+	case 1:
+		src.Drains = make([]azurestair.Drain, rng.IntN(3))
+	case 2:
+		src.Term++
+	case 3:
+		r.InstanceLeaving(e.ID, at(ms))
+	}
+}
+
+// BenchmarkDelta measures one changed upstream in a fleet of two years from
+// now: the publication with its delta, the application, and the sizes as JSON.
+func BenchmarkDelta(b *testing.B) {
+	for _, n := range []int{1, 24} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p, r := &control.Publisher{}, fleet(240, 690)
+			src := source(r)
+			whole, _ := p.Publish(src, at(0))
+			var d *azurestair.Delta
+			seq := 1
+			for b.Loop() {
+				seq++
+				base := p.Current()
+				for i := range n {
+					a := worker(i)
+					a.Sequence, a.Slots = azurestair.Sequence(seq), azurestair.Slots(10+seq%2)
+					_ = r.Announce(a, at(0))
+				}
+				p.Publish(src, at(0))
+				d, _ = p.Delta(1, base.Revision)
+			}
+			delta, _ := json.Marshal(d)
+			snapshot, _ := json.Marshal(whole)
+			b.ReportMetric(float64(len(delta)), "B/delta")
+			b.ReportMetric(float64(len(snapshot)), "B/snapshot")
+		})
+	}
+	b.Run("apply", func(b *testing.B) {
+		p, r := &control.Publisher{}, fleet(240, 690)
+		base, _ := p.Publish(source(r), at(0))
+		d := &azurestair.Delta{Term: 1, Base: 1, Revision: 2, Upstreams: base.Upstreams[:1]}
+		for b.Loop() {
+			_, _ = control.ApplyDelta(base, d)
+		}
+	})
+}
--- /dev/null
+++ b/control/registry_test.go
@@ -0,0 +1,195 @@
+package control_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/control"
+)
+
+// expectWorkers checks the listed upstreams, written as number and state; an
+// unconfirmed one has a question mark.
+func expectWorkers(r *control.Registry, want ...string) {
+	GinkgoHelper()
+	got := []string{}
+	for _, u := range r.Upstreams() {
+		s := string(u.Announcement.Upstream[len("worker-"):]) + " " + string(u.Announcement.State)
+		if !u.Confirmed {
+			s += "?"
+		}
+		got = append(got, s)
+	}
+	Expect(got).To(Equal(append([]string{}, want...)))
+}
+
+func announce(r *control.Registry, ms int, numbers ...int) {
+	GinkgoHelper()
+	for _, n := range numbers {
+		Expect(r.Announce(worker(n), at(ms))).To(Succeed())
+	}
+}
+
+// expire calls Expire at each deadline up to a time.
+func expire(r *control.Registry, ms int) {
+	for d := r.NextDeadline(); !d.IsZero() && !d.After(at(ms)); d = r.NextDeadline() {
+		r.Expire(d)
+	}
+}
+
+var _ = Describe("registry", func() {
+	var r *control.Registry
+	BeforeEach(func() { r = &control.Registry{} })
+
+	// Guards against new work for an upstream that has said it is going.
+	DescribeTable("honours a change of state at once and against older messages", func(s azurestair.UpstreamState) {
+		announce(r, 0, 1)
+		a := worker(1)
+		a.State, a.Sequence = s, 5
+		Expect(r.Announce(a, at(100))).To(Succeed())
+		expectWorkers(r, "001 "+string(s))
+		announce(r, 200, 1)
+		expectWorkers(r, "001 "+string(s))
+	},
+		Entry("draining", azurestair.StateDraining),
+		Entry("leaving", azurestair.StateLeaving),
+	)
+
+	// Guards against a delayed message that lists an upstream again after it left.
+	It("remembers an upstream that left", func() {
+		a := worker(1)
+		a.State, a.Sequence = azurestair.StateLeaving, 5
+		Expect(r.Announce(a, at(0))).To(Succeed())
+		Expect(r.Alive([]azurestair.UpstreamID{a.Upstream}, at(2000))).To(BeEmpty())
+		expire(r, 3000)
+		expectWorkers(r)
+		announce(r, 4000, 1)
+		expectWorkers(r)
+		a = worker(1)
+		a.Incarnation = 2
+		Expect(r.Announce(a, at(5000))).To(Succeed())
+		expectWorkers(r, "001 serving")
+	})
+
+	It("extends leases and names unknown upstreams", func() {
+		announce(r, 0, 1, 2, 3)
+		Expect(r.Alive([]azurestair.UpstreamID{"worker-001", "worker-002", "worker-009"}, at(2000))).
+			To(ConsistOf(azurestair.UpstreamID("worker-009")))
+		expire(r, 4900)
+		expectWorkers(r, "001 serving", "002 serving", "003 serving?")
+	})
+
+	// Guards against work for dead upstreams, and against a list of dead ones that only grows.
+	It("marks a single dead upstream, then drops it", func() {
+		announce(r, 0, 1, 2, 3)
+		announce(r, 2000, 2, 3)
+		expire(r, 3000)
+		expectWorkers(r, "001 serving?", "002 serving", "003 serving")
+		announce(r, 4500, 2, 3)
+		expire(r, 6000)
+		expectWorkers(r, "002 serving", "003 serving")
+		Expect(r.Alive([]azurestair.UpstreamID{"worker-001"}, at(6100))).To(HaveLen(1))
+		announce(r, 6200, 1)
+		expectWorkers(r, "001 serving", "002 serving", "003 serving")
+	})
+
+	// Guards against a failed listener that empties the plan.
+	It("keeps upstreams when most of a service lapses, up to a bound", func() {
+		announce(r, 0, 1)
+		announce(r, 400, 2)
+		announce(r, 900, 3)
+		expire(r, 29_000)
+		expectWorkers(r, "001 serving?", "002 serving?", "003 serving?")
+		expire(r, 34_000)
+		expectWorkers(r)
+	})
+
+	It("gives the others time after the listener has recovered", func() {
+		announce(r, 0, 1, 2, 3)
+		expire(r, 20_000)
+		announce(r, 20_100, 1, 2)
+		expire(r, 21_000)
+		expectWorkers(r, "001 serving", "002 serving", "003 serving?")
+		announce(r, 22_000, 1, 2)
+		announce(r, 24_000, 1, 2)
+		expire(r, 26_000)
+		expectWorkers(r, "001 serving", "002 serving")
+	})
+
+	// Guards against a new leader that empties the plan of its predecessor.
+	It("starts from the last snapshot, unconfirmed", func() {
+		s := &azurestair.Snapshot{Instances: []azurestair.InstanceInfo{entry(1)}}
+		for n := range 3 {
+			s.Upstreams = append(s.Upstreams, azurestair.UpstreamInfo{Announcement: worker(n), Confirmed: true})
+		}
+		r.Seed(s, at(0))
+		Expect(r.WarmingUp(at(2999))).To(BeTrue())
+		expectWorkers(r, "000 serving?", "001 serving?", "002 serving?")
+		Expect(r.Instances()).To(HaveLen(1))
+		announce(r, 1000, 0)
+		Expect(r.Alive([]azurestair.UpstreamID{"worker-001"}, at(1000))).To(BeEmpty())
+		expectWorkers(r, "000 serving", "001 serving", "002 serving?")
+		announce(r, 3500, 0, 1)
+		expire(r, 6000)
+		expectWorkers(r, "000 serving", "001 serving")
+		Expect(r.Instances()).To(BeEmpty())
+		Expect(r.WarmingUp(at(3000))).To(BeFalse())
+	})
+
+	// Guards against memory that grows with the names that announce themselves.
+	It("is bounded", func() {
+		r.MaxUpstreams, r.MaxInstances = 2, 1
+		announce(r, 0, 1, 2)
+		Expect(r.Announce(worker(3), at(0))).To(MatchError(azurestair.ErrFull))
+		Expect(r.Instance(entry(1), at(0))).To(Succeed())
+		Expect(r.Instance(entry(2), at(0))).To(MatchError(azurestair.ErrFull))
+		expire(r, 35_000)
+		announce(r, 35_000, 3)
+		expectWorkers(r, "003 serving")
+	})
+
+	// Guards against callers sent to an instance that is gone.
+	It("removes instances that leave or fall silent", func() {
+		for n := range 3 {
+			Expect(r.Instance(entry(n), at(0))).To(Succeed())
+		}
+		r.InstanceLeaving("entry-001", at(100))
+		Expect(r.Instance(entry(1), at(200))).To(Succeed())
+		Expect(r.Instances()).To(Equal([]azurestair.InstanceInfo{entry(0), entry(2)}))
+		Expect(r.Instance(entry(0), at(2000))).To(Succeed())
+		expire(r, 3000)
+		Expect(r.Instances()).To(Equal([]azurestair.InstanceInfo{entry(0)}))
+	})
+})
+
+// fleet returns a registry as expected in two years.
+func fleet(upstreams, instances int) *control.Registry {
+	r := &control.Registry{}
+	for n := range upstreams {
+		a := worker(n)
+		a.Service = azurestair.ServiceName(fmt.Sprintf("service-%d", n%3))
+		_ = r.Announce(a, at(0))
+	}
+	for n := range instances {
+		_ = r.Instance(entry(n), at(0))
+	}
+	return r
+}
+
+func BenchmarkRegistryMemory(b *testing.B) {
+	var before, after runtime.MemStats
+	var kept []*control.Registry
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for range 20 {
+		kept = append(kept, fleet(240, 690))
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(len(kept)), "B/registry")
+	runtime.KeepAlive(kept)
+}
