--- /dev/null
+++ b/instance/attempt.go
@@ -0,0 +1,262 @@
+package instance
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/caller"
+	"azurestair.example/azurestair/retry"
+	"azurestair.example/azurestair/routing"
+	"azurestair.example/azurestair/upstream"
+)
+
+// wholeLimit is the largest answer to an idempotent request that is read as a
+// whole before it is passed on, so that one that breaks off can be retried.
+const wholeLimit = 64 << 10
+
+// tries runs the attempts of one request.
+type tries struct {
+	call   *call
+	before func() error
+	req    retry.Request
+	ended  chan *try
+	open   []*try
+	// fresh is true once an attempt on a reused connection has failed.
+	fresh bool
+	// free is true once the request has had its retry outside the budget.
+	free bool
+	next int
+}
+
+// try is one attempt.
+type try struct {
+	tries   *tries
+	choice  azurestair.Choice
+	attempt upstream.Attempt
+	ctx     context.Context
+	cancel  context.CancelFunc
+	sent    time.Time
+	answer  upstream.Answer
+	err     error
+}
+
+// attempt sends the request until it is done or given up. before runs
+// directly before the first byte of each attempt.
+func (c *call) attempt(ctx context.Context, before func() error) caller.Reply {
+	t := &tries{call: c, before: before, req: retry.NewRequest(c.work), ended: make(chan *try, maxOpen)}
+	c.gate.countRequest()
+	return t.serve(ctx)
+}
+
+// maxOpen bounds the attempts of one request that are in flight together.
+const maxOpen = 2
+
+// serve runs attempts one after the other, with at most one hedge beside the first.
+func (t *tries) serve(ctx context.Context) caller.Reply {
+	defer t.abandon()
+	if d, ok := t.begin(ctx); !ok {
+		return t.finish(d)
+	}
+	hedge, stop := t.hedgeTimer()
+	defer stop()
+	for {
+		select {
+		case <-hedge:
+			hedge = nil
+			t.hedge(ctx)
+		case e := <-t.ended:
+			t.open = slices.DeleteFunc(t.open, func(o *try) bool { return o == e })
+			d := t.decide(ctx, e)
+			switch {
+			case d.Action == retry.Wait:
+				continue
+			case d.Action == retry.Finish && d.Outcome == azurestair.OutcomeDone:
+				return e.reply()
+			case d.Action == retry.Finish:
+				return t.finish(d)
+			}
+			if d, ok := t.again(ctx, d); !ok {
+				return t.finish(d)
+			}
+		}
+	}
+}
+
+// begin starts an attempt; without one it returns what the caller gets.
+func (t *tries) begin(ctx context.Context) (retry.Decision, bool) {
+	c := t.call
+	choice, err := c.gate.pick(c.work, t.req.Avoid())
+	if err != nil {
+		return t.req.Refuse(routing.ReasonOf(err)), false
+	}
+	now := c.entry.clock.Now()
+	tryCtx, cancel := context.WithCancel(ctx)
+	body, n := c.attemptBody()
+	t.next++
+	e := &try{tries: t, choice: choice, ctx: tryCtx, cancel: cancel, sent: now, attempt: upstream.Attempt{
+		ID:     azurestair.RequestID(string(c.req.ID) + "-" + strconv.Itoa(t.next)),
+		Method: c.req.Method, Path: c.req.Path, Header: c.req.Header, Body: body, BodyLen: n,
+		Rank: c.work.Rank, Idempotent: c.work.Idempotent, Fresh: t.fresh,
+		Deadline: c.gate.attemptDeadline(&t.req, now), BeforeSend: t.before,
+	}}
+	t.req.Begin(choice.Upstream)
+	t.open = append(t.open, e)
+	c.entry.metrics.attempts.Inc(1)
+	go e.run()
+	return retry.Decision{}, true
+}
+
+// again starts a retry when its time has come.
+func (t *tries) again(ctx context.Context, d retry.Decision) (retry.Decision, bool) {
+	timer := time.NewTimer(max(0, d.At.Sub(t.call.entry.clock.Now())))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return t.req.Refuse(azurestair.ReasonDeadline), false
+	}
+	t.call.entry.metrics.retries.Inc(1)
+	return t.begin(ctx)
+}
+
+func (t *tries) hedgeTimer() (<-chan time.Time, func()) {
+	if t.call.rest != nil || len(t.open) == 0 {
+		return nil, func() {}
+	}
+	at, ok := t.call.gate.hedgeAt(&t.req, t.open[0].sent)
+	if !ok {
+		return nil, func() {}
+	}
+	timer := time.NewTimer(max(0, at.Sub(t.call.entry.clock.Now())))
+	return timer.C, func() { timer.Stop() }
+}
+
+// hedge sends a second attempt on a fresh connection while the first is in flight.
+func (t *tries) hedge(ctx context.Context) {
+	if !t.call.gate.mayHedge(&t.req) {
+		return
+	}
+	t.fresh = true
+	_, _ = t.begin(ctx)
+}
+
+// decide takes account of an attempt that has ended.
+func (t *tries) decide(ctx context.Context, e *try) retry.Decision {
+	ans := e.answer
+	if ans.Reused && ans.Result != azurestair.AttemptDone {
+		t.fresh = true
+	}
+	if ctx.Err() != nil && ans.Result != azurestair.AttemptDone {
+		return t.endAll(ans)
+	}
+	if t.call.rest != nil && ans.Result != azurestair.AttemptDone {
+		return t.endAll(ans)
+	}
+	if errors.Is(e.err, azurestair.ErrDeadline) {
+		return t.endAll(ans)
+	}
+	free := ans.Silent && !t.free
+	t.free = t.free || free
+	return t.call.gate.next(&t.req, retry.Attempt{Result: ans.Result, Reason: ans.Reason}, free)
+}
+
+// endAll gives the request up after an attempt.
+func (t *tries) endAll(ans upstream.Answer) retry.Decision {
+	t.call.gate.next(&t.req, retry.Attempt{Result: ans.Result, Reason: ans.Reason}, false)
+	return t.req.Refuse(ans.Reason)
+}
+
+func (t *tries) finish(d retry.Decision) caller.Reply {
+	if d.Outcome == azurestair.OutcomeRefused {
+		return refused(d.Reason)
+	}
+	return unknown(d.Reason)
+}
+
+// abandon cancels the attempts that are not needed any more; their connections
+// are closed, by which the upstream learns of it.
+func (t *tries) abandon() {
+	for _, e := range t.open {
+		e.cancel()
+	}
+}
+
+// run sends the attempt and reports its end to the tries and to the gate.
+func (e *try) run() {
+	c := e.tries.call
+	e.answer, e.err = c.entry.client.Do(e.ctx, e.choice.Addr, e.attempt)
+	if e.answer.State != "" {
+		c.gate.confirm(e.choice.Upstream, e.answer.State)
+	}
+	switch {
+	case e.answer.Result == azurestair.AttemptDone && c.work.Idempotent:
+		e.readWhole()
+	case e.answer.Result != azurestair.AttemptDone && e.answer.Body != nil:
+		_, _ = io.Copy(io.Discard, io.LimitReader(e.answer.Body, wholeLimit))
+		_ = e.answer.Body.Close()
+	}
+	if e.answer.Result != azurestair.AttemptDone || e.answer.Body == nil {
+		e.settle(e.answer.Result)
+	}
+	e.tries.ended <- e
+}
+
+// readWhole reads a short answer, so that one that breaks off can be retried.
+func (e *try) readWhole() {
+	if e.answer.Length > wholeLimit {
+		return
+	}
+	data, err := io.ReadAll(io.LimitReader(e.answer.Body, wholeLimit+1))
+	switch {
+	case err != nil:
+		_ = e.answer.Body.Close()
+		e.err = err
+		e.answer.Result, e.answer.Reason = azurestair.AttemptBroken, azurestair.ReasonBroken
+	case len(data) > wholeLimit:
+		e.answer.Body = struct {
+			io.Reader
+			io.Closer
+		}{io.MultiReader(bytes.NewReader(data), e.answer.Body), e.answer.Body}
+	default:
+		_ = e.answer.Body.Close()
+		e.answer.Body, e.answer.Length = nil, int64(len(data))
+		e.answer.Whole = data
+	}
+}
+
+// settle tells the gate how the attempt ended. An attempt that this entry cut
+// off itself, or that waited on a silent connection, says nothing against the upstream.
+func (e *try) settle(r azurestair.AttemptResult) {
+	took := e.tries.call.entry.clock.Now().Sub(e.sent)
+	if r != azurestair.AttemptDone && r != azurestair.AttemptNotRun && (e.ctx.Err() != nil || e.answer.Silent) {
+		r = azurestair.AttemptDone
+	}
+	e.tries.call.gate.done(e.choice, r, took)
+}
+
+// reply passes the answer on; the attempt stays open until its body is closed.
+func (e *try) reply() caller.Reply {
+	r := caller.Reply{
+		Outcome: azurestair.OutcomeDone, Status: e.answer.Status, Header: e.answer.Header, Length: e.answer.Length,
+	}
+	if e.answer.Body == nil {
+		e.cancel()
+		r.Body = io.NopCloser(bytes.NewReader(e.answer.Whole))
+		return r
+	}
+	if e.tries.call.req.Method == http.MethodHead {
+		r.Length = -1
+	}
+	r.Body = &closer{ReadCloser: e.answer.Body, done: func() {
+		e.settle(azurestair.AttemptDone)
+		e.cancel()
+	}}
+	return r
+}
--- /dev/null
+++ b/instance/entry.go
@@ -0,0 +1,246 @@
+package instance
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"maps"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/caller"
+	"azurestair.example/azurestair/control"
+	"azurestair.example/azurestair/upstream"
+)
+
+// gateMaker builds the gate of a service; tests and measurements replace it.
+type gateMaker func(s azurestair.ServiceName, e *Entry) *gate
+
+// Entry serves look-ups and requests. Its methods are safe for concurrent use,
+// except those that the control goroutine alone calls: publish, update, tick,
+// demands and isPressed.
+type Entry struct {
+	self     azurestair.InstanceInfo
+	clock    azurestair.Clock
+	log      *slog.Logger
+	client   *upstream.Client
+	ledger   Ledger
+	metrics  *meters
+	makeGate gateMaker
+
+	view     atomic.Pointer[view]
+	gates    atomic.Pointer[map[azurestair.ServiceName]*gate]
+	attempts atomic.Uint64
+	inFlight atomic.Int64
+
+	ctx context.Context
+	wg  sync.WaitGroup
+}
+
+// publish makes a view visible to traffic.
+func (e *Entry) publish(v *view) {
+	e.view.Store(v)
+	e.resize(e.clock.Now())
+}
+
+// update takes over the services and upstreams of a new snapshot.
+func (e *Entry) update(s *azurestair.Snapshot) {
+	gates := map[azurestair.ServiceName]*gate{}
+	if old := e.gates.Load(); old != nil {
+		gates = maps.Clone(*old)
+	}
+	for _, service := range s.Config.Services {
+		g, ok := gates[service.Name]
+		if !ok {
+			g = e.makeGate(service.Name, e)
+			gates[service.Name] = g
+			e.wg.Go(func() { g.run(e.ctx) })
+		}
+		g.update(s)
+	}
+	e.gates.Store(&gates)
+	e.limitConns(s)
+}
+
+// limitConns shares each upstream's connection limit among the entries.
+func (e *Entry) limitConns(s *azurestair.Snapshot) {
+	keep := map[string]bool{}
+	for _, u := range s.Upstreams {
+		a := u.Announcement
+		keep[a.Addr] = true
+		e.client.SetLimit(a.Addr, a.MaxConns/azurestair.Conns(control.DefaultMaxHolders))
+	}
+	e.client.Retain(keep)
+}
+
+// tick takes account of leases that have run out.
+func (e *Entry) tick(now time.Time) {
+	e.resize(now)
+	e.probe(now)
+}
+
+// resize sets the slots of each gate from the leases that hold now.
+func (e *Entry) resize(now time.Time) {
+	v := e.view.Load()
+	if v == nil {
+		return
+	}
+	for name, g := range e.allGates() {
+		n := v.slots(name, e.self.Region, now)
+		for _, r := range v.snapshot.Config.Regions {
+			if r.Name != e.self.Region {
+				n += v.shift(name, r.Name, now)
+			}
+		}
+		g.setSlots(n)
+	}
+}
+
+func (e *Entry) allGates() map[azurestair.ServiceName]*gate {
+	if gates := e.gates.Load(); gates != nil {
+		return *gates
+	}
+	return nil
+}
+
+// confirm takes over what an upstream says of its own state.
+func (e *Entry) confirm(s azurestair.ServiceName, id azurestair.UpstreamID, state azurestair.UpstreamState) {
+	if g, ok := e.allGates()[s]; ok {
+		g.confirm(id, state)
+	}
+}
+
+// demands lists what this entry uses and wants of each budget.
+func (e *Entry) demands(s *azurestair.Snapshot, h *control.Holder, now time.Time) []azurestair.Demand {
+	var out []azurestair.Demand
+	v := e.view.Load()
+	if v == nil {
+		return nil
+	}
+	gates := e.allGates()
+	for _, name := range slices.SortedFunc(maps.Keys(gates), cmp.Compare[azurestair.ServiceName]) {
+		use := gates[name].usage()
+		home := v.slots(name, e.self.Region, now)
+		out = append(out, slotDemand(h, name, e.self.Region, use.inFlight[e.self.Region], use.waiting))
+		overflow := max(0, use.inFlight[e.self.Region]+use.waiting-home)
+		for _, r := range s.Config.Regions {
+			if r.Name == e.self.Region {
+				continue
+			}
+			out = append(out, slotDemand(h, name, r.Name, use.inFlight[r.Name], overflow))
+			shift := azurestair.Resource{Kind: azurestair.ResourceShift, Service: name, Region: r.Name}
+			used := int64(use.inFlight[r.Name])
+			out = append(out, h.Demand(shift, used, used+int64(overflow)))
+		}
+	}
+	return out
+}
+
+// demandMargin is what an entry wants beyond its present use, so that a
+// growing load need not wait for the next report.
+const demandMargin = 4
+
+func slotDemand(h *control.Holder, s azurestair.ServiceName, region azurestair.RegionName, used, more azurestair.Slots) azurestair.Demand {
+	r := azurestair.Resource{Kind: azurestair.ResourceSlots, Service: s, Region: region}
+	want := int64(used + more)
+	if want > 0 {
+		want += want/4 + demandMargin
+	}
+	return h.Demand(r, int64(used), want)
+}
+
+// isPressed reports whether requests wait, so that more budget is worth a report.
+func (e *Entry) isPressed(time.Time) bool {
+	for _, g := range e.allGates() {
+		if g.usage().waiting > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// isIdle reports whether no request is in progress.
+func (e *Entry) isIdle() bool { return e == nil || e.inFlight.Load() == 0 }
+
+func (e *Entry) isReady(now time.Time) bool {
+	v := e.view.Load()
+	return v.isCurrent(now) && !v.leaving
+}
+
+// Ready reports why this entry may not be named in look-ups; nil if it may.
+func (e *Entry) Ready() error {
+	v := e.view.Load()
+	switch {
+	case v == nil:
+		return fmt.Errorf("%w: no snapshot yet", azurestair.ErrNoQuorum)
+	case v.leaving:
+		return fmt.Errorf("%w: shutting down", azurestair.ErrClosed)
+	case v.snapshot.ConfigVersion() == 0:
+		return fmt.Errorf("%w: no configuration yet", azurestair.ErrNotFound)
+	case !v.isCurrent(e.clock.Now()):
+		return fmt.Errorf("%w: the newest configuration is not known", azurestair.ErrNoQuorum)
+	}
+	return nil
+}
+
+// Lookup answers which entries the block of addr uses, in order.
+func (e *Entry) Lookup(addr netip.Addr) caller.LookupAnswer {
+	v := e.view.Load()
+	if v == nil {
+		return caller.LookupAnswer{}
+	}
+	found := v.table.Find(azurestair.BlockOf(addr))
+	a := caller.LookupAnswer{
+		TTLMs:         v.snapshot.Config.Defaults.WithDefaults().LookupTTLMs,
+		ConfigVersion: v.snapshot.ConfigVersion(),
+		Entries:       make([]caller.Entry, 0, found.Len()),
+	}
+	for i := range found.Len() {
+		info := found.At(i)
+		a.Entries = append(a.Entries, caller.Entry{
+			Instance: info.ID, Addr: info.CallerAddr, Region: info.Region, FailureDomain: info.FailureDomain,
+		})
+	}
+	e.metrics.lookups.Inc(1)
+	return a
+}
+
+// announceOrder lists the entries where an upstream may announce itself. Each
+// upstream gets its own order, which spreads them over the entries.
+func (e *Entry) announceOrder(id azurestair.UpstreamID) []string {
+	v := e.view.Load()
+	if v == nil {
+		return nil
+	}
+	type ranked struct {
+		addr string
+		sum  uint64
+	}
+	var list []ranked
+	for _, i := range v.snapshot.Instances {
+		if i.UpstreamAddr == "" || !i.Ready {
+			continue
+		}
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(string(id) + "/" + string(i.ID)))
+		list = append(list, ranked{addr: i.UpstreamAddr, sum: h.Sum64()})
+	}
+	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(a.sum, b.sum) })
+	out := make([]string, len(list))
+	for i, r := range list {
+		out[i] = r.addr
+	}
+	return out
+}
+
+// close waits for the gates to end; the context given to newEntry has ended.
+func (e *Entry) close() {
+	e.wg.Wait()
+	e.client.Close()
+}
--- a/instance/gate.go
+++ b/instance/gate.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/retry"
+	"azurestair.example/azurestair/routing"
 )
 
 // gate admits the requests of one service and chooses their upstreams. It is
@@ -18,16 +22,36 @@
 	picker   azurestair.Picker
 	waiting  map[azurestair.WorkID]chan azurestair.AdmitEvent
 	lastID   azurestair.WorkID
+	policy   retry.Policy
+	budget   retry.Budget
+	latency  retry.Latency
+	rand     azurestair.Rand
+	// slots is what the leases allow; late attempts are taken off it.
+	slots azurestair.Slots
+	// late holds, in order of time, until when the slots of timed-out attempts
+	// count as busy: the upstream may still be working on them.
+	late     []lateSlot
+	inFlight map[azurestair.RegionName]azurestair.Slots
 
 	// wake makes run look at the next deadline again.
 	wake chan struct{}
 }
 
-func newGate(clock azurestair.Clock, a azurestair.Admitter, p azurestair.Picker) *gate {
+// lateSlot is the slot of an attempt that was cut off.
+type lateSlot struct {
+	until  time.Time
+	region azurestair.RegionName
+}
+
+// lateFor is how long the slot of a timed-out attempt counts as busy.
+const lateFor = routing.DefaultLateSlot
+
+func newGate(clock azurestair.Clock, a azurestair.Admitter, p azurestair.Picker, r azurestair.Rand) *gate {
 	return &gate{
-		clock: clock, admitter: a, picker: p,
-		waiting: map[azurestair.WorkID]chan azurestair.AdmitEvent{},
-		wake:    make(chan struct{}, 1),
+		clock: clock, admitter: a, picker: p, rand: r,
+		waiting:  map[azurestair.WorkID]chan azurestair.AdmitEvent{},
+		inFlight: map[azurestair.RegionName]azurestair.Slots{},
+		wake:     make(chan struct{}, 1),
 	}
 }
 
@@ -43,16 +67,34 @@
 		case <-g.wake:
 		case <-timer.C:
 		}
-		g.mu.Lock()
-		g.dispatch(g.clock.Now())
-		g.mu.Unlock()
+		g.expire()
 	}
 }
 
+// expire ends the waits and the late slots whose time has come.
+func (g *gate) expire() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	n := 0
+	for n < len(g.late) && !now.Before(g.late[n].until) {
+		g.inFlight[g.late[n].region]--
+		n++
+	}
+	if n > 0 {
+		g.late = g.late[n:]
+		g.resize(now)
+	}
+	g.dispatch(now)
+}
+
 func (g *gate) untilNextDeadline() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	next := g.admitter.NextDeadline()
+	if len(g.late) > 0 && (next.IsZero() || g.late[0].until.Before(next)) {
+		next = g.late[0].until
+	}
 	if next.IsZero() {
 		return time.Hour
 	}
@@ -144,27 +186,125 @@
 func (g *gate) pick(w azurestair.Work, avoid []azurestair.UpstreamID) (azurestair.Choice, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.picker.Pick(w, avoid, g.clock.Now())
+	c, err := g.picker.Pick(w, avoid, g.clock.Now())
+	if err == nil {
+		g.inFlight[c.Region]++
+	}
+	return c, err
 }
 
+// done ends an attempt; the slot of one that timed out stays busy for a while.
 func (g *gate) done(c azurestair.Choice, r azurestair.AttemptResult, latency time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.picker.Done(c, r, latency, g.clock.Now())
+	now := g.clock.Now()
+	g.picker.Done(c, r, latency, now)
+	if r == azurestair.AttemptDone {
+		g.latency.Observe(latency)
+	}
+	if r != azurestair.AttemptTimeout {
+		g.inFlight[c.Region]--
+		return
+	}
+	g.late = append(g.late, lateSlot{until: now.Add(lateFor), region: c.Region})
+	g.resize(now)
+	g.poke()
+}
+
+// confirm takes over what an upstream says of its own state.
+func (g *gate) confirm(id azurestair.UpstreamID, state azurestair.UpstreamState) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p, ok := g.picker.(azurestair.Confirmer); ok {
+		p.Confirm(id, state, g.clock.Now())
+	}
+}
+
+// probeCandidates returns the upstreams to probe now.
+func (g *gate) probeCandidates() []azurestair.UpstreamID {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p, ok := g.picker.(azurestair.Confirmer)
+	if !ok {
+		return nil
+	}
+	return slices.Clone(p.ProbeCandidates(g.clock.Now()))
+}
+
+// countRequest adds a request's share to the retry budget.
+func (g *gate) countRequest() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget.Request()
+}
+
+func (g *gate) attemptDeadline(r *retry.Request, now time.Time) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.policy.AttemptDeadline(r, &g.budget, now)
+}
+
+// next decides what follows an attempt; a free retry takes nothing from the budget.
+func (g *gate) next(r *retry.Request, a retry.Attempt, free bool) retry.Decision {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if free {
+		return g.policy.Next(r, &retry.Budget{Unlimited: true}, a, g.clock.Now(), g.rand)
+	}
+	return g.policy.Next(r, &g.budget, a, g.clock.Now(), g.rand)
+}
+
+func (g *gate) hedgeAt(r *retry.Request, sent time.Time) (time.Time, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.policy.HedgeAt(r, &g.latency, sent)
+}
+
+func (g *gate) mayHedge(r *retry.Request) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.policy.Hedge(r, &g.budget)
 }
 
+// setSlots sets how many requests the leases allow in progress.
 func (g *gate) setSlots(n azurestair.Slots) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.clock.Now()
-	g.admitter.SetSlots(n, now)
+	if n == g.slots {
+		return
+	}
+	g.slots = n
+	g.resize(g.clock.Now())
+}
+
+// resize takes the late slots off what the leases allow. The caller holds mu.
+func (g *gate) resize(now time.Time) {
+	g.admitter.SetSlots(max(0, g.slots-azurestair.Slots(len(g.late))), now)
 	g.dispatch(now)
 }
 
+// usage is what a gate uses and has waiting.
+type usage struct {
+	inFlight map[azurestair.RegionName]azurestair.Slots
+	waiting  azurestair.Slots
+}
+
+func (g *gate) usage() usage {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return usage{inFlight: maps.Clone(g.inFlight), waiting: azurestair.Slots(len(g.waiting))}
+}
+
 func (g *gate) update(s *azurestair.Snapshot) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.picker.Update(s, g.clock.Now())
+	now := g.clock.Now()
+	g.picker.Update(s, now)
+	d := s.Config.Defaults.WithDefaults()
+	if c, ok := g.admitter.(azurestair.Configurer); ok {
+		c.Configure(d, now)
+	}
+	g.budget.Percent = d.RetryPercent
 }
 
 func (g *gate) poke() {
--- /dev/null
+++ b/instance/probe.go
@@ -0,0 +1,71 @@
+package instance
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/upstream"
+)
+
+const (
+	// probePath is where upstreams answer probes.
+	probePath = "/azurestair/probe"
+	// probeTimeout bounds a probe, which normally takes about 6 ms.
+	probeTimeout = 500 * time.Millisecond
+)
+
+// probe asks the upstreams whose state nobody has confirmed lately.
+func (e *Entry) probe(now time.Time) {
+	v := e.view.Load()
+	if v == nil {
+		return
+	}
+	for _, g := range e.allGates() {
+		for _, id := range g.probeCandidates() {
+			if addr := v.addrOf(id); addr != "" {
+				p := &prober{entry: e, gate: g, id: id, addr: addr, deadline: now.Add(probeTimeout)}
+				e.wg.Go(p.run)
+			}
+		}
+	}
+}
+
+// prober sends one probe.
+type prober struct {
+	entry    *Entry
+	gate     *gate
+	id       azurestair.UpstreamID
+	addr     string
+	deadline time.Time
+}
+
+func (p *prober) run() {
+	a := upstream.Attempt{
+		ID: "probe-" + azurestair.RequestID(p.id), Method: http.MethodGet, Path: probePath,
+		Idempotent: true, Fresh: true, Deadline: p.deadline,
+	}
+	ctx, cancel := context.WithDeadline(p.entry.ctx, p.deadline)
+	defer cancel()
+	ans, err := p.entry.client.Do(ctx, p.addr, a)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(ans.Body, wholeLimit))
+	_ = ans.Body.Close()
+	if ans.State != "" {
+		p.gate.confirm(p.id, ans.State)
+	}
+}
+
+// addrOf returns the address of an upstream, empty if it is not listed.
+func (v *view) addrOf(id azurestair.UpstreamID) string {
+	for _, u := range v.snapshot.Upstreams {
+		if u.Announcement.Upstream == id {
+			return u.Announcement.Addr
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/instance/process.go
@@ -0,0 +1,389 @@
+package instance
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/admission"
+	"azurestair.example/azurestair/caller"
+	"azurestair.example/azurestair/control"
+	"azurestair.example/azurestair/disk"
+	"azurestair.example/azurestair/operator"
+	"azurestair.example/azurestair/peer"
+	"azurestair.example/azurestair/raft"
+	"azurestair.example/azurestair/routing"
+	"azurestair.example/azurestair/settings"
+	"azurestair.example/azurestair/upstream"
+)
+
+// Options replace parts of a process; the zero value stands for the real ones.
+type Options struct {
+	Clock azurestair.Clock
+	// LogOutput receives the log lines; nil discards them.
+	LogOutput io.Writer
+	// Listen opens a listener.
+	Listen func(network, addr string) (net.Listener, error)
+	// DialPeer and DialUpstream open connections.
+	DialPeer     peer.Dialer
+	DialUpstream upstream.Dialer
+}
+
+// SystemClock tells the time of the machine.
+type SystemClock struct{}
+
+// Now returns the present time.
+func (SystemClock) Now() time.Time { return time.Now() }
+
+func (o Options) withDefaults() Options {
+	if o.Clock == nil {
+		o.Clock = SystemClock{}
+	}
+	if o.LogOutput == nil {
+		o.LogOutput = io.Discard
+	}
+	if o.Listen == nil {
+		o.Listen = net.Listen
+	}
+	return o
+}
+
+// stopMargin is what a stop may take beyond the grace of the settings.
+const stopMargin = 10 * time.Second
+
+// New returns the fx application of one process. Its Start listens and serves;
+// its Stop shuts down gracefully. Done on it ends when the process fails.
+func New(s settings.Settings, o Options) *fx.App {
+	o = o.withDefaults()
+	return fx.New(
+		fx.Supply(s, o),
+		fx.StopTimeout(s.Limits.ShutdownGraceMs.Duration()+stopMargin),
+		fx.WithLogger(func(log *slog.Logger) fxevent.Logger {
+			l := &fxevent.SlogLogger{Logger: log}
+			l.UseLogLevel(slog.LevelDebug)
+			return l
+		}),
+		fx.Provide(newLogger, newConns, newClient, newEntryOf, newProcess, newMeters),
+		fx.Invoke(func(lc fx.Lifecycle, p *Process) {
+			lc.Append(fx.Hook{OnStart: p.start, OnStop: p.stop})
+		}),
+	)
+}
+
+func newLogger(s settings.Settings, o Options) (*slog.Logger, error) {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(s.Log.Level)); err != nil {
+		return nil, fmt.Errorf("%w: log.level: %w", azurestair.ErrInvalid, err)
+	}
+	h := slog.NewTextHandler(o.LogOutput, &slog.HandlerOptions{Level: level})
+	return slog.New(h).With("instance", s.Instance.ID), nil
+}
+
+func newConns(s settings.Settings, o Options) (*peer.Conns, error) {
+	cfg, err := peer.LoadTLS(s.TLS.CertFile, s.TLS.KeyFile, s.TLS.CAFile)
+	if err != nil {
+		return nil, err
+	}
+	return peer.NewConns(o.DialPeer, cfg), nil
+}
+
+func addresses(s settings.Settings) []peer.Address {
+	var out []peer.Address
+	for _, v := range s.Control.Voters {
+		out = append(out, peer.Address{ID: v.ID, Addr: v.PeerAddr})
+	}
+	return out
+}
+
+func newClient(s settings.Settings, conns *peer.Conns) *peer.Client {
+	return peer.NewClient(conns, addresses(s))
+}
+
+// selfOf describes this instance; a later start has a larger incarnation.
+func selfOf(s settings.Settings, now time.Time) azurestair.InstanceInfo {
+	return azurestair.InstanceInfo{
+		ID: s.Instance.ID, Incarnation: azurestair.Incarnation(now.UnixNano()), //nolint:gosec // positive
+		CallerAddr: s.Listen.Callers, UpstreamAddr: s.Listen.Upstreams, PeerAddr: s.Listen.Peers,
+		Region: s.Instance.Region, FailureDomain: s.Instance.FailureDomain,
+	}
+}
+
+// newEntryOf returns the entry of the process, or nil when it has none.
+func newEntryOf(s settings.Settings, o Options, client *peer.Client, log *slog.Logger, m *meters) *Entry {
+	if !s.Instance.Has(settings.RoleEntry) {
+		return nil
+	}
+	return &Entry{
+		self: selfOf(s, o.Clock.Now()), clock: o.Clock, log: log, metrics: m, ledger: client,
+		client: upstream.NewClient(o.DialUpstream, o.Clock), makeGate: weightedGate, ctx: context.Background(),
+	}
+}
+
+// weightedGate is the gate that the product uses.
+func weightedGate(s azurestair.ServiceName, e *Entry) *gate {
+	shift := func(region azurestair.RegionName, inFlight azurestair.Slots, now time.Time) bool {
+		v := e.view.Load()
+		return v != nil && inFlight < v.shift(s, region, now)
+	}
+	p := routing.NewWeighted(routing.Options{
+		Service: s, Region: e.self.Region, FailureDomain: e.self.FailureDomain,
+		Shift: shift, Entries: control.DefaultMaxHolders,
+	})
+	seed := rand.NewPCG(rand.Uint64(), rand.Uint64())
+	return newGate(e.clock, admission.New(admission.Options{Rand: seed}), p, seed)
+}
+
+// Process is one running process: its control goroutine, its listeners and
+// the goroutines round them.
+type Process struct {
+	settings settings.Settings
+	options  Options
+	log      *slog.Logger
+	conns    *peer.Conns
+	client   *peer.Client
+	entry    *Entry
+	metrics  *meters
+	down     fx.Shutdowner
+
+	self       azurestair.InstanceInfo
+	controller *Controller
+	store      *disk.Store
+	writer     *logWriter
+	imager     *imager
+	notifier   *notifier
+	reporter   *reporter
+	transport  *peer.Transport
+	peers      *peer.Server
+	servers    []*http.Server
+
+	cancel context.CancelFunc
+	// writers end after the control goroutine, which feeds them.
+	writers sync.WaitGroup
+	wg      sync.WaitGroup
+}
+
+func newProcess(s settings.Settings, o Options, log *slog.Logger, conns *peer.Conns, client *peer.Client, entry *Entry,
+	m *meters, down fx.Shutdowner,
+) *Process {
+	p := &Process{
+		settings: s, options: o, log: log, conns: conns, client: client, entry: entry, metrics: m, down: down,
+		self: selfOf(s, o.Clock.Now()),
+	}
+	if entry != nil {
+		p.self = entry.self
+	}
+	return p
+}
+
+// start opens the data folder and the listeners and starts all goroutines.
+func (p *Process) start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	if p.entry != nil {
+		p.entry.ctx = ctx
+	}
+	p.reporter = newReporter(p.client, p.options.Clock)
+	member := newMember(p.self, p.entry, p.reporter, p.log)
+	if p.settings.Instance.Has(settings.RoleControl) {
+		p.transport = peer.NewTransport(p.conns, p.options.Clock, otherVoters(p.settings))
+	}
+	p.controller = newController(p.options.Clock, p.log, member, p.transport)
+	p.reporter.post = p.post
+	if err := p.startReplica(); err != nil {
+		cancel()
+		return err
+	}
+	if err := p.listen(); err != nil {
+		cancel()
+		p.closeReplica()
+		return err
+	}
+	if p.notifier != nil {
+		p.wg.Go(func() { p.notifier.run(ctx) })
+	}
+	p.wg.Go(func() { p.reporter.run(ctx) })
+	p.wg.Go(func() { p.runController(ctx) })
+	p.log.Info("started", "callers", p.self.CallerAddr, "peers", p.self.PeerAddr, "roles", p.settings.Instance.Roles)
+	return nil
+}
+
+// runController runs the control goroutine; the process ends when it fails.
+func (p *Process) runController(ctx context.Context) {
+	p.controller.run(ctx)
+	if p.controller.err != nil {
+		_ = p.down.Shutdown(fx.ExitCode(1))
+	}
+}
+
+func otherVoters(s settings.Settings) []peer.Address {
+	var out []peer.Address
+	for _, a := range addresses(s) {
+		if a.ID != s.Instance.ID {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// post hands an event to the control goroutine from the process's own goroutines.
+func (p *Process) post(e event) { _ = p.controller.post(context.Background(), e) }
+
+func (p *Process) startReplica() error {
+	if p.transport == nil {
+		return nil
+	}
+	store, state, err := disk.Open(p.settings.Instance.DataDir, p.settings.Instance.ID)
+	if err != nil {
+		return fmt.Errorf("data folder %s: %w", p.settings.Instance.DataDir, err)
+	}
+	opts := raft.Options{ID: p.settings.Instance.ID, Joining: p.settings.Control.Learner}
+	if !p.settings.Control.Learner {
+		for _, v := range p.settings.Control.Voters {
+			opts.Membership.Voters = append(opts.Membership.Voters, v.ID)
+		}
+	}
+	r, err := newReplica(opts, state, p.options.Clock.Now(), p.log)
+	if err != nil {
+		_ = store.Close()
+		return err
+	}
+	p.store = store
+	p.writer = &logWriter{store: store, transport: p.transport, jobs: make(chan *storeJob, storeDepth), post: p.post}
+	p.imager = &imager{jobs: make(chan control.Image, 1), post: p.post}
+	p.notifier = newNotifier(p.client, p.self.ID)
+	r.transport, r.writer, r.imager, r.notifier = p.transport, p.writer, p.imager, p.notifier
+	p.controller.replica = r
+	p.writers.Go(p.writer.run)
+	p.writers.Go(p.imager.run)
+	return nil
+}
+
+// closeReplica ends the writers and closes the data folder.
+func (p *Process) closeReplica() {
+	if p.store == nil {
+		return
+	}
+	close(p.writer.jobs)
+	close(p.imager.jobs)
+	p.writers.Wait()
+	if err := p.store.Close(); err != nil {
+		p.log.Error("data folder not closed", "err", err)
+	}
+	p.store = nil
+}
+
+// listen opens all listeners and serves them.
+func (p *Process) listen() error {
+	tlsCfg, err := peer.LoadTLS(p.settings.TLS.CertFile, p.settings.TLS.KeyFile, p.settings.TLS.CAFile)
+	if err != nil {
+		return err
+	}
+	l, err := p.options.Listen("tcp", p.settings.Listen.Peers)
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	p.peers = peer.NewServer(p.controller, tlsCfg)
+	p.wg.Go(func() { _ = p.peers.Serve(l) })
+	admin := operator.NewHandler(&backend{p}, operatorAuth(p.settings.Tokens.Operators), p.options.Clock, p.metrics)
+	if err := p.serveHTTP("operators", p.settings.Listen.Operators, admin); err != nil {
+		return err
+	}
+	if p.entry == nil {
+		return nil
+	}
+	announce := upstream.NewAnnounceHandler(&announcer{p}, upstreamAuth(p.settings.Tokens.Upstreams))
+	if err := p.serveHTTP("upstreams", p.settings.Listen.Upstreams, announce); err != nil {
+		return err
+	}
+	return p.serveHTTP("callers", p.settings.Listen.Callers, caller.NewHandler(p.entry, p.options.Clock))
+}
+
+func (p *Process) serveHTTP(name, addr string, h http.Handler) error {
+	l, err := p.options.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("listen for %s: %w", name, err)
+	}
+	s := caller.NewHTTPServer(h, caller.Limits{
+		MaxHeaderBytes: int(p.settings.Limits.MaxHeaderBytes),
+		HeaderTimeout:  p.settings.Limits.HeaderTimeoutMs.Duration(),
+		IdleTimeout:    p.settings.Limits.IdleTimeoutMs.Duration(),
+	})
+	s.ErrorLog = slog.NewLogLogger(p.log.Handler(), slog.LevelDebug)
+	p.servers = append(p.servers, s)
+	p.wg.Go(func() {
+		if err := s.Serve(l); !caller.IsClosed(err) {
+			p.log.Error("listener failed", "listener", name, "err", err)
+		}
+	})
+	return nil
+}
+
+// stop leaves the look-ups, waits until callers have forgotten this instance
+// and its requests have ended, and then closes everything.
+func (p *Process) stop(ctx context.Context) error {
+	grace, cancel := context.WithTimeout(ctx, p.settings.Limits.ShutdownGraceMs.Duration())
+	defer cancel()
+	p.leave(grace)
+	for _, s := range p.servers {
+		if err := s.Shutdown(grace); err != nil {
+			p.log.Warn("requests cut by shutdown", "err", err)
+			_ = s.Close()
+		}
+	}
+	p.cancel()
+	<-p.controller.stopped
+	p.closeReplica()
+	if p.transport != nil {
+		p.transport.Close()
+	}
+	p.peers.Stop()
+	p.wg.Wait()
+	if p.entry != nil {
+		p.entry.close()
+	}
+	p.conns.Close()
+	p.log.Info("stopped")
+	return nil
+}
+
+const (
+	// leavePoll is how often a shutdown looks whether requests have ended.
+	leavePoll = 10 * time.Millisecond
+	// leaveNotice is how long the others may take to learn that an instance leaves.
+	leaveNotice = 300 * time.Millisecond
+)
+
+// leave returns when no caller should use this instance any more.
+func (p *Process) leave(ctx context.Context) {
+	if p.entry == nil {
+		return
+	}
+	wasReady := p.entry.Ready() == nil
+	if err := p.controller.post(ctx, leaveEvent{}); err != nil {
+		return
+	}
+	deadline := p.options.Clock.Now()
+	if v := p.entry.view.Load(); v != nil && wasReady {
+		ttl := v.snapshot.Config.Defaults.WithDefaults().LookupTTLMs
+		deadline = deadline.Add(ttl.Duration() + leaveNotice)
+	}
+	ticker := time.NewTicker(leavePoll)
+	defer ticker.Stop()
+	for p.options.Clock.Now().Before(deadline) || !p.entry.isIdle() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/instance/serve.go
@@ -0,0 +1,177 @@
+package instance
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/caller"
+)
+
+// replayLimit is the largest body of an idempotent request that is kept for a
+// retry; a larger one is streamed and sent once.
+const replayLimit = 64 << 10
+
+// call is one request of a caller on its way through an entry.
+type call struct {
+	entry  *Entry
+	gate   *gate
+	req    *caller.Request
+	op     azurestair.Operation
+	work   azurestair.Work
+	config *azurestair.Config
+	// body is the whole body, or nil when it is streamed from rest.
+	body []byte
+	rest io.Reader
+}
+
+// Serve handles a request until its reply is known.
+func (e *Entry) Serve(ctx context.Context, r *caller.Request) caller.Reply {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	started := e.clock.Now()
+	reply := e.serve(ctx, r, started)
+	e.metrics.reply(reply, e.clock.Now().Sub(started))
+	if reply.Outcome != azurestair.OutcomeDone {
+		e.log.Info("request not done", "request", r.ID, "service", r.Service, "operation", r.Operation,
+			"outcome", reply.Outcome, "reason", reply.Reason, "notRun", reply.NotRun, "caller", r.Caller)
+	}
+	return reply
+}
+
+func (e *Entry) serve(ctx context.Context, r *caller.Request, now time.Time) caller.Reply {
+	v := e.view.Load()
+	if v == nil || v.snapshot.ConfigVersion() == 0 {
+		return unkeyedRefusal(r, azurestair.ReasonNotReady)
+	}
+	op, ok := v.snapshot.Config.Operation(r.Service, r.Operation)
+	g := e.allGates()[r.Service]
+	if !ok || g == nil {
+		return invalid(azurestair.ReasonUnknownOperation)
+	}
+	c := &call{entry: e, gate: g, req: r, op: op, config: v.snapshot.Config, work: azurestair.Work{
+		Service: r.Service, Operation: r.Operation, Rank: op.Rank, Idempotent: op.Idempotent, Caller: r.Caller,
+		Deadline: deadlineOf(r, op, now),
+	}}
+	ctx, cancel := context.WithDeadline(ctx, c.work.Deadline)
+	if op.Idempotent {
+		return releaseOnClose(c.serveIdempotent(ctx), cancel)
+	}
+	defer cancel()
+	return c.serveOnce(ctx)
+}
+
+// deadlineOf returns the caller's deadline, at most the operation's timeout from now.
+func deadlineOf(r *caller.Request, op azurestair.Operation, now time.Time) time.Time {
+	limit := now.Add(op.TimeoutMs.Duration())
+	if r.Deadline.IsZero() || r.Deadline.After(limit) {
+		return limit
+	}
+	return r.Deadline
+}
+
+func invalid(reason azurestair.Reason) caller.Reply {
+	return caller.Reply{Outcome: azurestair.OutcomeInvalid, Reason: reason, NotRun: true}
+}
+
+func refused(reason azurestair.Reason) caller.Reply {
+	return caller.Reply{Outcome: azurestair.OutcomeRefused, Reason: reason, NotRun: true, RetryAfter: retryAfter}
+}
+
+func unknown(reason azurestair.Reason) caller.Reply {
+	return caller.Reply{Outcome: azurestair.OutcomeUnknown, Reason: reason, RetryAfter: retryAfter}
+}
+
+// retryAfter is what a caller is asked to wait before it tries again.
+const retryAfter azurestair.Millis = 500
+
+// unkeyedRefusal refuses a request; one with a key may have run through
+// another entry, so that only the ledger can tell.
+func unkeyedRefusal(r *caller.Request, reason azurestair.Reason) caller.Reply {
+	if r.Key != "" {
+		return unknown(azurestair.ReasonLedgerUnreachable)
+	}
+	return refused(reason)
+}
+
+// releaseOnClose runs done when the body of the reply is closed, or now without one.
+func releaseOnClose(r caller.Reply, done func()) caller.Reply {
+	if r.Body == nil {
+		done()
+		return r
+	}
+	r.Body = &closer{ReadCloser: r.Body, done: done}
+	return r
+}
+
+type closer struct {
+	io.ReadCloser
+	done func()
+}
+
+// Close closes the body and runs done once.
+func (c *closer) Close() error {
+	err := c.ReadCloser.Close()
+	if c.done != nil {
+		c.done()
+		c.done = nil
+	}
+	return err
+}
+
+// readBody reads the body within the operation's limit. Bodies of idempotent
+// requests beyond replayLimit are left to be streamed.
+func (c *call) readBody() azurestair.Reason {
+	limit := int64(c.op.BodyLimit())
+	if c.req.BodyLen > limit {
+		return azurestair.ReasonBodyTooLarge
+	}
+	if c.req.Body == nil || c.req.BodyLen == 0 {
+		c.body = []byte{}
+		return azurestair.ReasonNone
+	}
+	if c.op.Idempotent && c.req.BodyLen > replayLimit {
+		c.rest = io.LimitReader(c.req.Body, limit)
+		return azurestair.ReasonNone
+	}
+	data, err := io.ReadAll(io.LimitReader(c.req.Body, limit+1))
+	switch {
+	case err != nil:
+		return bodyReason(err)
+	case int64(len(data)) > limit:
+		return azurestair.ReasonBodyTooLarge
+	}
+	c.body = data
+	return azurestair.ReasonNone
+}
+
+func bodyReason(err error) azurestair.Reason {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return azurestair.ReasonBodyTooLarge
+	}
+	return azurestair.ReasonBadRequest
+}
+
+// attemptBody returns the body for one attempt and its length.
+func (c *call) attemptBody() (io.Reader, int64) {
+	if c.rest != nil {
+		return c.rest, c.req.BodyLen
+	}
+	return bytes.NewReader(c.body), int64(len(c.body))
+}
+
+// serveIdempotent forwards a request that may run any number of times.
+func (c *call) serveIdempotent(ctx context.Context) caller.Reply {
+	if reason := c.readBody(); reason != azurestair.ReasonNone {
+		return invalid(reason)
+	}
+	if reason := c.gate.admit(ctx, c.work); reason != azurestair.ReasonNone {
+		return refused(reason)
+	}
+	return releaseOnClose(c.attempt(ctx, nil), func() { c.gate.release(c.work) })
+}
--- a/interfaces.go
+++ b/interfaces.go
@@ -60,6 +60,21 @@
 	Done(c Choice, r AttemptResult, latency time.Duration, now time.Time)
 }
 
+// Confirmer is a Picker that takes account of what upstreams say of themselves.
+type Confirmer interface {
+	// Confirm takes over what an answer, a probe or a direct announcement says
+	// of an upstream's state.
+	Confirm(id UpstreamID, state UpstreamState, now time.Time)
+	// ProbeCandidates returns the upstreams to probe now, within the probe
+	// budget; the slice is valid until the next call.
+	ProbeCandidates(now time.Time) []UpstreamID
+}
+
+// Configurer is an Admitter that takes over changed fleet defaults.
+type Configurer interface {
+	Configure(d Defaults, now time.Time)
+}
+
 // WorkID identifies a request within an Admitter.
 type WorkID uint64
 
--- a/request.go
+++ b/request.go
@@ -42,6 +42,7 @@
 	ReasonKeyMissing        Reason = "keyMissing"
 	ReasonUnknownOperation  Reason = "unknownOperation"
 	ReasonBadRequest        Reason = "badRequest"
+	ReasonBodyTooLarge      Reason = "bodyTooLarge"
 	ReasonNotReady          Reason = "notReady"
 	ReasonShuttingDown      Reason = "shuttingDown"
 	ReasonEntryLost         Reason = "entryLost"
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"azurestair.example/azurestair"
@@ -37,7 +38,9 @@
 	BodyLen    int64
 	Rank       azurestair.Rank
 	Idempotent bool
-	Deadline   time.Time
+	// Fresh asks for a new connection.
+	Fresh    bool
+	Deadline time.Time
 	// BeforeSend runs directly before the first byte; an error keeps the attempt from being sent.
 	BeforeSend func() error
 }
@@ -51,15 +54,22 @@
 	Header  http.Header
 	Length  int64
 	Body    io.ReadCloser
-	State   azurestair.UpstreamState
-	Reused  bool
-	Started time.Time
+	// Whole is the body where the owner of the answer has read it already.
+	Whole []byte
+	State azurestair.UpstreamState
+	// Reused is true for an attempt on a connection that had been used before.
+	Reused bool
+	// Silent is true for a timeout on a reused connection during which no
+	// upstream answered at all: then the connections are suspect, not the upstream.
+	Silent bool
 }
 
 // Client sends attempts to upstreams. It is safe for concurrent use.
 type Client struct {
 	dial  Dialer
 	clock azurestair.Clock
+	// heard is when an upstream last answered, in nanoseconds since the Unix epoch.
+	heard atomic.Int64
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -116,6 +126,7 @@
 // the answer has arrived or the attempt has failed.
 func (c *Client) Do(ctx context.Context, addr string, a Attempt) (Answer, error) {
 	p := c.pool(addr)
+	started := c.clock.Now()
 	uc, err := c.connect(ctx, p, a)
 	if err != nil {
 		return Answer{Result: azurestair.AttemptNotRun, Reason: azurestair.ReasonConnect}, err
@@ -130,13 +141,16 @@
 	resp, err := uc.exchange(a) //nolint:bodyclose // Answer.Body closes it
 	if err != nil {
 		stop()
-		return c.failed(p, uc, err)
+		return c.failed(p, uc, started, err)
 	}
 	return c.answered(p, uc, a, resp, stop)
 }
 
 func (c *Client) connect(ctx context.Context, p *pool, a Attempt) (*conn, error) {
-	uc := p.take(!a.Idempotent, c.clock.Now())
+	var uc *conn
+	if !a.Fresh {
+		uc = p.take(!a.Idempotent, c.clock.Now())
+	}
 	if uc == nil {
 		if err := p.reserve(); err != nil {
 			return nil, err
@@ -214,7 +228,7 @@
 }
 
 // failed classifies an attempt that brought no answer.
-func (c *Client) failed(p *pool, uc *conn, err error) (Answer, error) {
+func (c *Client) failed(p *pool, uc *conn, started time.Time, err error) (Answer, error) {
 	ans := Answer{Reused: uc.reused}
 	switch {
 	case uc.written == 0:
@@ -227,6 +241,7 @@
 	p.discard(uc)
 	if ans.Result == azurestair.AttemptTimeout && uc.reused {
 		p.suspect(c.clock.Now())
+		ans.Silent = c.heard.Load() < started.UnixNano()
 	}
 	return ans, fmt.Errorf("attempt at %s: %w", p.addr, err)
 }
@@ -238,6 +253,7 @@
 
 // answered checks that the answer belongs to the attempt and can be verified to be whole.
 func (c *Client) answered(p *pool, uc *conn, a Attempt, resp *http.Response, stop func() bool) (Answer, error) {
+	c.heard.Store(c.clock.Now().UnixNano())
 	ans := Answer{
 		Result: azurestair.AttemptDone,
 		Status: resp.StatusCode,
