--- /dev/null
+++ b/retry/hedge.go
@@ -0,0 +1,103 @@
+package retry
+
+import (
+	"math"
+	"time"
+
+	"azurestair.example/azurestair"
+)
+
+const (
+	// subBits is the number of mantissa bits that number a bucket: eight
+	// buckets for each doubling, an error of at most 12.5%.
+	subBits = 3
+	// minExponent and maxExponent bound the buckets to 1 us and 18 min.
+	minExponent = 10
+	maxExponent = 40
+	numBuckets  = (maxExponent - minExponent) << subBits
+	// halveAt is the count at which all counts are halved, so that recent
+	// latencies weigh more.
+	halveAt = 2048
+	// minObserved is the count from which a percentile is meaningful.
+	minObserved = 100
+)
+
+// Latency counts observed latencies of one service. The zero value is empty.
+type Latency struct {
+	counts [numBuckets]uint32
+	total  uint32
+}
+
+// Observe counts the latency of a complete answer.
+func (l *Latency) Observe(d time.Duration) {
+	l.counts[bucketOf(d)]++
+	l.total++
+	if l.total >= halveAt {
+		l.halve()
+	}
+}
+
+func (l *Latency) halve() {
+	l.total = 0
+	for i := range l.counts {
+		l.counts[i] /= 2
+		l.total += l.counts[i]
+	}
+}
+
+// Percentile returns the upper bound of the bucket that holds the percentile;
+// false means that too little was observed.
+func (l *Latency) Percentile(p azurestair.Percent) (time.Duration, bool) {
+	if l.total < minObserved {
+		return 0, false
+	}
+	above := l.total * uint32(max(100-p, 0)) / 100
+	seen := uint32(0)
+	for i := numBuckets - 1; i >= 0; i-- {
+		seen += l.counts[i]
+		if seen > above {
+			return bucketEnd(i), true
+		}
+	}
+	return 0, false
+}
+
+// bucketOf numbers the bucket by the exponent and leading mantissa bits.
+func bucketOf(d time.Duration) int {
+	f := max(float64(d), 1<<minExponent)
+	key := int(math.Float64bits(f) >> (52 - subBits))
+	return min(key-(1023+minExponent)<<subBits, numBuckets-1)
+}
+
+func bucketEnd(i int) time.Duration {
+	key := uint64(i + 1 + (1023+minExponent)<<subBits)
+	return time.Duration(math.Float64frombits(key << (52 - subBits)))
+}
+
+// HedgeAt returns when a second attempt may be sent if the one that was sent
+// has not answered by then; false means that none may. Only interactive,
+// idempotent requests are hedged.
+func (p Policy) HedgeAt(r *Request, l *Latency, sent time.Time) (time.Time, bool) {
+	p = p.withDefaults()
+	if p.Without.Hedging || !r.work.Idempotent || r.work.Rank != azurestair.RankInteractive {
+		return time.Time{}, false
+	}
+	if r.attempts != 1 || r.attempts >= p.MaxAttempts {
+		return time.Time{}, false
+	}
+	after, ok := l.Percentile(p.HedgePercentile)
+	if !ok {
+		return time.Time{}, false
+	}
+	at := sent.Add(after)
+	if latest := p.latestStart(r); !latest.IsZero() && latest.Before(at) {
+		return time.Time{}, false
+	}
+	return at, true
+}
+
+// Hedge reports whether the hedge may be sent now, and takes a token for it.
+// The caller then calls Begin for it.
+func (p Policy) Hedge(r *Request, b *Budget) bool {
+	return r.outstanding == 1 && b.Spend()
+}
--- /dev/null
+++ b/retry/policy.go
@@ -0,0 +1,186 @@
+package retry
+
+import (
+	"math/bits"
+	"time"
+
+	"azurestair.example/azurestair"
+)
+
+// Policy holds the rules for retries. Zero fields stand for the defaults.
+type Policy struct {
+	// MaxAttempts bounds the attempts of a request, hedges included.
+	MaxAttempts int
+	// Backoff bounds the jittered wait before the first retry after an error;
+	// it doubles with each further attempt up to MaxBackoff.
+	Backoff time.Duration
+	// MaxBackoff bounds the wait.
+	MaxBackoff time.Duration
+	// TimeoutFactor widens the wait after a timeout.
+	TimeoutFactor int
+	// MinAttempt is the least time that is worth another attempt.
+	MinAttempt time.Duration
+	// RefusalReserve is kept for the answer to the caller.
+	RefusalReserve time.Duration
+	// ReservePercent is the share of the remaining time that an attempt
+	// leaves for a retry, within MinReserve and MaxReserve.
+	ReservePercent azurestair.Percent
+	MinReserve     time.Duration
+	MaxReserve     time.Duration
+	// HedgePercentile is the latency percentile after which a hedge is sent.
+	HedgePercentile azurestair.Percent
+	// Without turns mechanisms off, for comparison.
+	Without Mechanisms
+}
+
+// Mechanisms names parts of a Policy that can be turned off for comparison.
+type Mechanisms struct {
+	// Retries is every attempt after the first.
+	Retries bool
+	// TimeoutBackoff is the wider backoff after a timeout.
+	TimeoutBackoff bool
+	// OtherWorker is the preference for an upstream that was not tried yet.
+	OtherWorker bool
+	// Hedging is the second attempt while the first is in flight.
+	Hedging bool
+}
+
+func (p Policy) withDefaults() Policy {
+	setZero(&p.MaxAttempts, 3)
+	// A few milliseconds spread a burst of errors; more would cost latency.
+	setZero(&p.Backoff, 5*time.Millisecond)
+	setZero(&p.MaxBackoff, 250*time.Millisecond)
+	setZero(&p.TimeoutFactor, 4)
+	setZero(&p.MinAttempt, 10*time.Millisecond)
+	// The way back to the caller takes 8 ms in both deployments.
+	setZero(&p.RefusalReserve, 10*time.Millisecond)
+	setZero(&p.ReservePercent, 35)
+	setZero(&p.MinReserve, 40*time.Millisecond)
+	setZero(&p.MaxReserve, 2*time.Second)
+	setZero(&p.HedgePercentile, 95)
+	return p
+}
+
+func setZero[T comparable](p *T, v T) {
+	var zero T
+	if *p == zero {
+		*p = v
+	}
+}
+
+// Attempt is an attempt that ended.
+type Attempt struct {
+	Result azurestair.AttemptResult
+	// Reason is why it failed; empty means the usual one of the result.
+	Reason azurestair.Reason
+}
+
+func (a Attempt) reason() azurestair.Reason {
+	if a.Reason != azurestair.ReasonNone {
+		return a.Reason
+	}
+	switch a.Result {
+	case azurestair.AttemptDone:
+		return azurestair.ReasonNone
+	case azurestair.AttemptNotRun:
+		return azurestair.ReasonConnect
+	case azurestair.AttemptTimeout:
+		return azurestair.ReasonTimeout
+	default:
+		return azurestair.ReasonBroken
+	}
+}
+
+// Next decides what follows an attempt. A decision to retry has taken a token
+// from the budget.
+func (p Policy) Next(r *Request, b *Budget, a Attempt, now time.Time, rnd azurestair.Rand) Decision {
+	p = p.withDefaults()
+	r.end(a.Result)
+	if a.Result == azurestair.AttemptDone {
+		return Decision{Action: Finish, Outcome: azurestair.OutcomeDone}
+	}
+	if r.outstanding > 0 {
+		return Decision{Action: Wait}
+	}
+	if p.Without.Retries || r.attempts >= p.MaxAttempts || !r.isRepeatable() {
+		return r.Refuse(a.reason())
+	}
+	latest := p.latestStart(r)
+	if !latest.IsZero() && latest.Before(now) {
+		return r.Refuse(a.reason())
+	}
+	if !b.Spend() {
+		return r.Refuse(a.reason())
+	}
+	bound := p.backoff(r.attempts, a.Result)
+	return Decision{
+		Action: Retry,
+		At:     earlier(now.Add(jitter(bound, rnd)), latest),
+		SameAt: now.Add(bound),
+	}
+}
+
+// latestStart returns the time after which another attempt is not worth
+// starting; zero means never.
+func (p Policy) latestStart(r *Request) time.Time {
+	if r.work.Deadline.IsZero() {
+		return time.Time{}
+	}
+	return r.work.Deadline.Add(-p.RefusalReserve - p.MinAttempt)
+}
+
+// backoff returns the bound of the wait after an attempt.
+func (p Policy) backoff(attempts int, result azurestair.AttemptResult) time.Duration {
+	bound := p.Backoff << min(max(attempts-1, 0), 10)
+	if result == azurestair.AttemptTimeout && !p.Without.TimeoutBackoff {
+		bound *= time.Duration(p.TimeoutFactor)
+	}
+	return min(bound, p.MaxBackoff)
+}
+
+// Avoid returns the upstreams that the next attempt should not use.
+func (p Policy) Avoid(r *Request) []azurestair.UpstreamID {
+	if p.Without.OtherWorker {
+		return nil
+	}
+	return r.Avoid()
+}
+
+// jitter returns a wait between zero and the bound.
+func jitter(bound time.Duration, rnd azurestair.Rand) time.Duration {
+	hi, _ := bits.Mul64(rnd.Uint64(), uint64(bound)+1)
+	return time.Duration(hi)
+}
+
+// earlier returns the earlier of the two; a zero limit is none.
+func earlier(t, limit time.Time) time.Time {
+	if !limit.IsZero() && limit.Before(t) {
+		return limit
+	}
+	return t
+}
+
+// AttemptDeadline returns the deadline of an attempt that starts now. It lies
+// before the caller's by a reserve in which a retry fits, or, if no retry may
+// follow a timeout, by the time for the refusal. Zero means none.
+func (p Policy) AttemptDeadline(r *Request, b *Budget, now time.Time) time.Time {
+	p = p.withDefaults()
+	deadline := r.work.Deadline
+	if deadline.IsZero() {
+		return deadline
+	}
+	left := max(deadline.Sub(now), 0)
+	// Close to the deadline the attempt gets half of what is left.
+	reserve := min(p.RefusalReserve, left/2)
+	if p.mayRetryTimeout(r, left) && (b.Unlimited || b.Left() > 0) {
+		share := left * time.Duration(p.ReservePercent) / 100
+		reserve = max(reserve, min(max(share, p.MinReserve), p.MaxReserve))
+	}
+	return deadline.Add(-reserve)
+}
+
+// mayRetryTimeout reports whether a retry may follow if the attempt times out.
+func (p Policy) mayRetryTimeout(r *Request, left time.Duration) bool {
+	return r.work.Idempotent && !p.Without.Retries && r.attempts+1 < p.MaxAttempts &&
+		left >= 2*p.MinReserve
+}
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,229 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/retry"
+)
+
+func TestRetry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "retries")
+}
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func request(idempotent bool, timeout time.Duration) retry.Request {
+	return retry.NewRequest(azurestair.Work{
+		Rank: azurestair.RankInteractive, Idempotent: idempotent, Deadline: start.Add(timeout),
+	})
+}
+
+// after begins an attempt for each result and returns the last decision.
+func after(r *retry.Request, b *retry.Budget, results ...azurestair.AttemptResult) retry.Decision {
+	var d retry.Decision
+	rnd := rand.NewPCG(5, 5)
+	for _, a := range results {
+		r.Begin("u1")
+		d = retry.Policy{}.Next(r, b, retry.Attempt{Result: a}, start, rnd)
+	}
+	return d
+}
+
+func expectFinish(d retry.Decision, o azurestair.Outcome, reason azurestair.Reason) {
+	GinkgoHelper()
+	Expect(d.Action).To(Equal(retry.Finish))
+	Expect(d.Outcome).To(Equal(o))
+	Expect(d.Reason).To(Equal(reason))
+}
+
+const (
+	done    = azurestair.AttemptDone
+	notRun  = azurestair.AttemptNotRun
+	timeout = azurestair.AttemptTimeout
+	broken  = azurestair.AttemptBroken
+)
+
+var _ = Describe("a request that is not idempotent", func() {
+	// Guards R5: it may have run, so it is never sent again.
+	DescribeTable("is unknown after an attempt that may have run",
+		func(result azurestair.AttemptResult, reason azurestair.Reason) {
+			r := request(false, time.Second)
+			expectFinish(after(&r, &retry.Budget{}, result), azurestair.OutcomeUnknown, reason)
+		},
+		Entry("timeout", timeout, azurestair.ReasonTimeout),
+		Entry("broken", broken, azurestair.ReasonBroken),
+	)
+
+	It("is sent again after an attempt that did not run", func() {
+		r := request(false, time.Second)
+		Expect(after(&r, &retry.Budget{}, notRun).Action).To(Equal(retry.Retry))
+	})
+})
+
+var _ = Describe("outcomes", func() {
+	It("are done after a complete answer", func() {
+		r := request(true, time.Second)
+		expectFinish(after(&r, &retry.Budget{}, timeout, done), azurestair.OutcomeDone, azurestair.ReasonNone)
+	})
+
+	// Guards R4: an earlier attempt may have run although the last did not.
+	DescribeTable("say not run only if no attempt can have run",
+		func(want azurestair.Outcome, results ...azurestair.AttemptResult) {
+			r := request(true, time.Second)
+			expectFinish(after(&r, &retry.Budget{}, results...), want, azurestair.ReasonConnect)
+			Expect(r.Refuse(azurestair.ReasonNoUpstream).Outcome).To(Equal(want))
+		},
+		Entry("never ran", azurestair.OutcomeRefused, notRun, notRun, notRun),
+		Entry("first may have run", azurestair.OutcomeUnknown, timeout, notRun, notRun),
+		Entry("second may have run", azurestair.OutcomeUnknown, notRun, broken, notRun),
+	)
+
+	// Guards R4 while a hedge is in flight.
+	It("wait for the attempt that is still in flight", func() {
+		r := request(true, time.Second)
+		r.Begin("u1")
+		Expect(after(&r, &retry.Budget{}, notRun).Action).To(Equal(retry.Wait))
+		Expect(r.Refuse(azurestair.ReasonNoUpstream).Outcome).To(Equal(azurestair.OutcomeUnknown))
+	})
+})
+
+var _ = Describe("the next attempt", func() {
+	// Guards against retries in step and at once on the worker that failed.
+	DescribeTable("waits a jittered time, longer after a timeout",
+		func(result azurestair.AttemptResult, bound time.Duration) {
+			var longest time.Duration
+			rnd := rand.NewPCG(1, 1)
+			for range 200 {
+				r := request(true, time.Second)
+				r.Begin("u1")
+				d := retry.Policy{}.Next(&r, &retry.Budget{}, retry.Attempt{Result: result}, start, rnd)
+				Expect(d.At).To(BeTemporally("<=", start.Add(bound)))
+				Expect(d.SameAt).To(BeTemporally("==", start.Add(bound)))
+				longest = max(longest, d.At.Sub(start))
+			}
+			Expect(longest).To(BeNumerically(">", bound*9/10))
+		},
+		Entry("error", broken, 5*time.Millisecond),
+		Entry("timeout", timeout, 20*time.Millisecond),
+	)
+
+	It("avoids all upstreams that were tried", func() {
+		r := request(true, time.Second)
+		for _, u := range []azurestair.UpstreamID{"u1", "u2", "u1"} {
+			r.Begin(u)
+		}
+		Expect(retry.Policy{}.Avoid(&r)).To(ConsistOf(azurestair.UpstreamID("u1"), azurestair.UpstreamID("u2")))
+	})
+
+	// Guards against an attempt that cannot end before the caller's deadline.
+	It("is not started when it no longer fits", func() {
+		r := request(true, 15*time.Millisecond)
+		expectFinish(after(&r, &retry.Budget{}, notRun), azurestair.OutcomeRefused, azurestair.ReasonConnect)
+	})
+})
+
+var _ = Describe("the budget", func() {
+	// Guards against retries that multiply an overload.
+	It("grants a share of the requests beyond its burst", func() {
+		b, granted := retry.Budget{}, 0
+		for range 1000 {
+			b.Request()
+			if b.Spend() {
+				granted++
+			}
+		}
+		Expect(granted).To(BeNumerically("~", 100, retry.DefaultBurst))
+	})
+
+	It("does not save up more than its burst", func() {
+		b := retry.Budget{Burst: 3}
+		for range 1000 {
+			b.Request()
+		}
+		Expect([]bool{b.Spend(), b.Spend(), b.Spend(), b.Spend()}).To(Equal([]bool{true, true, true, false}))
+	})
+
+	It("ends retries when it is empty", func() {
+		b := retry.Budget{Burst: 1}
+		r := request(true, time.Second)
+		expectFinish(after(&r, &b, timeout, notRun), azurestair.OutcomeUnknown, azurestair.ReasonConnect)
+	})
+})
+
+var _ = Describe("attempt deadlines", func() {
+	// Guards the reserve of D3: a retry or a truthful refusal must fit.
+	DescribeTable("leave a reserve",
+		func(idempotent bool, begun int, left, reserve time.Duration) {
+			r := request(idempotent, left)
+			for range begun {
+				r.Begin("u1")
+			}
+			got := retry.Policy{}.AttemptDeadline(&r, &retry.Budget{}, start)
+			Expect(start.Add(left).Sub(got)).To(Equal(reserve))
+		},
+		Entry("share", true, 0, time.Second, 350*time.Millisecond),
+		Entry("at most", true, 0, time.Minute, 2*time.Second),
+		Entry("at least", true, 0, 100*time.Millisecond, 40*time.Millisecond),
+		Entry("last attempt", true, 2, time.Second, 10*time.Millisecond),
+		Entry("timeout cannot be retried", false, 0, time.Second, 10*time.Millisecond),
+		Entry("nearly over", true, 0, 8*time.Millisecond, 4*time.Millisecond),
+		Entry("over", true, 0, -time.Second, time.Duration(0)),
+	)
+
+	It("keep no reserve for a retry that the budget will not grant", func() {
+		r, b := request(true, time.Second), retry.Budget{Burst: 1}
+		Expect(b.Spend()).To(BeTrue())
+		Expect(retry.Policy{}.AttemptDeadline(&r, &b, start)).To(BeTemporally("==", start.Add(990*time.Millisecond)))
+	})
+})
+
+var _ = Describe("hedging", func() {
+	observed := func() *retry.Latency {
+		l := &retry.Latency{}
+		for i := range 1000 {
+			l.Observe(time.Duration(i+1) * 100 * time.Microsecond)
+		}
+		return l
+	}
+
+	It("starts after the high percentile of the latency", func() {
+		r := request(true, time.Second)
+		r.Begin("u1")
+		at, ok := retry.Policy{}.HedgeAt(&r, observed(), start)
+		Expect(ok).To(BeTrue())
+		Expect(at.Sub(start)).To(BeNumerically("~", 95*time.Millisecond, 12*time.Millisecond))
+	})
+
+	// Guards R5 and the budget of other work against second attempts.
+	DescribeTable("is refused",
+		func(change func(*azurestair.Work), observe *retry.Latency, begun int) {
+			w := azurestair.Work{Rank: azurestair.RankInteractive, Idempotent: true, Deadline: start.Add(time.Second)}
+			change(&w)
+			r := retry.NewRequest(w)
+			for range begun {
+				r.Begin("u1")
+			}
+			_, ok := retry.Policy{}.HedgeAt(&r, observe, start)
+			Expect(ok).To(BeFalse())
+		},
+		Entry("not idempotent", func(w *azurestair.Work) { w.Idempotent = false }, observed(), 1),
+		Entry("deferred", func(w *azurestair.Work) { w.Rank = azurestair.RankDeferred }, observed(), 1),
+		Entry("too late", func(w *azurestair.Work) { w.Deadline = start.Add(90 * time.Millisecond) }, observed(), 1),
+		Entry("second attempt", func(*azurestair.Work) {}, observed(), 2),
+		Entry("nothing observed", func(*azurestair.Work) {}, &retry.Latency{}, 1),
+	)
+
+	It("takes from the same budget", func() {
+		r, b := request(true, time.Second), retry.Budget{Burst: 1}
+		r.Begin("u1")
+		Expect(retry.Policy{}.Hedge(&r, &b)).To(BeTrue())
+		Expect(retry.Policy{}.Hedge(&r, &b)).To(BeFalse())
+	})
+})
--- a/routing/weighted.go
+++ b/routing/weighted.go
@@ -221,6 +221,28 @@
 	}
 }
 
+// Abandon ends an attempt whose outcome says nothing about the upstream: it was
+// not sent, or another attempt of the request answered first. If it was sent,
+// the slot stays counted as after a timeout, and the time that it took so far
+// is a lower bound of the latency; otherwise hedging would hide slow workers.
+func (p *Weighted) Abandon(c azurestair.Choice, sent bool, elapsed time.Duration, now time.Time) {
+	p.advance(now)
+	w := p.workers[c.Upstream]
+	if w == nil || w.inFlight <= len(w.lateUntil) {
+		return
+	}
+	if sent {
+		w.lateUntil = append(w.lateUntil, now.Add(p.opts.LateSlot))
+		if v := float64(elapsed); v > w.record.latency {
+			w.record.sample(v, now)
+		}
+	} else {
+		p.release(w)
+	}
+	w.health.trial = false
+	p.settle(w, now)
+}
+
 // Answered frees the slot of one timed-out attempt whose answer arrived late
 // or whose connection the upstream closed.
 func (p *Weighted) Answered(c azurestair.Choice, now time.Time) {
