--- a/control/schedule_test.go
+++ b/control/schedule_test.go
@@ -30,17 +30,17 @@
 	numbers  map[azurestair.InstanceID]azurestair.Claim
 	// granted is the last attempt that got a grant for a key.
 	granted map[azurestair.RequestKey]azurestair.Claim
-	// released says that the last granted attempt recorded notRun.
-	released map[azurestair.RequestKey]bool
-	runs     map[azurestair.RequestKey]int
+	// notRun is the last attempt that recorded notRun for a key since the last grant.
+	notRun map[azurestair.RequestKey]azurestair.Claim
+	runs   map[azurestair.RequestKey]int
 }
 
 func newSchedule(seed uint64) *schedule {
 	return &schedule{
 		rng: rand.New(rand.NewPCG(seed, 2)), now: start, state: &control.State{},
-		numbers:  map[azurestair.InstanceID]azurestair.Claim{},
-		granted:  map[azurestair.RequestKey]azurestair.Claim{},
-		released: map[azurestair.RequestKey]bool{}, runs: map[azurestair.RequestKey]int{},
+		numbers: map[azurestair.InstanceID]azurestair.Claim{},
+		granted: map[azurestair.RequestKey]azurestair.Claim{},
+		notRun:  map[azurestair.RequestKey]azurestair.Claim{}, runs: map[azurestair.RequestKey]int{},
 	}
 }
 
@@ -87,10 +87,10 @@
 	case c.Claim != nil && r.Code == azurestair.ResultGranted:
 		s.checkGrant(*c.Claim)
 		s.useGrant(*c.Claim)
-	case c.Finish != nil && r.Code == azurestair.ResultAccepted && c.Finish.State == azurestair.ClaimNotRun:
-		g := s.granted[c.Finish.Key]
-		if g.Instance == c.Finish.Instance && g.Incarnation == c.Finish.Incarnation && g.Attempt == c.Finish.Attempt {
-			s.released[c.Finish.Key] = true
+	case c.Finish != nil && c.Finish.State == azurestair.ClaimNotRun &&
+		(r.Code == azurestair.ResultAccepted || r.Code == azurestair.ResultNotFound):
+		s.notRun[c.Finish.Key] = azurestair.Claim{
+			Instance: c.Finish.Instance, Incarnation: c.Finish.Incarnation, Attempt: c.Finish.Attempt,
 		}
 	}
 }
@@ -101,13 +101,18 @@
 
 func (s *schedule) checkGrant(c azurestair.Claim) {
 	GinkgoHelper()
-	if g, ok := s.granted[c.Key]; ok {
-		Expect(sameAttempt(g, c) != s.released[c.Key]).To(BeTrue(),
-			"key %s: grant to %s/%d/%d follows grant to %s/%d/%d, notRun between them: %t",
-			c.Key, c.Instance, c.Incarnation, c.Attempt, g.Instance, g.Incarnation, g.Attempt, s.released[c.Key])
+	given, ok := s.notRun[c.Key]
+	Expect(ok && sameAttempt(given, c)).To(BeFalse(), "key %s: grant to %s, which gave up", c.Key, name(c))
+	if g, found := s.granted[c.Key]; found && !sameAttempt(g, c) {
+		Expect(ok && sameAttempt(given, g)).To(BeTrue(),
+			"key %s: grant to %s follows grant to %s without notRun", c.Key, name(c), name(g))
 	}
 	s.granted[c.Key] = c
-	s.released[c.Key] = false
+	delete(s.notRun, c.Key)
+}
+
+func name(c azurestair.Claim) string {
+	return fmt.Sprintf("%s/%d/%d", c.Instance, c.Incarnation, c.Attempt)
 }
 
 // useGrant hands the grant to its entry, unless the result is lost.
