--- /dev/null
+++ b/cmd/azurestair/local.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"go.uber.org/fx"
+
+	"azurestair.example/azurestair/disk"
+	"azurestair.example/azurestair/instance"
+	"azurestair.example/azurestair/settings"
+	"azurestair.example/azurestair/try"
+)
+
+func serveCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("serve", flag.ContinueOnError)
+	path := fs.String("settings", "", "settings file (required)")
+	return command("serve --settings FILE", "run the parts that the settings name", fs, func(ctx context.Context, _ []string) error {
+		s, err := settings.Load(*path)
+		if err != nil {
+			return err
+		}
+		return serve(ctx, instance.New(s, instance.Options{LogOutput: os.Stderr}))
+	})
+}
+
+var errFailed = errors.New("the instance has failed; see its log")
+
+// serve runs the application until a signal or its own failure ends it.
+func serve(ctx context.Context, app *fx.App) error {
+	startCtx, cancel := context.WithTimeout(ctx, app.StartTimeout())
+	defer cancel()
+	if err := app.Start(startCtx); err != nil {
+		return err
+	}
+	code := 0
+	select {
+	case <-ctx.Done():
+	case sig := <-app.Wait():
+		code = sig.ExitCode
+	}
+	stopCtx, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), app.StopTimeout())
+	defer cancelStop()
+	if err := app.Stop(stopCtx); err != nil {
+		return err
+	}
+	if code != 0 {
+		return errFailed
+	}
+	return nil
+}
+
+func tryCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("try", flag.ContinueOnError)
+	asJSON := fs.Bool("json", false, "print the report as JSON")
+	verbose := fs.Bool("verbose", false, "print the log of the instances")
+	return command("try [--json] [--verbose]", "run the whole path in one process and check the promises", fs,
+		func(ctx context.Context, _ []string) error {
+			log := io.Discard
+			if *verbose {
+				log = os.Stderr
+			}
+			r, err := try.Run(ctx, log)
+			if err != nil {
+				return err
+			}
+			if *asJSON {
+				if err := printJSON(r); err != nil {
+					return err
+				}
+			} else {
+				r.Write(os.Stdout)
+			}
+			if !r.OK {
+				return errNotAsPromised
+			}
+			return nil
+		})
+}
+
+var errNotAsPromised = errors.New("not all as promised")
+
+func checkCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("check", flag.ContinueOnError)
+	path := fs.String("settings", "", "settings file")
+	fleet := fs.String("fleet", "", "fleet configuration file")
+	return command("check [--settings FILE] [--fleet FILE]", "check files without starting", fs, func(context.Context, []string) error {
+		if *path == "" && *fleet == "" {
+			return flag.ErrHelp
+		}
+		var errs []error
+		if *path != "" {
+			_, err := settings.Load(*path)
+			errs = append(errs, err)
+		}
+		if *fleet != "" {
+			_, err := settings.LoadFleet(*fleet)
+			errs = append(errs, err)
+		}
+		return errors.Join(errs...)
+	})
+}
+
+func initCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("init", flag.ContinueOnError)
+	path := fs.String("settings", "", "settings file (required)")
+	return command("init --settings FILE", "prepare the data folder of a new control instance", fs, func(context.Context, []string) error {
+		s, err := settings.Load(*path)
+		if err != nil {
+			return err
+		}
+		if err := disk.Init(s.Instance.DataDir, s.Instance.ID); err != nil {
+			return err
+		}
+		_, err = fmt.Printf("data folder %s now belongs to %s\n", s.Instance.DataDir, s.Instance.ID)
+		return err
+	})
+}
+
+func printJSON(v any) error {
+	enc := json.NewEncoder(os.Stdout)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
--- a/instance/replica.go
+++ b/instance/replica.go
@@ -57,10 +57,10 @@
 	notifier  *notifier
 	self      azurestair.InstanceID
 
-	pending    []proposeEvent
-	waiting    map[azurestair.Index]waiter
-	storing    int
-	imaging    bool
+	pending     []proposeEvent
+	waiting     map[azurestair.Index]waiter
+	storing     int
+	imaging     bool
 	compactedAt azurestair.Index
 
 	// leading is the term in which this replica last set up its soft state.
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -48,12 +48,12 @@
 // Answer is what came of an attempt. Header and Body are set for
 // AttemptDone and for an upstream's own shed answer; the caller closes Body.
 type Answer struct {
-	Result  azurestair.AttemptResult
-	Reason  azurestair.Reason
-	Status  int
-	Header  http.Header
-	Length  int64
-	Body    io.ReadCloser
+	Result azurestair.AttemptResult
+	Reason azurestair.Reason
+	Status int
+	Header http.Header
+	Length int64
+	Body   io.ReadCloser
 	// Whole is the body where the owner of the answer has read it already.
 	Whole []byte
 	State azurestair.UpstreamState
