--- /dev/null
+++ b/control/leases.go
@@ -0,0 +1,44 @@
+package control
+
+import (
+	"time"
+
+	"azurestair.example/azurestair"
+)
+
+// Leases are the budgets of a Holder at one time. They are immutable.
+type Leases map[azurestair.Resource]Lease
+
+// Lease is what a holder may use of one budget: Amount above Floor until Deadline.
+type Lease struct {
+	Amount   int64
+	Floor    int64
+	Deadline time.Time
+}
+
+// Leases returns the present budgets.
+func (h *Holder) Leases() Leases {
+	out := make(Leases, len(h.held))
+	for r, g := range h.held {
+		out[r] = Lease{Amount: g.amount, Floor: g.floor, Deadline: g.deadline}
+	}
+	return out
+}
+
+// Limit returns how much of a budget may be used at now.
+func (l Leases) Limit(r azurestair.Resource, now time.Time) int64 {
+	v := l[r]
+	if now.Before(v.Deadline) {
+		return v.Floor + v.Amount
+	}
+	return v.Floor
+}
+
+// Grants returns the present budgets in the form in which they were granted.
+func (h *Holder) Grants() []azurestair.Grant {
+	out := make([]azurestair.Grant, 0, len(h.held))
+	for r, g := range h.held {
+		out = append(out, azurestair.Grant{Resource: r, Amount: g.amount, Floor: g.floor})
+	}
+	return out
+}
--- a/instance/backend.go
+++ b/instance/backend.go
@@ -66,6 +66,7 @@
 	s := v.snapshot
 	st.Term, st.Commit, st.ConfigVersion = s.Term, s.Commit, s.ConfigVersion()
 	st.Current = v.isCurrent(now)
+	st.Self.Ready, st.Self.InForce = b.p.entry.isReady(now), s.ConfigVersion()
 	st.Instances, st.Drains = s.Instances, s.Drains
 	for _, u := range s.Upstreams {
 		a := u.Announcement
--- a/instance/claim.go
+++ b/instance/claim.go
@@ -104,8 +104,10 @@
 
 func replay(a *azurestair.Answer) caller.Reply {
 	if a == nil || a.Dropped {
-		return caller.Reply{Outcome: azurestair.OutcomeDone, Reason: azurestair.ReasonAnswerDropped, Replayed: true,
-			Status: http.StatusNoContent, Body: http.NoBody}
+		return caller.Reply{
+			Outcome: azurestair.OutcomeDone, Reason: azurestair.ReasonAnswerDropped, Replayed: true,
+			Status: http.StatusNoContent, Body: http.NoBody,
+		}
 	}
 	h := http.Header{}
 	for name, value := range a.Header {
--- a/instance/controller.go
+++ b/instance/controller.go
@@ -75,7 +75,7 @@
 // settle carries out what the events have led to.
 func (c *Controller) settle(now time.Time) {
 	if c.replica != nil {
-		if err := c.replica.settle(now, c.member.snapshot); err != nil {
+		if err := c.replica.settle(now, c.member); err != nil {
 			c.fail(err)
 		}
 	}
--- a/instance/replica.go
+++ b/instance/replica.go
@@ -67,6 +67,9 @@
 	leading   azurestair.Term
 	registry  *control.Registry
 	publisher *control.Publisher
+	allocator *control.Allocator
+	// limited is the snapshot from which the budgets' limits were derived.
+	limited *azurestair.Snapshot
 }
 
 // newReplica starts from what the log store holds.
@@ -134,12 +137,12 @@
 }
 
 // settle writes, sends and applies what is due, and publishes the result.
-func (r *Replica) settle(now time.Time, held *azurestair.Snapshot) error {
+func (r *Replica) settle(now time.Time, m *Member) error {
 	r.node.Tick(now)
 	if err := r.work(now); err != nil {
 		return err
 	}
-	r.lead(now, held)
+	r.lead(now, m.snapshot, m.holder.Grants())
 	r.maybeCompact()
 	return nil
 }
@@ -272,7 +275,9 @@
 }
 
 // lead keeps the leader's soft state and publishes a snapshot when it has changed.
-func (r *Replica) lead(now time.Time, held *azurestair.Snapshot) {
+// held and inherited are the snapshot and the budgets that this instance had
+// from the predecessor.
+func (r *Replica) lead(now time.Time, held *azurestair.Snapshot, inherited []azurestair.Grant) {
 	if _, err := r.node.ReadIndex(now); err != nil {
 		return
 	}
@@ -280,8 +285,16 @@
 	if r.leading != term {
 		r.leading = term
 		r.registry = &control.Registry{}
+		if held == nil && r.state.Config().Version == 0 {
+			// Without a configuration no predecessor can have listed anything.
+			held = &azurestair.Snapshot{}
+		}
 		r.registry.Seed(held, now)
 		r.publisher = &control.Publisher{}
+		r.allocator = &control.Allocator{}
+		r.allocator.Quiet(now.Add(control.LeaseTTL))
+		r.allocator.Inherit(inherited)
+		r.limited = nil
 		r.log.Info("leading", "term", term, "commit", r.state.Applied())
 	}
 	r.registry.Expire(now)
@@ -293,11 +306,23 @@
 	snap, changed := r.publisher.Publish(control.Source{
 		Term: r.leading, Commit: r.state.Applied(), Config: r.state.Config(), Drains: r.state.Drains(), Registry: r.registry,
 	}, now)
+	if snap != nil && snap != r.limited {
+		r.setLimits(snap, now)
+	}
 	if changed && isUrgent(prev, snap) {
 		r.notifier.notify(snap.Instances)
 	}
 }
 
+// setLimits derives the budgets' limits from a new snapshot.
+func (r *Replica) setLimits(snap *azurestair.Snapshot, now time.Time) {
+	r.limited = snap
+	limits := control.Limits(snap.Config, snap.Drains, snap.Upstreams, control.DefaultMaxHolders)
+	if err := r.allocator.SetLimits(limits, now); err != nil {
+		r.log.Error("budgets not limited", "err", err)
+	}
+}
+
 // isUrgent reports whether instances should fetch the snapshot at once rather
 // than with their next report; load reports and versions in force can wait.
 func isUrgent(prev, next *azurestair.Snapshot) bool {
@@ -333,6 +358,7 @@
 	}
 	if q.Leaving {
 		r.registry.InstanceLeaving(q.Instance.ID, now)
+		r.allocator.Leave(q.Instance.ID)
 	} else if err := r.registry.Instance(q.Instance, now); err != nil {
 		return reply, err
 	}
@@ -343,6 +369,7 @@
 	}
 	reply.Unknown = r.registry.Alive(q.Alive, now)
 	r.publish(now)
+	reply.Grants = r.allocator.Demand(q.Instance.ID, q.Instance.Incarnation, q.Demands, now)
 	reply.Term = r.leading
 	reply.ControlTTLMs = controlTTL
 	reply.Delta, reply.Snapshot = r.publisher.Delta(q.HeldTerm, q.HeldRevision)
--- a/try/run.go
+++ b/try/run.go
@@ -141,17 +141,28 @@
 		if ready < numEntries || len(st.Upstreams) < len(r.cluster.upstreams) {
 			return fmt.Errorf("%w: %d entries and %d upstreams are ready", azurestair.ErrNotFound, ready, len(st.Upstreams))
 		}
-		leased := len(st.Budgets) > 0
-		for _, b := range st.Budgets {
-			leased = leased && b.Leased && b.Usable > 0
-		}
-		if !leased {
-			return fmt.Errorf("%w: no budgets are leased yet", azurestair.ErrNotFound)
+		if !areLeased(st.Budgets) {
+			return fmt.Errorf("%w: budgets are not leased yet: %v", azurestair.ErrNotFound, st.Budgets)
 		}
 	}
 	return nil
 }
 
+// areLeased reports whether the entry may use slots of every service and region.
+func areLeased(budgets []operator.Budget) bool {
+	n := 0
+	for _, b := range budgets {
+		if !strings.HasPrefix(b.Resource, string(azurestair.ResourceSlots)+":") {
+			continue
+		}
+		if !b.Leased || b.Usable == 0 {
+			return false
+		}
+		n++
+	}
+	return n > 0
+}
+
 // pollEvery is how often a condition is looked at again.
 const pollEvery = 20 * time.Millisecond
 
