--- /dev/null
+++ b/control/allocator.go
@@ -0,0 +1,583 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"time"
+
+	"azurestair.example/azurestair"
+)
+
+// Times and bounds of the allocator.
+const (
+	// LeaseTTL is how long a grant is valid.
+	LeaseTTL = 2 * time.Second
+	// QuietTime is how long a new leader grants nothing above floors: the
+	// longest lease of its predecessor, with the margin for clock drift.
+	QuietTime = LeaseTTL + LeaseTTL/20
+	// holderMemory is how long a silent holder keeps its place when another
+	// one needs it. A holder cut off for longer than that still uses its floor.
+	holderMemory = 10 * time.Minute
+	// planInterval is how long the fair level of a budget is kept, because it
+	// costs a walk over all holders.
+	planInterval = 200 * time.Millisecond
+
+	// DefaultMaxHolders is the number of holders for which floors are reserved.
+	DefaultMaxHolders = 8
+	// MaxBudgets bounds the budgets of an Allocator.
+	MaxBudgets = 4096
+)
+
+// Allocator leases budgets to entry instances. It is the leader's soft state.
+//
+// Invariant: for each budget, the unexpired leases, counting the largest one
+// of each holder, and the floors of all possible holders never exceed the
+// limit. A lease counts until it expires at the leader, also when a later one
+// is smaller, because the holder may never get the later one. After the limit
+// was lowered, the invariant holds again one LeaseTTL later.
+//
+// Leased amounts follow demand with max-min fairness. What nobody asks for is
+// leased to each holder up to an equal share, so that a burst can start
+// without waiting for the leader.
+//
+// The zero value has no budgets.
+type Allocator struct {
+	// MaxHolders is the number of possible holders; zero means DefaultMaxHolders.
+	MaxHolders int
+
+	quietUntil time.Time
+	holders    map[azurestair.InstanceID]*holderPlace
+	budgets    map[azurestair.Resource]*budget
+	// inherited holds the floors that the predecessor may have given.
+	inherited map[azurestair.Resource]int64
+}
+
+type holderPlace struct {
+	incarnation azurestair.Incarnation
+	seen        time.Time
+	left        bool
+}
+
+// Quiet makes the allocator grant nothing above floors until the predecessor's
+// longest lease has run out.
+func (a *Allocator) Quiet(until time.Time) { a.quietUntil = until }
+
+// Inherit takes the grants that this instance had from the predecessor, before
+// any limit is set. The predecessor gave the same floors to others, which may
+// be cut off now and keep them.
+func (a *Allocator) Inherit(grants []azurestair.Grant) {
+	a.inherited = map[azurestair.Resource]int64{}
+	for _, g := range grants {
+		a.inherited[g.Resource] = g.Floor
+	}
+}
+
+// SetLimit sets the limit of a budget. A raise takes effect at once, and a
+// lower limit as leases expire.
+func (a *Allocator) SetLimit(r azurestair.Resource, l Limit) error {
+	b := a.budgets[r]
+	if b == nil {
+		if len(a.budgets) >= MaxBudgets {
+			return fmt.Errorf("%w: the allocator holds %d budgets", azurestair.ErrFull, MaxBudgets)
+		}
+		if a.budgets == nil {
+			a.budgets = map[azurestair.Resource]*budget{}
+		}
+		b = &budget{shares: map[azurestair.InstanceID]*share{}, inherited: a.inherited[r]}
+		a.budgets[r] = b
+	}
+	b.setLimit(l)
+	return nil
+}
+
+// SetLimits sets the limits of all budgets; one that is not listed allows
+// nothing more and is dropped when its leases have expired.
+func (a *Allocator) SetLimits(limits []ResourceLimit, now time.Time) error {
+	listed := make(map[azurestair.Resource]bool, len(limits))
+	for _, l := range limits {
+		listed[l.Resource] = true
+	}
+	for r, b := range a.budgets {
+		if listed[r] {
+			continue
+		}
+		b.setLimit(Limit{})
+		if !now.Before(b.lastGrant.Add(LeaseTTL)) {
+			delete(a.budgets, r)
+		}
+	}
+	for _, l := range limits {
+		if err := a.SetLimit(l.Resource, l.Limit); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Demand answers the demands of a holder. A report of an older incarnation, or
+// of one holder too many, gets no grants.
+func (a *Allocator) Demand(
+	holder azurestair.InstanceID, inc azurestair.Incarnation, demands []azurestair.Demand, now time.Time,
+) []azurestair.Grant {
+	if !a.admit(holder, inc, now) {
+		return nil
+	}
+	quiet := now.Before(a.quietUntil)
+	grants := make([]azurestair.Grant, 0, len(demands))
+	for _, d := range demands {
+		if b := a.budgets[d.Resource]; b != nil {
+			b.holders = orDefault(a.MaxHolders, DefaultMaxHolders)
+			grants = append(grants, b.grant(b.share(holder, inc, now), d, quiet, now))
+		}
+	}
+	return grants
+}
+
+// admit gives the holder a place and reports whether it has one.
+func (a *Allocator) admit(holder azurestair.InstanceID, inc azurestair.Incarnation, now time.Time) bool {
+	p := a.holders[holder]
+	if p == nil {
+		if !a.makeRoom(now) {
+			return false
+		}
+		p = &holderPlace{}
+		a.holders[holder] = p
+	}
+	if inc < p.incarnation || (p.left && inc == p.incarnation) {
+		return false
+	}
+	p.incarnation, p.seen, p.left = inc, now, false
+	return true
+}
+
+// Leave frees the place of a holder that has sent its last report. Its leases
+// still count until they expire.
+func (a *Allocator) Leave(holder azurestair.InstanceID) {
+	if p := a.holders[holder]; p != nil {
+		p.left = true
+	}
+}
+
+// makeRoom makes room for one more holder.
+func (a *Allocator) makeRoom(now time.Time) bool {
+	if a.holders == nil {
+		a.holders = map[azurestair.InstanceID]*holderPlace{}
+	}
+	if len(a.holders) < orDefault(a.MaxHolders, DefaultMaxHolders) {
+		return true
+	}
+	for id, p := range a.holders {
+		silent := now.Sub(p.seen)
+		if silent >= holderMemory || (p.left && silent >= LeaseTTL) {
+			delete(a.holders, id)
+			for _, b := range a.budgets {
+				b.forget(id)
+			}
+			return true
+		}
+	}
+	return false
+}
+
+// Outstanding returns the sum of the unexpired leases of a budget and the sum
+// of the reserved floors.
+func (a *Allocator) Outstanding(r azurestair.Resource, now time.Time) (leased, reserved int64) {
+	b := a.budgets[r]
+	if b == nil {
+		return 0, 0
+	}
+	b.sweep(now)
+	return b.held, b.reserve()
+}
+
+// budget is the state of one resource.
+type budget struct {
+	limit Limit
+	// holders is the number of possible holders.
+	holders int
+	shares  map[azurestair.InstanceID]*share
+	// order holds the shares sorted by holder, so that what cannot be split
+	// evenly goes to the same holders each time.
+	order []*share
+	// floor is what holders are given. It rises to limit.Floor only when there
+	// is room for it.
+	floor, inherited int64
+	// held, recent, floors and use are the sums over the shares as last
+	// counted. Leases that expired since make held too large, never too small.
+	held, recent, floors, use int64
+	ramp                      ramp
+	lastGrant                 time.Time
+
+	// loweredFrom and loweredTo are the times of the first and the last fall
+	// of the pool that leases from before may still exceed.
+	loweredFrom, loweredTo time.Time
+	pooled                 int64
+
+	// warm is the amount up to which each holder is kept warm.
+	warm    int64
+	planned time.Time
+	stale   bool
+}
+
+func (b *budget) setLimit(l Limit) {
+	if b.limit != l {
+		b.limit, b.stale = l, true
+	}
+}
+
+// share returns the share of a holder, a new one if needed.
+func (b *budget) share(id azurestair.InstanceID, inc azurestair.Incarnation, now time.Time) *share {
+	s := b.shares[id]
+	if s == nil {
+		s = &share{holder: id, incarnation: inc}
+		b.shares[id] = s
+		i, _ := b.search(id)
+		b.order = slices.Insert(b.order, i, s)
+		b.stale = true
+	}
+	if s.incarnation != inc {
+		s.restart(inc, now)
+	}
+	return s
+}
+
+// forget drops a holder's share.
+func (b *budget) forget(id azurestair.InstanceID) {
+	s := b.shares[id]
+	if s == nil {
+		return
+	}
+	b.held -= s.held
+	b.recent -= s.recent
+	b.use -= s.use
+	b.floors -= s.reserved
+	delete(b.shares, id)
+	i, _ := b.search(id)
+	b.order = slices.Delete(b.order, i, i+1)
+}
+
+func (b *budget) search(id azurestair.InstanceID) (int, bool) {
+	return search(b.order, id, func(s *share) azurestair.InstanceID { return s.holder })
+}
+
+// grant answers one demand.
+func (b *budget) grant(s *share, d azurestair.Demand, quiet bool, now time.Time) azurestair.Grant {
+	s.want, s.inUse, s.seen = d.Want, d.InUse, now
+	s.noteFloor(d.Floor, now)
+	b.recount(s, now)
+	if b.stale || !now.Before(b.planned.Add(planInterval)) {
+		b.plan(now)
+	}
+	b.ramp.observe(b.use, b.limit.Interval, now)
+	floor := b.floor
+	if quiet {
+		floor = min(floor, max(d.Floor, b.inherited))
+	}
+	s.noteFloor(floor, now)
+	amount := int64(0)
+	if !quiet {
+		amount = b.amount(s, now)
+	}
+	s.add(amount, now)
+	b.recount(s, now)
+	b.lastGrant = now
+	return azurestair.Grant{Resource: d.Resource, Amount: amount, Floor: floor, TTLMs: azurestair.MillisOf(LeaseTTL)}
+}
+
+// amount returns what a share may lease now. Above the pool, which happens
+// after it was lowered, a share may renew as much as keeps the leases that are
+// granted since then within the pool. The leases of earlier incarnations are
+// counted besides the new one. With a ramp, a renewal also covers no more than
+// the use: a holder that lost its lease in between regains it only under the cap.
+func (b *budget) amount(s *share, now time.Time) int64 {
+	pool := b.total() - b.reserve()
+	b.noteLowered(pool, now)
+	room := pool - (b.held - s.held)
+	renewal := min(s.held, pool-(b.recent-s.recent))
+	if b.limit.Interval > 0 {
+		renewal = min(renewal, s.inUse-b.floor)
+	}
+	return max(0, min(b.target(s), max(room, renewal)-s.former.liveAmount(now)))
+}
+
+// target returns what a share should lease: its fair part or, if that is
+// more, the part that keeps it warm. It falls by at most half at a time.
+func (b *budget) target(s *share) int64 {
+	fair := min(s.need(b.floor), s.level)
+	return max(fair, b.warm, min(s.last, s.held)/2)
+}
+
+// total returns what leases and floors may add up to now.
+func (b *budget) total() int64 {
+	if b.limit.Interval <= 0 {
+		return b.limit.Total
+	}
+	return min(b.limit.Total, b.ramp.base()+b.limit.Step)
+}
+
+// reserve returns the floors of all possible holders, as last counted.
+func (b *budget) reserve() int64 { return b.floors + b.unknown()*max(b.floor, b.inherited) }
+
+// reserveFor returns the floors of all possible holders if floor is given to
+// each. A known holder may still have a larger one, and so may one that has
+// not reported to this leader.
+func (b *budget) reserveFor(floor int64) int64 {
+	sum := b.unknown() * max(floor, b.inherited)
+	for _, s := range b.order {
+		sum += max(s.floor, floor)
+	}
+	return sum
+}
+
+// unknown returns the number of possible holders that have not reported.
+func (b *budget) unknown() int64 { return int64(max(0, b.holders-len(b.shares))) }
+
+// noteLowered notes a fall of the pool. While leases from before the first
+// noted fall may exist, the first one stays, and later falls move only the end.
+func (b *budget) noteLowered(pool int64, now time.Time) {
+	fell := pool < b.pooled
+	b.pooled = pool
+	if fell {
+		b.loweredTo = now
+	}
+	if now.Before(b.loweredFrom.Add(LeaseTTL)) || b.loweredFrom.Equal(b.loweredTo) {
+		return
+	}
+	b.loweredFrom = b.loweredTo
+	for _, s := range b.order {
+		b.recount(s, now)
+	}
+}
+
+// recount brings the sums up to date with one share.
+func (b *budget) recount(s *share, now time.Time) {
+	b.held -= s.held
+	b.recent -= s.recent
+	b.use -= s.use
+	b.floors -= s.reserved
+	s.count(b.loweredFrom, now)
+	s.reserved = max(s.floor, b.floor)
+	b.held += s.held
+	b.recent += s.recent
+	b.use += s.use
+	b.floors += s.reserved
+}
+
+func (b *budget) sweep(now time.Time) {
+	for _, s := range b.order {
+		b.recount(s, now)
+	}
+}
+
+// plan recomputes the floor and the levels.
+func (b *budget) plan(now time.Time) {
+	b.planned, b.stale = now, false
+	b.sweep(now)
+	b.ramp.observe(b.use, b.limit.Interval, now)
+	b.planFloor(now)
+	// With the pool for the wanted floor, leases shrink until it has room.
+	pool := max(0, b.total()-b.reserveFor(b.limit.Floor))
+	needs := make([]int64, 0, len(b.order))
+	for _, s := range b.order {
+		if s.active(now) {
+			needs = append(needs, s.need(b.floor))
+		}
+	}
+	level, warm, rest := levels(needs, pool, int64(b.holders))
+	b.warm = warm
+	for _, s := range b.order {
+		s.level = level
+		if rest > 0 && s.active(now) && s.need(b.floor) > level {
+			s.level++
+			rest--
+		}
+	}
+}
+
+// planFloor lowers the floor at once, and raises it when leases leave room.
+func (b *budget) planFloor(now time.Time) {
+	raised := b.limit.Floor > b.floor
+	if raised && b.held+b.reserveFor(b.limit.Floor) > b.total() {
+		return
+	}
+	b.floor = b.limit.Floor
+	b.sweep(now)
+}
+
+// levels returns the max-min fair level of the needs, the amount up to which
+// the rest of the pool keeps each holder warm, which is an equal share at
+// most, and how many holders may have one more than level.
+func levels(needs []int64, pool, holders int64) (level, warm, rest int64) {
+	if len(needs) == 0 || holders <= 0 {
+		return pool, 0, 0
+	}
+	filled := func(level, warm int64) int64 {
+		sum := int64(0)
+		for _, n := range needs {
+			sum += max(min(n, level), warm)
+		}
+		return sum
+	}
+	level = highest(pool, func(level int64) bool { return filled(level, 0) <= pool })
+	warm = highest(pool/holders, func(warm int64) bool { return filled(level, warm) <= pool })
+	return level, warm, pool - filled(level, warm)
+}
+
+// highest returns the largest number from 0 to limit that fits; a number fits
+// if a larger one does, and zero always fits.
+func highest(limit int64, fits func(int64) bool) int64 {
+	return int64(sort.Search(int(limit), func(i int) bool { return !fits(int64(i) + 1) }))
+}
+
+// share is what one holder has of a budget.
+type share struct {
+	holder      azurestair.InstanceID
+	incarnation azurestair.Incarnation
+	want, inUse int64
+	seen        time.Time
+	// leases holds the unexpired leases that no later and larger one covers:
+	// the oldest and largest first.
+	leases []lease
+	// former covers the leases of earlier incarnations, which may still run.
+	former lease
+	// last is the latest amount, and level what the holder may have of what is contended.
+	last, level int64
+	// floor is the largest floor that the holder may have, and floorSeen when
+	// that was last given or reported.
+	floor     int64
+	floorSeen time.Time
+	// held, recent, use and reserved are counted in the sums of the budget.
+	held, recent, use, reserved int64
+}
+
+type lease struct {
+	amount  int64
+	granted time.Time
+}
+
+func (l lease) live(now time.Time) bool { return now.Before(l.granted.Add(LeaseTTL)) }
+
+// liveAmount returns the amount, zero after the lease has expired.
+func (l lease) liveAmount(now time.Time) int64 {
+	if l.live(now) {
+		return l.amount
+	}
+	return 0
+}
+
+// maxLeases bounds the leases kept for one holder and budget.
+const maxLeases = 8
+
+// need returns how much the holder wants above its floor.
+func (s *share) need(floor int64) int64 { return max(0, s.want-floor) }
+
+// active reports whether the holder has reported within a lease time.
+func (s *share) active(now time.Time) bool { return now.Before(s.seen.Add(LeaseTTL)) }
+
+// add counts a new lease.
+func (s *share) add(amount int64, now time.Time) {
+	s.last = amount
+	n := len(s.leases)
+	for n > 0 && s.leases[n-1].amount <= amount {
+		n--
+	}
+	s.leases = append(s.leases[:n], lease{amount: amount, granted: now})
+	if len(s.leases) > maxLeases {
+		// One lease stands for the two oldest: the larger amount, the later time.
+		s.leases[1].amount = s.leases[0].amount
+		s.leases = append(s.leases[:0], s.leases[1:]...)
+	}
+}
+
+// restart moves the leases of the earlier incarnation aside.
+func (s *share) restart(inc azurestair.Incarnation, now time.Time) {
+	s.incarnation = inc
+	s.former.amount = s.former.liveAmount(now)
+	largest := int64(0)
+	for _, l := range s.leases {
+		if l.live(now) {
+			largest = max(largest, l.amount)
+			s.former.granted = l.granted
+		}
+	}
+	s.former.amount += largest
+	s.leases, s.last = nil, 0
+}
+
+// count drops expired leases and counts the others, and as recent those that
+// were granted at from or later.
+func (s *share) count(from, now time.Time) {
+	n := 0
+	for n < len(s.leases) && !s.leases[n].live(now) {
+		n++
+	}
+	s.leases = append(s.leases[:0], s.leases[n:]...)
+	s.held, s.recent = 0, 0
+	for i := len(s.leases) - 1; i >= 0; i-- {
+		s.held = s.leases[i].amount
+		if !s.leases[i].granted.Before(from) {
+			s.recent = s.held
+		}
+	}
+	s.held += s.former.liveAmount(now)
+	s.recent += s.former.liveAmount(now)
+	s.use = 0
+	if s.active(now) {
+		s.use = min(s.inUse, s.held+s.floor)
+	}
+}
+
+// noteFloor counts a floor that the holder has or may get. A smaller one
+// counts only after a lease time without a larger one, because messages may
+// arrive late and out of order.
+func (s *share) noteFloor(floor int64, now time.Time) {
+	if floor >= s.floor || !now.Before(s.floorSeen.Add(LeaseTTL)) {
+		s.floor, s.floorSeen = floor, now
+	}
+}
+
+// rampBuckets is the number of parts of an interval for which a ramp keeps the
+// least use.
+const rampBuckets = 5
+
+// ramp finds the least use during the last interval. A rise is measured
+// against it, so that an earlier rise that was not used allows no larger one.
+// What lies before the first observation counts as no use.
+type ramp struct {
+	interval time.Duration
+	// least holds the least use in each part of an interval; part numbers the newest.
+	least [rampBuckets + 1]int64
+	part  int64
+	last  int64
+}
+
+// observe notes the use at now.
+func (r *ramp) observe(use int64, interval time.Duration, now time.Time) {
+	if interval <= 0 {
+		return
+	}
+	part := now.UnixNano() / max(1, int64(interval)/rampBuckets)
+	if r.interval != interval {
+		base := r.base()
+		for i := range r.least {
+			r.least[i] = base
+		}
+		r.interval, r.part = interval, part
+	}
+	for range min(part-r.part, int64(len(r.least))) {
+		copy(r.least[:], r.least[1:])
+		r.least[rampBuckets] = r.last
+	}
+	r.part, r.last = max(r.part, part), use
+	r.least[rampBuckets] = min(r.least[rampBuckets], use)
+}
+
+// base returns the least use during the last interval.
+func (r *ramp) base() int64 {
+	base := r.least[0]
+	for _, use := range r.least {
+		base = min(base, use)
+	}
+	return base
+}
--- /dev/null
+++ b/control/allocator_test.go
@@ -0,0 +1,250 @@
+package control_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/control"
+)
+
+var slots = azurestair.Resource{Kind: azurestair.ResourceSlots, Service: "catalogue", Region: "kigali"}
+
+func ask(a *control.Allocator, holder string, want int64, ms int) azurestair.Grant {
+	GinkgoHelper()
+	g := a.Demand(azurestair.InstanceID(holder), 1, []azurestair.Demand{{Resource: slots, Want: want}}, at(ms))
+	Expect(g).To(HaveLen(1))
+	return g[0]
+}
+
+// settleWants repeats the wants until the leases have settled, and returns the amounts.
+func settleWants(a *control.Allocator, ms int, wants ...int64) (amounts []int64, end int) {
+	GinkgoHelper()
+	amounts = make([]int64, len(wants))
+	for end = ms; end < ms+10_000; end += 500 {
+		for i, w := range wants {
+			amounts[i] = ask(a, fmt.Sprint(i), w, end+i).Amount
+		}
+	}
+	return amounts, end
+}
+
+var _ = Describe("allocator", func() {
+	var a *control.Allocator
+	BeforeEach(func() {
+		a = &control.Allocator{MaxHolders: 4}
+		Expect(a.SetLimit(slots, control.Limit{Total: 100, Floor: 5})).To(Succeed())
+	})
+
+	// Guards against a greedy holder that takes the share of modest ones. The
+	// pool is 80; a want counts above the floor of 5.
+	DescribeTable("shares by demand with max-min fairness", func(wants, want []int64) {
+		got, _ := settleWants(a, 0, wants...)
+		Expect(got).To(Equal(want))
+	},
+		Entry("all want more", []int64{90, 90, 90, 90}, []int64{20, 20, 20, 20}),
+		Entry("one wants little", []int64{90, 10, 90, 90}, []int64{25, 5, 25, 25}),
+		Entry("one wants all, the others stay warm", []int64{85, 0, 0, 0}, []int64{80, 0, 0, 0}),
+		Entry("nobody wants", []int64{0, 0, 0, 0}, []int64{20, 20, 20, 20}),
+		Entry("one place is free", []int64{0, 0, 0}, []int64{20, 20, 20}),
+		Entry("half is wanted", []int64{45, 0, 0, 0}, []int64{40, 13, 13, 13}),
+	)
+
+	// Guards against a burst that waits for leases of idle holders to run out.
+	It("keeps room in reserve while a place is free", func() {
+		_, ms := settleWants(a, 0, 0, 0, 0)
+		Expect(ask(a, "0", 90, ms).Amount).To(BeEquivalentTo(40))
+	})
+
+	It("shrinks a lease by half at a time", func() {
+		_, ms := settleWants(a, 0, 85, 0, 0, 0)
+		var got []int64
+		for i := range 3 {
+			got = append(got, ask(a, "0", 0, ms+500*i).Amount)
+		}
+		Expect(got).To(Equal([]int64{40, 20, 20}))
+	})
+
+	It("raises a limit at once", func() {
+		_, ms := settleWants(a, 0, 90, 90, 90, 90)
+		Expect(a.SetLimit(slots, control.Limit{Total: 200, Floor: 5})).To(Succeed())
+		Expect(ask(a, "0", 90, ms).Amount).To(BeNumerically(">", 40))
+	})
+
+	// Guards against an outage of all holders while a lowered limit takes effect.
+	It("lowers a limit as leases expire, without stopping a holder", func() {
+		_, ms := settleWants(a, 0, 90, 90, 90, 90)
+		Expect(a.SetLimit(slots, control.Limit{Total: 60, Floor: 5})).To(Succeed())
+		for i := range 4 {
+			Expect(ask(a, fmt.Sprint(i), 90, ms+i).Amount).To(BeNumerically(">=", 10))
+		}
+		leased, reserved := a.Outstanding(slots, at(ms+1999))
+		Expect(leased + reserved).To(BeEquivalentTo(60))
+	})
+
+	// Guards against a raised floor that holders use on top of older leases.
+	It("raises a floor only when leases leave room, and keeps a larger one reserved", func() {
+		_, ms := settleWants(a, 0, 90, 90, 90, 90)
+		Expect(a.SetLimit(slots, control.Limit{Total: 100, Floor: 15})).To(Succeed())
+		Expect(ask(a, "0", 90, ms).Floor).To(BeEquivalentTo(5))
+		_, ms = settleWants(a, ms, 90, 90, 90, 90)
+		Expect(ask(a, "0", 90, ms).Floor).To(BeEquivalentTo(15))
+		Expect(a.SetLimit(slots, control.Limit{Total: 100})).To(Succeed())
+		Expect(ask(a, "1", 90, ms).Floor).To(BeZero())
+		leased, reserved := a.Outstanding(slots, at(ms))
+		Expect(reserved).To(BeEquivalentTo(60))
+		Expect(leased).To(BeNumerically("<=", 40))
+	})
+
+	// Guards against leases that overlap with those of the predecessor.
+	It("grants only floors that holders already have while it is quiet", func() {
+		a.Quiet(at(2100))
+		Expect(ask(a, "0", 90, 0)).To(Equal(azurestair.Grant{Resource: slots, TTLMs: 2000}))
+		g := a.Demand("0", 1, []azurestair.Demand{{Resource: slots, Want: 90, Floor: 3}}, at(2099))
+		Expect(g).To(ConsistOf(azurestair.Grant{Resource: slots, Floor: 3, TTLMs: 2000}))
+		Expect(ask(a, "0", 90, 2100).Amount).To(BeNumerically(">", 0))
+	})
+
+	It("ignores what it does not know", func() {
+		Expect(a.Demand("0", 2, []azurestair.Demand{{Resource: azurestair.Resource{Kind: "other"}, Want: 1}}, at(0))).To(BeEmpty())
+		Expect(a.Demand("0", 1, []azurestair.Demand{{Resource: slots, Want: 1}}, at(0))).To(BeNil())
+	})
+
+	// Guards against floors for more holders than they are reserved for.
+	It("refuses one holder too many until a place is free", func() {
+		_, ms := settleWants(a, 0, 1, 1, 1, 1)
+		demand := []azurestair.Demand{{Resource: slots, Want: 1}}
+		Expect(a.Demand("other", 1, demand, at(ms))).To(BeNil())
+		a.Leave("2")
+		Expect(a.Demand("other", 1, demand, at(ms))).To(BeNil())
+		Expect(a.Demand("other", 1, demand, at(ms+2000))).To(HaveLen(1))
+	})
+
+	// Guards against memory and grants for services that are gone.
+	It("drops budgets that are no longer listed", func() {
+		_, ms := settleWants(a, 0, 90, 90)
+		Expect(a.SetLimits(nil, at(ms))).To(Succeed())
+		Expect(ask(a, "0", 90, ms+2000)).To(Equal(azurestair.Grant{Resource: slots, TTLMs: 2000}))
+		Expect(a.SetLimits(nil, at(ms+4000))).To(Succeed())
+		Expect(a.Demand("0", 1, []azurestair.Demand{{Resource: slots, Want: 1}}, at(ms+4000))).To(BeEmpty())
+	})
+})
+
+var _ = Describe("holder", func() {
+	var h *control.Holder
+	grant := azurestair.Grant{Resource: slots, Amount: 20, Floor: 5, TTLMs: 2000}
+	expectLimit := func(ms, want int) {
+		GinkgoHelper()
+		Expect(h.Limit(slots, at(ms))).To(BeEquivalentTo(want))
+	}
+	BeforeEach(func() {
+		h = &control.Holder{}
+		h.Apply([]azurestair.Grant{grant}, at(1000), at(1400))
+	})
+
+	// Guards against a lease that outlives the leader's record of it.
+	It("falls back to its floor before the lease time since the report was sent", func() {
+		expectLimit(2899, 25)
+		expectLimit(2900, 5)
+		expectLimit(1_000_000, 5)
+		Expect(h.Demand(slots, 1, 2).Floor).To(BeEquivalentTo(5))
+	})
+
+	// Guards against late, wrong and missing grants that raise a limit.
+	DescribeTable("is not raised by", func(g azurestair.Grant, sent int) {
+		h.Apply([]azurestair.Grant{g}, at(sent), at(1500))
+		expectLimit(1500, 25)
+		expectLimit(2900, 5)
+	},
+		Entry("a late reply", azurestair.Grant{Resource: slots, Amount: 90, Floor: 9, TTLMs: 2000}, 999),
+		Entry("a reply from the future", azurestair.Grant{Resource: slots, Amount: 90, Floor: 9, TTLMs: 2000}, 1501),
+		Entry("a negative amount", azurestair.Grant{Resource: slots, Amount: -1, Floor: 9, TTLMs: 2000}, 1450),
+		Entry("another budget", azurestair.Grant{Amount: 90, Floor: 9, TTLMs: 2000}, 1450),
+	)
+
+	It("bounds the time of a lease", func() {
+		long := grant
+		long.TTLMs = 1_000_000
+		h.Apply([]azurestair.Grant{long}, at(1500), at(1500))
+		expectLimit(3400, 5)
+	})
+})
+
+var _ = Describe("limits", func() {
+	// limitsOf returns the totals, floors and steps by the names of the budgets.
+	limitsOf := func(cfg *azurestair.Config, drains []azurestair.Drain, a ...azurestair.Announcement) map[string][3]int64 {
+		var ups []azurestair.UpstreamInfo
+		for _, a := range a {
+			ups = append(ups, azurestair.UpstreamInfo{Announcement: a})
+		}
+		out := map[string][3]int64{}
+		for _, l := range control.Limits(cfg, drains, ups, 8) {
+			out[l.Resource.String()] = [3]int64{l.Limit.Total, l.Limit.Floor, l.Limit.Step}
+		}
+		return out
+	}
+	cfg := func(e ...azurestair.Exception) *azurestair.Config {
+		return &azurestair.Config{
+			Services: []azurestair.Service{{Name: "catalogue"}}, Regions: []azurestair.Region{{Name: "kigali"}, {Name: "huye"}},
+			Links: []azurestair.Link{{From: "kigali", To: "huye", LimitBs: 35_000_000}}, Exceptions: e,
+		}
+	}
+	workers := func() []azurestair.Announcement {
+		out := []azurestair.Announcement{worker(0), worker(1), worker(2), worker(3), worker(4)}
+		out[4].State = azurestair.StateDraining
+		return out
+	}
+	target := azurestair.Target{Kind: azurestair.TargetUpstream, Name: "worker-001"}
+	domain := azurestair.Target{Kind: azurestair.TargetFailureDomain, Name: "kigali-a"}
+
+	It("derives slots, shift and link budgets", func() {
+		Expect(limitsOf(cfg(), nil, workers()...)).To(Equal(map[string][3]int64{
+			"slots:catalogue@kigali": {40, 2, 0}, "shift:catalogue@kigali": {40, 0, 8},
+			"slots:catalogue@huye": {0, 0, 0}, "shift:catalogue@huye": {0, 0, 0},
+			"link:kigali>huye": {35_000_000, 2_187_500, 0},
+		}))
+		Expect(control.Limits(nil, nil, nil, 8)).To(BeEmpty())
+	})
+
+	// Guards against work for drained upstreams, and against more work than they have slots.
+	DescribeTable("takes drains and exceptions into account", func(total int, drains []azurestair.Drain, e ...azurestair.Exception) {
+		Expect(limitsOf(cfg(e...), drains, workers()...)["slots:catalogue@kigali"][0]).To(BeEquivalentTo(total))
+	},
+		Entry("drained upstream", 30, []azurestair.Drain{{Target: target}}),
+		Entry("drained failure domain", 0, []azurestair.Drain{{Target: domain}}),
+		Entry("weight", 35, nil, azurestair.Exception{Target: target, Setting: azurestair.SettingWeight, Value: 50}),
+		Entry("large weight", 40, nil, azurestair.Exception{Target: target, Setting: azurestair.SettingWeight, Value: 500}),
+		Entry("slots", 16, nil, azurestair.Exception{Target: domain, Setting: azurestair.SettingSlots, Value: 4}),
+	)
+})
+
+// BenchmarkDemand measures one report with 36 budgets, as three services and
+// 12 links in four regions make, while all holders report twice a second.
+func BenchmarkDemand(b *testing.B) {
+	for _, n := range []int{7, 690} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			a := &control.Allocator{MaxHolders: n + 1}
+			demands := make([]azurestair.Demand, 36)
+			for i := range demands {
+				r := azurestair.Resource{Kind: azurestair.ResourceSlots, Service: azurestair.ServiceName(fmt.Sprint(i)), Region: "r"}
+				demands[i] = azurestair.Demand{Resource: r, Want: int64(i)}
+				_ = a.SetLimit(r, control.Limit{Total: 100_000, Floor: 10, Step: 20_000, Interval: 5 * time.Second})
+			}
+			ids := make([]azurestair.InstanceID, n)
+			for i := range ids {
+				ids[i] = entry(i).ID
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				now := start.Add(time.Duration(i) * 500 * time.Millisecond / time.Duration(n))
+				a.Demand(ids[i%n], 1, demands, now)
+				i++
+			}
+		})
+	}
+}
--- /dev/null
+++ b/control/limits.go
@@ -0,0 +1,135 @@
+package control
+
+import (
+	"time"
+
+	"azurestair.example/azurestair"
+)
+
+// FloorPercent is the share of a budget that is reserved as floors. At half of
+// the budget the entry instances carry almost half of the load while there is
+// no leader, and a budget that is asked for evenly loses nothing by it.
+const FloorPercent azurestair.Percent = 50
+
+// Limit bounds one budget. The zero value allows nothing.
+type Limit struct {
+	// Total bounds what all holders may use together.
+	Total int64
+	// Floor is the part of Total that each possible holder may use without a lease.
+	Floor int64
+	// Step bounds how far the sum of leases and floors may rise above the use
+	// within Interval. A zero Interval means no such bound.
+	Step     int64
+	Interval time.Duration
+}
+
+// ResourceLimit is the limit of a named budget.
+type ResourceLimit struct {
+	Resource azurestair.Resource
+	Limit    Limit
+}
+
+// Limits derives the limits of all budgets from the configuration and the
+// listed upstreams. Each configured service has a slots and a shift budget in
+// each region, with limit zero where no upstream serves, and each link has one.
+// Unconfirmed upstreams count: they stay listed while the listener is suspect,
+// and then the last plan is kept.
+func Limits(cfg *azurestair.Config, drains []azurestair.Drain, upstreams []azurestair.UpstreamInfo, maxHolders int) []ResourceLimit {
+	if cfg == nil {
+		return nil
+	}
+	slots := regionSlots(cfg, drains, upstreams)
+	var out []ResourceLimit
+	for _, s := range cfg.Services {
+		for _, r := range cfg.Regions {
+			n := slots[place{s.Name, r.Name}]
+			out = append(out, slotsLimit(s.Name, r.Name, n, maxHolders), shiftLimit(cfg, s.Name, r.Name, n, maxHolders))
+		}
+	}
+	for _, l := range cfg.Links {
+		out = append(out, ResourceLimit{
+			Resource: azurestair.Resource{Kind: azurestair.ResourceLink, From: l.From, Region: l.To},
+			Limit:    Limit{Total: int64(l.LimitBs), Floor: floorOf(int64(l.LimitBs), maxHolders)},
+		})
+	}
+	return out
+}
+
+func slotsLimit(s azurestair.ServiceName, r azurestair.RegionName, n int64, maxHolders int) ResourceLimit {
+	return ResourceLimit{
+		Resource: azurestair.Resource{Kind: azurestair.ResourceSlots, Service: s, Region: r},
+		Limit:    Limit{Total: n, Floor: floorOf(n, maxHolders)},
+	}
+}
+
+// shiftLimit takes the floors from the step: they may come into use at any
+// time, and must not exceed the allowed rise when they do.
+func shiftLimit(cfg *azurestair.Config, s azurestair.ServiceName, r azurestair.RegionName, n int64, maxHolders int) ResourceLimit {
+	d := cfg.Defaults.WithDefaults()
+	step := n * int64(d.ShiftPercent) / 100
+	return ResourceLimit{
+		Resource: azurestair.Resource{Kind: azurestair.ResourceShift, Service: s, Region: r},
+		Limit:    Limit{Total: n, Floor: floorOf(step, maxHolders), Step: step, Interval: d.ShiftIntervalMs.Duration()},
+	}
+}
+
+// floorOf returns the floor of one of maxHolders holders. Where FloorPercent
+// gives less than one, the floor is one if that leaves a third of the total
+// to be leased.
+func floorOf(total int64, maxHolders int) int64 {
+	n := int64(orDefault(maxHolders, DefaultMaxHolders))
+	floor := total * int64(FloorPercent) / 100 / n
+	if floor == 0 && 2*total >= 3*n {
+		return 1
+	}
+	return floor
+}
+
+// place is a service in a region.
+type place struct {
+	service azurestair.ServiceName
+	region  azurestair.RegionName
+}
+
+// regionSlots adds up the slots that may be used in each region.
+func regionSlots(cfg *azurestair.Config, drains []azurestair.Drain, upstreams []azurestair.UpstreamInfo) map[place]int64 {
+	drained := map[azurestair.Target]bool{}
+	for _, d := range drains {
+		drained[d.Target] = true
+	}
+	sum := map[place]int64{}
+	for _, u := range upstreams {
+		a := u.Announcement
+		if a.State != azurestair.StateServing || drained[upstreamTarget(a)] || drained[domainTarget(a)] {
+			continue
+		}
+		sum[place{a.Service, a.Region}] += EffectiveSlots(cfg, a)
+	}
+	return sum
+}
+
+// EffectiveSlots returns the slots of an upstream that may be used under the
+// exceptions of the configuration. A weight above 100 adds no slots.
+func EffectiveSlots(cfg *azurestair.Config, a azurestair.Announcement) int64 {
+	slots, percent := int64(a.Slots), int64(100)
+	for _, e := range cfg.Exceptions {
+		if e.Target != upstreamTarget(a) && e.Target != domainTarget(a) {
+			continue
+		}
+		switch e.Setting {
+		case azurestair.SettingSlots:
+			slots = min(slots, e.Value)
+		case azurestair.SettingWeight:
+			percent = percent * min(e.Value, 100) / 100
+		}
+	}
+	return slots * percent / 100
+}
+
+func upstreamTarget(a azurestair.Announcement) azurestair.Target {
+	return azurestair.Target{Kind: azurestair.TargetUpstream, Name: string(a.Upstream)}
+}
+
+func domainTarget(a azurestair.Announcement) azurestair.Target {
+	return azurestair.Target{Kind: azurestair.TargetFailureDomain, Name: string(a.FailureDomain)}
+}
