--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -21,7 +21,7 @@
 	}
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
-		at := start.Add(azurestair.Millis(i) * 40)
+		at := epoch.Add(azurestair.Millis(i) * 40)
 		c := claim(keys[i%len(keys)], "i1", uint64(i))
 		c.Deadline = at.Add(timeout)
 		f := finish(c, azurestair.ClaimDone, body)
@@ -38,9 +38,9 @@
 	for i := range control.MaxClaims {
 		c := claim(fmt.Sprint("order-", i), "i1", uint64(i))
 		c.Deadline += azurestair.UnixMillis(i * 7919 % 60_000)
-		s.Apply(azurestair.Index(2*i+1), azurestair.Command{At: start, Claim: &c})
+		s.Apply(azurestair.Index(2*i+1), azurestair.Command{At: epoch, Claim: &c})
 		f := finish(c, azurestair.ClaimDone, make([]byte, 100))
-		f.At = start
+		f.At = epoch
 		s.Apply(azurestair.Index(2*i+2), f)
 	}
 	return s
--- a/control/ledger_test.go
+++ b/control/ledger_test.go
@@ -15,7 +15,7 @@
 func claim(key, instance string, attempt uint64) azurestair.Claim {
 	return azurestair.Claim{
 		Service: "desk", Operation: "engrave", Key: azurestair.RequestKey(key), Fingerprint: []byte("f"),
-		Instance: azurestair.InstanceID(instance), Incarnation: 1, Attempt: attempt, Deadline: start.Add(timeout),
+		Instance: azurestair.InstanceID(instance), Incarnation: 1, Attempt: attempt, Deadline: epoch.Add(timeout),
 	}
 }
 
@@ -124,9 +124,9 @@
 			d.expectClaim(claim("other", "i1", 1), azurestair.ResultGranted)
 			Expect(d.state.Claims()).To(Equal(1))
 		},
-		Entry("as usual", start.Add(timeout), start.Add(timeout+control.ClaimRetention)),
-		Entry("deadline in the past", start-9_000_000, start.Add(control.ClaimRetention)),
-		Entry("deadline far ahead", start+9e12, start.Add(azurestair.MaxTimeoutMs+control.ClaimRetention)),
+		Entry("as usual", epoch.Add(timeout), epoch.Add(timeout+control.ClaimRetention)),
+		Entry("deadline in the past", epoch-9_000_000, epoch.Add(control.ClaimRetention)),
+		Entry("deadline far ahead", epoch+9e12, epoch.Add(azurestair.MaxTimeoutMs+control.ClaimRetention)),
 	)
 
 	// Guards against early removal of claims under pressure.
--- a/control/schedule_test.go
+++ b/control/schedule_test.go
@@ -37,7 +37,7 @@
 
 func newSchedule(seed uint64) *schedule {
 	return &schedule{
-		rng: rand.New(rand.NewPCG(seed, 2)), now: start, state: &control.State{},
+		rng: rand.New(rand.NewPCG(seed, 2)), now: epoch, state: &control.State{},
 		numbers: map[azurestair.InstanceID]azurestair.Claim{},
 		granted: map[azurestair.RequestKey]azurestair.Claim{},
 		notRun:  map[azurestair.RequestKey]azurestair.Claim{}, runs: map[azurestair.RequestKey]int{},
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"testing"
 
 	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/ginkgo/v2"
@@ -13,12 +12,7 @@
 	"azurestair.example/azurestair/control"
 )
 
-func TestControl(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "control state")
-}
-
-const start azurestair.UnixMillis = 1_800_000_000_000
+const epoch azurestair.UnixMillis = 1_800_000_000_000
 
 // driver applies commands at the following log indexes.
 type driver struct {
@@ -26,7 +20,7 @@
 	at    azurestair.UnixMillis
 }
 
-func newDriver() *driver { return &driver{state: &control.State{}, at: start} }
+func newDriver() *driver { return &driver{state: &control.State{}, at: epoch} }
 
 func (d *driver) apply(c azurestair.Command) azurestair.Result {
 	c.At = d.at
@@ -141,13 +135,13 @@
 	It("finds records by time, operator and limit, newest first", func() {
 		d := newDriver()
 		for i := range 5 {
-			d.at = start.Add(azurestair.Millis(i))
+			d.at = epoch.Add(azurestair.Millis(i))
 			d.expect(drainChange(fmt.Sprint(i), "u1", i%2 == 0), azurestair.ResultAccepted)
 		}
 		member := &azurestair.MemberChange{Change: change("m"), Action: azurestair.MemberRemove, Instance: "i1"}
 		member.Change.Operator = "bob"
 		d.expect(azurestair.Command{Members: member}, azurestair.ResultAccepted)
-		found := d.state.Audit(control.AuditQuery{From: start + 1, To: start + 4, Operator: "ada", Limit: 2})
+		found := d.state.Audit(control.AuditQuery{From: epoch + 1, To: epoch + 4, Operator: "ada", Limit: 2})
 		Expect(found).To(HaveLen(2))
 		Expect(found[0].ChangeID).To(BeEquivalentTo("3"))
 		found = d.state.Audit(control.AuditQuery{Operator: "bob"})
--- a/instance/writer.go
+++ b/instance/writer.go
@@ -32,7 +32,8 @@
 			w.transport.Send(m)
 		}
 	}
-	for range w.jobs { //nolint:revive // drains what comes after an error
+	// Jobs that come after an error are dropped.
+	for range w.jobs {
 	}
 }
 
