--- a/instance/process.go
+++ b/instance/process.go
@@ -131,13 +131,17 @@
 
 // weightedGate is the gate that the product uses.
 func weightedGate(s azurestair.ServiceName, e *Entry) *gate {
+	home := func(region azurestair.RegionName, inFlight azurestair.Slots, now time.Time) bool {
+		v := e.view.Load()
+		return v != nil && inFlight < v.slots(s, region, now)
+	}
 	shift := func(region azurestair.RegionName, inFlight azurestair.Slots, now time.Time) bool {
 		v := e.view.Load()
 		return v != nil && inFlight < v.shift(s, region, now)
 	}
 	p := routing.NewWeighted(routing.Options{
 		Service: s, Region: e.self.Region, FailureDomain: e.self.FailureDomain,
-		Shift: shift, Entries: control.DefaultMaxHolders,
+		Home: home, Shift: shift, Entries: control.DefaultMaxHolders,
 	})
 	seed := rand.NewPCG(rand.Uint64(), rand.Uint64())
 	return newGate(e.clock, admission.New(admission.Options{Rand: seed}), p, seed)
--- a/routing/candidates.go
+++ b/routing/candidates.go
@@ -34,8 +34,8 @@
 	free candidateSet
 	// queueing holds workers whose share is in use and whose queue is not full.
 	queueing candidateSet
-	// shifted counts cross-region attempts in flight, late slots included.
-	shifted azurestair.Slots
+	// inFlight counts the attempts in flight in this tier, late slots included.
+	inFlight azurestair.Slots
 }
 
 // moveTo puts the worker into set s; nil takes it out of all sets.
--- a/routing/options.go
+++ b/routing/options.go
@@ -7,9 +7,9 @@
 	"azurestair.example/azurestair"
 )
 
-// ShiftBudget says whether one more cross-region request into a region is
-// within the leased budget, given how many are in flight there from this entry.
-type ShiftBudget func(region azurestair.RegionName, inFlight azurestair.Slots, now time.Time) bool
+// RegionBudget says whether one more request into a region is within the
+// leased budget, given how many are in flight there from this entry.
+type RegionBudget func(region azurestair.RegionName, inFlight azurestair.Slots, now time.Time) bool
 
 // Options configures a picker. The zero value serves every upstream of the
 // snapshot as local and shares no worker with other entry instances.
@@ -22,8 +22,10 @@
 	FailureDomain azurestair.FailureDomainName
 	// Rand is the random source; nil means a generator with a fixed seed.
 	Rand azurestair.Rand
+	// Home permits choices in the entry's own region; nil permits all.
+	Home RegionBudget
 	// Shift permits choices in other regions; nil permits none.
-	Shift ShiftBudget
+	Shift RegionBudget
 	// Entries is the number of entry instances that share each worker; zero means one.
 	Entries int
 	// Samples is how many candidates a choice compares; zero means two.
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -166,10 +166,18 @@
 
 var _ = Describe("spilling to another region", func() {
 	both := append(upstreams("x", 1, 2), upstreams("y", 4, 9)...)
-	allow := func(limit azurestair.Slots) routing.ShiftBudget {
+	allow := func(limit azurestair.Slots) routing.RegionBudget {
 		return func(_ azurestair.RegionName, n azurestair.Slots, _ time.Time) bool { return n < limit }
 	}
 
+	// Guards R2: idle workers at home do not excuse more work than the region's lease.
+	It("stays under the home budget", func() {
+		b := newBench(routing.Options{Region: "x", Home: allow(1), Shift: allow(2)}, both...)
+		all, reason := b.fill()
+		Expect(all).To(HaveLen(1 + 2))
+		Expect(reason).To(Equal(azurestair.ReasonShiftCap))
+	})
+
 	// Guards R1: late slots and attempts together stay under the cap.
 	It("waits for local saturation and stays under the budget", func() {
 		b := newBench(routing.Options{Region: "x", Shift: allow(5)}, both...)
--- a/routing/update.go
+++ b/routing/update.go
@@ -105,16 +105,14 @@
 	p.setTier(w, p.tierFor(a.Region, a.FailureDomain))
 }
 
-// setTier moves the worker's attempts in flight along, so that the count of
-// shifted work stays equal to the attempts that Done will end.
+// setTier moves the worker's attempts in flight along, so that each tier's
+// count stays equal to the attempts that Done will end.
 func (p *Weighted) setTier(w *worker, t *tier) {
 	n := azurestair.Slots(w.inFlight)
-	if w.tier != nil && w.tier.remote {
-		w.tier.shifted -= n
-	}
-	if t.remote {
-		t.shifted += n
+	if w.tier != nil {
+		w.tier.inFlight -= n
 	}
+	t.inFlight += n
 	w.tier = t
 }
 
--- a/routing/weighted.go
+++ b/routing/weighted.go
@@ -91,6 +91,9 @@
 // chooseHome compares the best free candidate with candidates that would queue
 // only if there is none or it looks slow.
 func (p *Weighted) chooseHome(r request) *worker {
+	if p.opts.Home != nil && !p.opts.Home(p.opts.Region, p.domain.inFlight+p.region.inFlight, r.now) {
+		return nil
+	}
 	free := p.nearer(p.best(&p.domain.free, r), p.best(&p.region.free, r), r.now)
 	if free != nil && p.cost(free, r.now) <= suspectFactor*max(p.mean, float64(minLatency)) {
 		return free
@@ -124,7 +127,7 @@
 		if w == nil {
 			continue
 		}
-		if p.opts.Shift != nil && p.opts.Shift(t.region, t.shifted, r.now) {
+		if p.opts.Shift != nil && p.opts.Shift(t.region, t.inFlight, r.now) {
 			p.remoteAt++
 			return w, nil
 		}
@@ -171,9 +174,7 @@
 
 func (p *Weighted) take(w *worker, now time.Time) {
 	w.inFlight++
-	if w.tier.remote {
-		w.tier.shifted++
-	}
+	w.tier.inFlight++
 	if w.health.state == halfOpen {
 		w.health.trial = true
 	}
@@ -200,9 +201,7 @@
 
 func (p *Weighted) release(w *worker) {
 	w.inFlight--
-	if w.tier.remote {
-		w.tier.shifted--
-	}
+	w.tier.inFlight--
 }
 
 // learn updates the latency statistics. A failure's own latency says nothing,
@@ -260,7 +259,7 @@
 func (p *Weighted) Shifted(region azurestair.RegionName) azurestair.Slots {
 	for _, t := range p.remote {
 		if t.region == region {
-			return t.shifted
+			return t.inFlight
 		}
 	}
 	return 0
--- a/routing/worker.go
+++ b/routing/worker.go
@@ -258,7 +258,5 @@
 	kept := copy(w.lateUntil, w.lateUntil[n:])
 	w.lateUntil = w.lateUntil[:kept]
 	w.inFlight -= n
-	if w.tier.remote {
-		w.tier.shifted -= azurestair.Slots(n)
-	}
+	w.tier.inFlight -= azurestair.Slots(n)
 }
