--- a/caller/handler.go
+++ b/caller/handler.go
@@ -34,14 +34,16 @@
 }
 
 type handler struct {
-	server Server
-	clock  azurestair.Clock
+	server      Server
+	clock       azurestair.Clock
+	bodyTimeout time.Duration
 }
 
-// NewHandler returns the HTTP handler for callers.
-func NewHandler(s Server, clock azurestair.Clock) http.Handler {
+// NewHandler returns the HTTP handler for callers. bodyTimeout bounds how long
+// a caller may take to send its request and to read its answer.
+func NewHandler(s Server, clock azurestair.Clock, bodyTimeout time.Duration) http.Handler {
 	gin.SetMode(gin.ReleaseMode)
-	h := &handler{server: s, clock: clock}
+	h := &handler{server: s, clock: clock, bodyTimeout: bodyTimeout}
 	e := gin.New()
 	e.UseRawPath = true
 	e.UnescapePathValues = false
@@ -91,10 +93,18 @@
 		return
 	}
 	rc := http.NewResponseController(c.Writer)
-	if !r.Deadline.IsZero() {
-		_ = rc.SetReadDeadline(r.Deadline)
+	readBy := h.clock.Now().Add(h.bodyTimeout)
+	if !r.Deadline.IsZero() && r.Deadline.Before(readBy) {
+		readBy = r.Deadline
+	}
+	_ = rc.SetReadDeadline(readBy)
+	if errors.Is(h.server.Ready(), azurestair.ErrClosed) {
+		c.Header("Connection", "close")
 	}
 	reply := h.server.Serve(c.Request.Context(), r)
+	// The server keeps a write deadline across the requests of a connection.
+	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
+	_ = rc.SetWriteDeadline(h.writeBy(reply))
 	if reply.Outcome != azurestair.OutcomeDone {
 		h.writeError(c, r.ID, reply)
 		return
@@ -102,6 +112,16 @@
 	writeAnswer(c, reply)
 }
 
+// writeBy returns until when the caller must have read the answer. One that is
+// still being read from the upstream holds a slot there and gets no longer
+// than its deadline.
+func (h *handler) writeBy(r Reply) time.Time {
+	if r.Streamed {
+		return r.Deadline
+	}
+	return h.clock.Now().Add(h.bodyTimeout)
+}
+
 func (h *handler) parse(c *gin.Context) (*Request, error) {
 	q := c.Request
 	r := &Request{
--- a/caller/request.go
+++ b/caller/request.go
@@ -39,6 +39,10 @@
 	Body       io.ReadCloser
 	// Length is the length of the body, negative if unknown.
 	Length int64
+	// Streamed is true while the answer is still being read from the upstream,
+	// which ends at Deadline.
+	Streamed bool
+	Deadline time.Time
 	// Replayed is true for an answer from the ledger.
 	Replayed bool
 }
--- a/control/query.go
+++ b/control/query.go
@@ -11,6 +11,9 @@
 	Claim   *azurestair.ClaimQuery `cbor:"1,keyasint,omitempty"`
 	Audit   *AuditQuery            `cbor:"2,keyasint,omitempty"`
 	History bool                   `cbor:"3,keyasint,omitempty"`
+	// Instances asks for what the leader knows of the instances; it is newer
+	// than the published snapshots, which collect small changes.
+	Instances bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Validate checks the query.
@@ -29,6 +32,8 @@
 	Claim   *azurestair.ClaimRecord  `cbor:"1,keyasint,omitempty"`
 	Audit   []azurestair.AuditRecord `cbor:"2,keyasint,omitempty"`
 	History []ConfigRecord           `cbor:"3,keyasint,omitempty"`
+	// Instances is filled by the leader, which has the registry.
+	Instances []azurestair.InstanceInfo `cbor:"4,keyasint,omitempty"`
 }
 
 // Query reads parts of the state.
--- a/instance/attempt.go
+++ b/instance/attempt.go
@@ -99,6 +99,9 @@
 	now := c.entry.clock.Now()
 	tryCtx, cancel := context.WithCancel(ctx)
 	body, n := c.attemptBody()
+	if choice.Shift {
+		body = c.entry.links.paced(tryCtx, body, c.entry.self.Region, choice.Region)
+	}
 	t.next++
 	e := &try{tries: t, choice: choice, ctx: tryCtx, cancel: cancel, sent: now, attempt: upstream.Attempt{
 		ID:     azurestair.RequestID(string(c.req.ID) + "-" + strconv.Itoa(t.next)),
@@ -195,6 +198,9 @@
 	if e.answer.State != "" {
 		c.gate.confirm(e.choice.Upstream, e.answer.State)
 	}
+	if e.choice.Shift && e.answer.Body != nil {
+		e.answer.Body = c.entry.links.pacedBody(e.ctx, e.answer.Body, e.choice.Region, c.entry.self.Region)
+	}
 	switch {
 	case e.answer.Result == azurestair.AttemptDone && c.work.Idempotent:
 		e.readWhole()
@@ -254,6 +260,7 @@
 	if e.tries.call.req.Method == http.MethodHead {
 		r.Length = -1
 	}
+	r.Streamed, r.Deadline = true, e.tries.call.work.Deadline
 	r.Body = &closer{ReadCloser: e.answer.Body, done: func() {
 		e.settle(azurestair.AttemptDone)
 		e.cancel()
--- a/instance/claim.go
+++ b/instance/claim.go
@@ -13,6 +13,8 @@
 )
 
 const (
+	// answerReserve is kept of a request's time for the answer to the caller.
+	answerReserve = 10 * time.Millisecond
 	// recordWait bounds how long an answer waits until its outcome is recorded.
 	recordWait = 500 * time.Millisecond
 	// recordTimeout bounds the tries to record an outcome.
@@ -37,11 +39,13 @@
 	}
 	defer c.gate.release(c.work)
 	claim := c.claim()
-	res, err := c.entry.ledger.Propose(ctx, azurestair.Command{Claim: &claim})
+	claimCtx, cancel := context.WithDeadline(ctx, c.work.Deadline.Add(-answerReserve))
+	defer cancel()
+	res, err := c.entry.ledger.Propose(claimCtx, azurestair.Command{Claim: &claim})
 	if err != nil {
 		// The claim may still be accepted later; recording that it was not
 		// used lets another entry take over.
-		c.record(claim, azurestair.ClaimNotRun, nil)
+		c.startRecord(claim, azurestair.ClaimNotRun, nil)
 		return unknown(azurestair.ReasonLedgerUnreachable)
 	}
 	if res.Code != azurestair.ResultGranted {
@@ -157,6 +161,7 @@
 	rest := reply.Body
 	if len(data) <= bufferLimit {
 		_ = rest.Close()
+		reply.Streamed = false
 		reply.Body, reply.Length = io.NopCloser(bytes.NewReader(data)), int64(len(data))
 		return reply
 	}
@@ -183,8 +188,21 @@
 	return out
 }
 
-// record has the outcome of a claim recorded and waits for it for a short time.
+// record has the outcome of a claim recorded and waits for it for a short
+// time, within the caller's deadline.
 func (c *call) record(claim azurestair.Claim, state azurestair.ClaimState, a *azurestair.Answer) {
+	done := c.startRecord(claim, state, a)
+	left := c.work.Deadline.Sub(c.entry.clock.Now()) - answerReserve
+	t := time.NewTimer(max(0, min(recordWait, left)))
+	defer t.Stop()
+	select {
+	case <-done:
+	case <-t.C:
+	}
+}
+
+// startRecord has the outcome of a claim recorded; the channel is closed when it is.
+func (c *call) startRecord(claim azurestair.Claim, state azurestair.ClaimState, a *azurestair.Answer) <-chan struct{} {
 	r := &recorder{ledger: c.entry.ledger, done: make(chan struct{}), finish: azurestair.ClaimFinish{
 		Service: claim.Service, Key: claim.Key, Instance: claim.Instance, Incarnation: claim.Incarnation,
 		Attempt: claim.Attempt, State: state, Answer: a,
@@ -194,12 +212,7 @@
 		defer c.entry.inFlight.Add(-1)
 		r.run()
 	})
-	t := time.NewTimer(recordWait)
-	defer t.Stop()
-	select {
-	case <-r.done:
-	case <-t.C:
-	}
+	return r.done
 }
 
 // recorder records one outcome, with tries until recordTimeout.
--- a/instance/controller.go
+++ b/instance/controller.go
@@ -124,7 +124,7 @@
 		e.reply <- queryReply{err: err}
 		return
 	}
-	e.reply <- queryReply{result: c.replica.state.Query(e.query)}
+	e.reply <- queryReply{result: c.replica.query(e.query)}
 }
 
 func (e reportEvent) handle(c *Controller, now time.Time) {
@@ -160,6 +160,10 @@
 
 func (leaveEvent) handle(c *Controller, now time.Time) { c.member.leave(now) }
 
+func (e handOverEvent) handle(c *Controller, now time.Time) {
+	e.reply <- c.replica != nil && c.replica.handOver(now)
+}
+
 func (e statusEvent) handle(c *Controller, _ time.Time) {
 	if c.replica == nil {
 		e.reply <- ReplicaStatus{}
--- a/instance/entry.go
+++ b/instance/entry.go
@@ -33,6 +33,9 @@
 	ledger   Ledger
 	metrics  *meters
 	makeGate gateMaker
+	links    *links
+	// maxInFlight bounds the requests in progress; zero means no bound.
+	maxInFlight int64
 
 	view     atomic.Pointer[view]
 	gates    atomic.Pointer[map[azurestair.ServiceName]*gate]
@@ -139,7 +142,7 @@
 			out = append(out, h.Demand(shift, used, used+int64(overflow)))
 		}
 	}
-	return out
+	return append(out, e.links.demands(s, h, now)...)
 }
 
 // demandMargin is what an entry wants beyond its present use, so that a
--- a/instance/events.go
+++ b/instance/events.go
@@ -81,6 +81,10 @@
 // leaveEvent starts the departure of this instance.
 type leaveEvent struct{}
 
+// handOverEvent has a leader pass its leadership on; the reply says whether
+// this instance still leads with others to follow it.
+type handOverEvent struct{ reply chan<- bool }
+
 // statusEvent asks for the replica's status.
 type statusEvent struct{ reply chan<- ReplicaStatus }
 
--- a/instance/process.go
+++ b/instance/process.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
+	"golang.org/x/net/netutil"
 
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/admission"
@@ -123,10 +124,13 @@
 	if !s.Instance.Has(settings.RoleEntry) {
 		return nil
 	}
-	return &Entry{
+	e := &Entry{
 		self: selfOf(s, o.Clock.Now()), clock: o.Clock, log: log, metrics: m, ledger: client,
 		client: upstream.NewClient(o.DialUpstream, o.Clock), makeGate: weightedGate, ctx: context.Background(),
+		maxInFlight: int64(s.Limits.MaxRequestsInFlight),
 	}
+	e.links = &links{entry: e, meters: map[azurestair.Resource]*routing.LinkMeter{}}
+	return e
 }
 
 // weightedGate is the gate that the product uses.
@@ -137,7 +141,7 @@
 	}
 	shift := func(region azurestair.RegionName, inFlight azurestair.Slots, now time.Time) bool {
 		v := e.view.Load()
-		return v != nil && inFlight < v.shift(s, region, now)
+		return v != nil && inFlight < v.shift(s, region, now) && e.links.allows(v, region, now)
 	}
 	p := routing.NewWeighted(routing.Options{
 		Service: s, Region: e.self.Region, FailureDomain: e.self.FailureDomain,
@@ -309,7 +313,7 @@
 	if err := p.serveHTTP("upstreams", p.settings.Listen.Upstreams, announce); err != nil {
 		return err
 	}
-	return p.serveHTTP("callers", p.settings.Listen.Callers, caller.NewHandler(p.entry, p.options.Clock))
+	return p.serveHTTP("callers", p.settings.Listen.Callers, caller.NewHandler(p.entry, p.options.Clock, p.settings.Limits.BodyTimeoutMs.Duration()))
 }
 
 func (p *Process) serveHTTP(name, addr string, h http.Handler) error {
@@ -317,6 +321,9 @@
 	if err != nil {
 		return fmt.Errorf("listen for %s: %w", name, err)
 	}
+	if n := int(p.settings.Limits.MaxConns); n > 0 {
+		l = netutil.LimitListener(l, n)
+	}
 	s := caller.NewHTTPServer(h, caller.Limits{
 		MaxHeaderBytes: int(p.settings.Limits.MaxHeaderBytes),
 		HeaderTimeout:  p.settings.Limits.HeaderTimeoutMs.Duration(),
@@ -344,6 +351,7 @@
 			_ = s.Close()
 		}
 	}
+	p.handOver(grace)
 	p.cancel()
 	<-p.controller.stopped
 	p.closeReplica()
@@ -367,6 +375,30 @@
 	leaveNotice = 300 * time.Millisecond
 )
 
+// handOverPoll is how often a leaving leader looks whether another has taken over.
+const handOverPoll = 20 * time.Millisecond
+
+// handOver passes the leadership on, so that changes and claims need not wait
+// for an election.
+func (p *Process) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	ticker := time.NewTicker(handOverPoll)
+	defer ticker.Stop()
+	for p.transport != nil {
+		reply := make(chan bool, 1)
+		leads, err := ask(ctx, p.controller, handOverEvent{reply: reply}, reply)
+		if err != nil || !leads {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // leave returns when no caller should use this instance any more.
 func (p *Process) leave(ctx context.Context) {
 	if p.entry == nil {
--- a/instance/replica.go
+++ b/instance/replica.go
@@ -136,6 +136,15 @@
 	return nil
 }
 
+// query reads parts of the control state.
+func (r *Replica) query(q control.Query) control.QueryResult {
+	res := r.state.Query(q)
+	if q.Instances && r.registry != nil {
+		res.Instances = r.registry.Instances()
+	}
+	return res
+}
+
 // settle writes, sends and applies what is due, and publishes the result.
 func (r *Replica) settle(now time.Time, m *Member) error {
 	r.node.Tick(now)
@@ -285,14 +294,15 @@
 	if r.leading != term {
 		r.leading = term
 		r.registry = &control.Registry{}
-		if held == nil && r.state.Config().Version == 0 {
-			// Without a configuration no predecessor can have listed anything.
+		r.publisher = &control.Publisher{}
+		r.allocator = &control.Allocator{}
+		if r.state.Config().Version == 0 {
+			// Without a configuration no predecessor can have listed or leased anything.
 			held = &azurestair.Snapshot{}
+		} else {
+			r.allocator.Quiet(now.Add(control.LeaseTTL))
 		}
 		r.registry.Seed(held, now)
-		r.publisher = &control.Publisher{}
-		r.allocator = &control.Allocator{}
-		r.allocator.Quiet(now.Add(control.LeaseTTL))
 		r.allocator.Inherit(inherited)
 		r.limited = nil
 		r.log.Info("leading", "term", term, "commit", r.state.Applied())
@@ -405,6 +415,25 @@
 	return nil
 }
 
+// handOver passes the leadership to the follower that has most of the log. It
+// returns false when there is nothing to pass on.
+func (r *Replica) handOver(now time.Time) bool {
+	st := r.node.Status()
+	if !r.node.IsLeader() || len(st.Membership.Voters) < 2 {
+		return false
+	}
+	var best raft.FollowerStatus
+	for _, f := range st.Followers {
+		if !f.Learner && f.Match >= best.Match {
+			best = f
+		}
+	}
+	if err := r.node.TransferLeadership(best.ID, now); err != nil {
+		r.log.Debug("leadership not passed on", "to", best.ID, "err", err)
+	}
+	return true
+}
+
 func (r *Replica) nextDeadline() time.Time {
 	next := r.node.NextDeadline()
 	if r.registry != nil && r.node.IsLeader() {
--- a/instance/serve.go
+++ b/instance/serve.go
@@ -31,10 +31,15 @@
 
 // Serve handles a request until its reply is known.
 func (e *Entry) Serve(ctx context.Context, r *caller.Request) caller.Reply {
-	e.inFlight.Add(1)
-	defer e.inFlight.Add(-1)
+	n := e.inFlight.Add(1)
 	started := e.clock.Now()
-	reply := e.serve(ctx, r, started)
+	var reply caller.Reply
+	if e.maxInFlight > 0 && n > e.maxInFlight {
+		reply = unkeyedRefusal(r, azurestair.ReasonQueueFull)
+	} else {
+		reply = e.serve(ctx, r, started)
+	}
+	reply = releaseOnClose(reply, func() { e.inFlight.Add(-1) })
 	e.metrics.reply(reply, e.clock.Now().Sub(started))
 	if reply.Outcome != azurestair.OutcomeDone {
 		e.log.Info("request not done", "request", r.ID, "service", r.Service, "operation", r.Operation,
@@ -61,8 +66,7 @@
 	if op.Idempotent {
 		return releaseOnClose(c.serveIdempotent(ctx), cancel)
 	}
-	defer cancel()
-	return c.serveOnce(ctx)
+	return releaseOnClose(c.serveOnce(ctx), cancel)
 }
 
 // deadlineOf returns the caller's deadline, at most the operation's timeout from now.
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -235,7 +235,9 @@
 	ticker := time.NewTicker(pollEvery)
 	defer ticker.Stop()
 	for {
-		in, out = inForce(h.backend.Status(ctx).Instances, v)
+		if res, err := h.backend.Query(ctx, control.Query{Instances: true}); err == nil {
+			in, out = inForce(res.Instances, v)
+		}
 		if (len(out) == 0 && len(in) > 0) || h.clock.Now().After(deadline) {
 			return in, out
 		}
