--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -111,3 +111,82 @@
 	},
 	Entry("at 1 slot", 1), Entry("at 5 slots", 5), Entry("at 40 slots", 40),
 )
+
+// Guards against a caller that shares its bucket with a greedy one for ever.
+var _ = It("gives callers other buckets after an interval", func() {
+	streams := []stream{interactive(20)}
+	streams[0].name, streams[0].callers = "greedy", 1
+	for i := range 8 {
+		st := interactive(0.05)
+		st.name, st.callers = fmt.Sprintf("other%d", i), 1
+		streams = append(streams, st)
+	}
+	least := func(interval time.Duration) float64 {
+		a := admission.New(admission.Options{QueueLimit: queueLimit, Buckets: 4, ResaltInterval: interval})
+		worst := 1.0
+		for _, t := range simulate(a, 4, 40*time.Second, streams...)[1:] {
+			worst = min(worst, t.share())
+		}
+		return worst
+	}
+	Expect(least(time.Hour)).To(BeNumerically("<", 0.1), "no collision to resolve")
+	Expect(least(time.Second)).To(BeNumerically(">", 0.4))
+})
+
+var _ = Describe("a queued request", func() {
+	var a *admission.Admitter
+	work := azurestair.Work{Rank: azurestair.RankDeferred, Caller: "c", Deadline: epoch.Add(time.Second)}
+
+	BeforeEach(func() {
+		a = admission.New(admission.Options{ServiceTime: 100 * time.Millisecond})
+	})
+
+	expectEvent := func(now time.Time, want azurestair.AdmitEvent) {
+		GinkgoHelper()
+		Expect(a.Events(now)).To(Equal([]azurestair.AdmitEvent{want}))
+		Expect(a.Events(now)).To(BeEmpty())
+	}
+
+	// Guards against work that waits for a deadline that it can no longer meet.
+	It("is refused when the expected service time no longer fits", func() {
+		a.Offer(1, work, epoch)
+		due := work.Deadline.Add(-200 * time.Millisecond)
+		Expect(a.NextDeadline()).To(Equal(due))
+		Expect(a.Events(due.Add(-1))).To(BeEmpty())
+		expectEvent(due, azurestair.AdmitEvent{ID: 1, Admission: azurestair.Refused, Reason: azurestair.ReasonDeadline})
+		Expect(a.NextDeadline()).To(BeZero())
+	})
+
+	It("is admitted when slots are added", func() {
+		a.Offer(1, work, epoch)
+		a.SetSlots(1, epoch)
+		expectEvent(epoch, azurestair.AdmitEvent{ID: 1, Admission: azurestair.Admitted})
+	})
+
+	// Guards against slots that a shrink would free while work still runs.
+	It("waits until work in progress is below a smaller number of slots", func() {
+		a.SetSlots(2, epoch)
+		a.Offer(1, work, epoch)
+		a.Offer(2, work, epoch)
+		a.SetSlots(1, epoch)
+		a.Offer(3, work, epoch)
+		a.Release(work, epoch)
+		Expect(a.Events(epoch)).To(BeEmpty())
+		a.Release(work, epoch)
+		expectEvent(epoch, azurestair.AdmitEvent{ID: 3, Admission: azurestair.Admitted})
+	})
+
+	// Guards against newcomers that lose their place to a flooding caller.
+	It("gives way in a full queue to a caller with fewer requests", func() {
+		a.Configure(azurestair.Defaults{QueueLimit: 2}, epoch)
+		a.Offer(1, work, epoch)
+		a.Offer(2, work, epoch)
+		other := work
+		other.Caller = "other"
+		got, _ := a.Offer(3, other, epoch)
+		Expect(got).To(Equal(azurestair.Queued))
+		expectEvent(epoch, azurestair.AdmitEvent{ID: 2, Admission: azurestair.Refused, Reason: azurestair.ReasonCallerShare})
+		_, reason := a.Offer(4, work, epoch)
+		Expect(reason).To(Equal(azurestair.ReasonCallerShare))
+	})
+})
--- /dev/null
+++ b/admission/order_test.go
@@ -0,0 +1,189 @@
+package admission_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/admission"
+)
+
+// calls makes random calls and tracks what each request was told.
+type calls struct {
+	a       *admission.Admitter
+	rand    *rand.Rand
+	now     time.Time
+	slots   int
+	limit   int
+	nextID  azurestair.WorkID
+	queued  map[azurestair.WorkID]azurestair.Work
+	running []azurestair.Work
+}
+
+func newCalls(seed uint64) *calls {
+	c := &calls{rand: rand.New(rand.NewPCG(seed, 1)), now: epoch, limit: 8, queued: map[azurestair.WorkID]azurestair.Work{}}
+	c.a = admission.New(admission.Options{QueueLimit: c.limit, Buckets: 4, ResaltInterval: time.Second})
+	return c
+}
+
+func (c *calls) work() azurestair.Work {
+	w := azurestair.Work{
+		Rank:   azurestair.Rank(c.rand.IntN(azurestair.NumRanks)),
+		Caller: azurestair.CallerID(fmt.Sprint(c.rand.IntN(9))),
+	}
+	if c.rand.IntN(4) > 0 {
+		w.Deadline = c.now.Add(time.Duration(c.rand.IntN(400)-20) * time.Millisecond)
+	}
+	return w
+}
+
+func (c *calls) offer() {
+	c.nextID++
+	w := c.work()
+	got, reason := c.a.Offer(c.nextID, w, c.now)
+	Expect(got == azurestair.Refused).To(Equal(reason != azurestair.ReasonNone))
+	c.settle(c.nextID, w, got)
+}
+
+func (c *calls) release() {
+	if len(c.running) == 0 {
+		return
+	}
+	i := c.rand.IntN(len(c.running))
+	c.a.Release(c.running[i], c.now)
+	c.running = append(c.running[:i], c.running[i+1:]...)
+}
+
+// withdraw cancels a request that may have been decided, or is unknown.
+func (c *calls) withdraw() {
+	c.collect()
+	id := azurestair.WorkID(c.rand.IntN(int(c.nextID) + 2))
+	c.a.Cancel(id, c.now)
+	delete(c.queued, id)
+}
+
+func (c *calls) resize() {
+	c.collect()
+	c.slots = c.rand.IntN(13)
+	c.a.SetSlots(azurestair.Slots(c.slots), c.now)
+}
+
+func (c *calls) reconfigure() {
+	c.limit = 1 + c.rand.IntN(8)
+	c.a.Configure(azurestair.Defaults{QueueLimit: c.limit}, c.now)
+}
+
+// repeat offers again what already waits.
+func (c *calls) repeat() {
+	c.collect()
+	for id, w := range c.queued {
+		got, _ := c.a.Offer(id, w, c.now)
+		Expect(got).To(Equal(azurestair.Queued))
+	}
+}
+
+func (c *calls) step() {
+	running := c.inProgress()
+	switch n := c.rand.IntN(40); {
+	case n < 20:
+		c.offer()
+	case n < 32:
+		c.release()
+	case n < 34:
+		c.withdraw()
+	case n < 35:
+		c.resize()
+	case n < 36:
+		c.reconfigure()
+	case n < 37:
+		c.repeat()
+	default:
+		c.now = c.now.Add(time.Duration(c.rand.IntN(50)) * time.Millisecond)
+	}
+	Expect(c.inProgress()).To(BeNumerically("<=", max(c.slots, running)))
+	if c.rand.IntN(3) > 0 {
+		c.collect()
+		c.expectConsistent()
+	}
+}
+
+func (c *calls) inProgress() int {
+	sum := 0
+	for _, r := range c.a.Counts().Ranks {
+		sum += r.InProgress
+	}
+	return sum
+}
+
+// expectConsistent checks the invariants that hold once all events are collected.
+func (c *calls) expectConsistent() {
+	GinkgoHelper()
+	counts := c.a.Counts()
+	waiting, lower := 0, 0
+	for r, n := range counts.Ranks {
+		refused := n.RefusedDeadline + n.RefusedQueueFull + n.RefusedCallerShare
+		Expect(n.Offered).To(Equal(n.Admitted + n.Cancelled + refused + uint64(n.Waiting)))
+		Expect(n.Waiting).To(BeNumerically("<=", c.limit))
+		waiting += n.Waiting
+		if azurestair.Rank(r) != azurestair.RankUrgent {
+			lower += n.InProgress
+		}
+	}
+	Expect(c.inProgress()).To(Equal(len(c.running)))
+	Expect(waiting).To(Equal(len(c.queued)))
+	if next := c.a.NextDeadline(); !next.IsZero() {
+		Expect(next).To(BeTemporally(">", c.now))
+	}
+	if c.inProgress() < c.slots {
+		Expect(counts.Ranks[azurestair.RankUrgent].Waiting).To(BeZero(), "urgent work waits beside a free slot")
+		Expect(waiting == 0 || lower >= c.slots-int(counts.Reserve)).To(BeTrue(), "work waits beside a free slot")
+	}
+}
+
+func (c *calls) settle(id azurestair.WorkID, w azurestair.Work, got azurestair.Admission) {
+	switch got {
+	case azurestair.Admitted:
+		c.running = append(c.running, w)
+	case azurestair.Queued:
+		c.queued[id] = w
+	}
+}
+
+func (c *calls) collect() {
+	GinkgoHelper()
+	for _, e := range c.a.Events(c.now) {
+		Expect(c.queued).To(HaveKey(e.ID), "an event for a request that does not wait")
+		w := c.queued[e.ID]
+		delete(c.queued, e.ID)
+		Expect(e.Admission).NotTo(Equal(azurestair.Queued))
+		Expect(e.Admission == azurestair.Refused).To(Equal(e.Reason != azurestair.ReasonNone))
+		c.settle(e.ID, w, e.Admission)
+	}
+}
+
+// Guards against lost or doubled decisions, leaked slots and idle slots under
+// any order of calls, with salts that change in between.
+var _ = DescribeTable("random calls keep the invariants",
+	func(first uint64) {
+		for seed := first; seed < first+50; seed++ {
+			c := newCalls(seed)
+			for range 1_000 {
+				c.step()
+			}
+			c.a.SetSlots(1_000, c.now)
+			c.collect()
+			Expect(c.queued).To(BeEmpty())
+			for len(c.running) > 0 {
+				c.release()
+			}
+			Expect(c.inProgress()).To(BeZero())
+			c.a.Release(azurestair.Work{}, c.now)
+			Expect(c.inProgress()).To(BeZero())
+		}
+	},
+	Entry("seeds from 1", uint64(1)), Entry("seeds from 1001", uint64(1001)),
+)
