--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -97,7 +97,7 @@
 
 // Guards against a caller that takes the capacity of the others.
 var _ = DescribeTable("one caller at 100 times its fair share",
-	func(slots int) {
+	func(slots int, service time.Duration) {
 		const callers = 20
 		// The fair share is a part of the slots that interactive work may use.
 		a := admission.New(admission.Options{})
@@ -105,11 +105,15 @@
 		fair := 1 - float64(a.Counts().Reserve)/float64(slots)
 		others, greedy := interactive(0.9*fair*(callers-1)/callers), interactive(100*fair/callers)
 		others.name, others.callers = "others", callers-1
-		greedy.name, greedy.callers = "greedy", 1
+		greedy.name, greedy.callers, greedy.service = "greedy", 1, service
 		got, _ := compare(slots, others, greedy)
 		Expect(got[0].share()).To(BeNumerically(">=", 0.95))
 	},
-	Entry("at 1 slot", 1), Entry("at 5 slots", 5), Entry("at 40 slots", 40),
+	Entry("at 1 slot", 1, 20*time.Millisecond),
+	Entry("at 5 slots", 5, 20*time.Millisecond),
+	Entry("at 40 slots", 40, 20*time.Millisecond),
+	// Equal turns would let the greedy caller hold most slots for long.
+	Entry("with long work at 40 slots", 40, 200*time.Millisecond),
 )
 
 // Guards against a caller that shares its bucket with a greedy one for ever.
