--- /dev/null
+++ b/settings/fuzz_test.go
@@ -0,0 +1,69 @@
+package settings_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/settings"
+)
+
+func addSeeds(f *testing.F, pattern string) {
+	paths, err := filepath.Glob(pattern)
+	if err != nil || len(paths) == 0 {
+		f.Fatalf("no seeds for %s: %v", pattern, err)
+	}
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	for _, s := range []string{"", "[", "a.b.c = {x = [1, {}]}", "[[a]]\n[a.b]\nc = '''x'''", "\"\\u0000\" = 1", "x = 1979-05-27"} {
+		f.Add([]byte(s))
+	}
+}
+
+// checkFaults fails the test unless err consists of faults with a place in the file.
+func checkFaults(t *testing.T, data []byte, err error) {
+	var faults settings.Errors
+	if !errors.As(err, &faults) || len(faults) == 0 || !errors.Is(err, azurestair.ErrInvalid) {
+		t.Fatalf("error without faults: %v", err)
+	}
+	lines := strings.Count(string(data), "\n") + 1
+	for _, e := range faults {
+		if e.File != "f.toml" || e.Line < 1 || e.Line > lines || e.Detail == "" {
+			t.Fatalf("fault without a place in %d lines: %+v", lines, e)
+		}
+	}
+}
+
+// FuzzParse guards against panics and faults without a place.
+func FuzzParse(f *testing.F) {
+	addSeeds(f, "../examples/*/entry-*.toml")
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if _, err := settings.Parse("f.toml", data); err != nil {
+			checkFaults(t, data, err)
+		}
+	})
+}
+
+// FuzzParseFleet guards also against a configuration that the control
+// instances would refuse.
+func FuzzParseFleet(f *testing.F) {
+	addSeeds(f, "../examples/*/fleet.toml")
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c, err := settings.ParseFleet("f.toml", data)
+		if err != nil {
+			checkFaults(t, data, err)
+			return
+		}
+		if err := c.Validate(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -26,7 +26,7 @@
 type Role string
 
 const (
-	// RoleEntry answers look-ups and forwards requests.
+	// RoleEntry answers lookups and forwards requests.
 	RoleEntry Role = "entry"
 	// RoleControl replicates the log.
 	RoleControl Role = "control"
@@ -161,7 +161,7 @@
 			HeaderTimeoutMs:     5_000,
 			BodyTimeoutMs:       30_000,
 			IdleTimeoutMs:       60_000,
-			// Longer than the default look-up time to live and the usual request together.
+			// Longer than the default lookup time to live and the usual request together.
 			ShutdownGraceMs: 20_000,
 		},
 		Log: Log{Level: "info", Format: LogFormat},
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"reflect"
 	"regexp"
 	"strings"
 	"testing"
@@ -173,6 +174,37 @@
 		Expect(listed("Settings of a process")).To(Equal(settings.Keys()))
 	})
 
+	// Guards against defaults on the page that the code does not have.
+	expectDefaults := func(table string, defaults any) {
+		GinkgoHelper()
+		page := content("../docs/SETTINGS.md")
+		v := reflect.ValueOf(defaults)
+		for i := range v.NumField() {
+			key, want := v.Type().Field(i).Tag.Get("toml"), strings.ReplaceAll(fmt.Sprint(v.Field(i)), " ", ", ")
+			Expect(page).To(MatchRegexp("`%s\\.%s` \\| [^|]+ \\| %s \\|", table, key, regexp.QuoteMeta(want)))
+		}
+	}
+
+	It("gives the defaults of the code", func() {
+		expectDefaults("limits", settings.Default().Limits)
+		expectDefaults("log", settings.Default().Log)
+		expectDefaults("defaults", azurestair.Defaults{}.WithDefaults())
+	})
+
+	It("gives the limits of the code", func() {
+		page := content("../docs/SETTINGS.md")
+		for _, key := range settings.Keys() {
+			name, isLimit := strings.CutPrefix(key, "limits.")
+			if !isLimit {
+				continue
+			}
+			_, err := settings.Parse("f.toml", []byte("[limits]\n"+name+" = -1"))
+			allowed := regexp.MustCompile(regexp.QuoteMeta(key) + `: is -1; allowed are (\d+ to \d+)`).FindStringSubmatch(err.Error())
+			Expect(allowed).NotTo(BeNil(), err.Error())
+			Expect(page).To(MatchRegexp("`%s` .* \\| %s \\|", regexp.QuoteMeta(key), allowed[1]))
+		}
+	})
+
 	It("lists the keys of the fleet configuration", func() {
 		Expect(listed("Fleet configuration")).To(Equal(settings.FleetKeys()))
 	})
