--- a/disk/bench_test.go
+++ b/disk/bench_test.go
@@ -78,6 +78,20 @@
 	}
 }
 
+// BenchmarkSaveSnapshot stores a snapshot as large as that of a full ledger.
+func BenchmarkSaveSnapshot(b *testing.B) {
+	s, _ := benchStore(b)
+	data := make([]byte, 40<<20)
+	meta := azurestair.SnapshotMeta{Term: 1, Membership: members}
+	for b.Loop() {
+		meta.Index++
+		if err := s.SaveSnapshot(meta, data); err != nil {
+			b.Fatal(err)
+		}
+	}
+	_ = s.Close()
+}
+
 // configOf returns a change like that of a real fleet: 3 services, 3 regions, 6 domains.
 func configOf(n int) azurestair.Command {
 	c := azurestair.Config{Defaults: azurestair.Defaults{QueueLimit: n + 1}}
--- a/disk/fault_test.go
+++ b/disk/fault_test.go
@@ -16,6 +16,16 @@
 // inode is a file's content as programs see it and as it survives a crash.
 type inode struct {
 	data, durable []byte
+	// lostFrom and lostTo bound content whose sync failed. Programs still read
+	// it, but no later sync writes it, as the page cache counts it as clean.
+	lostFrom, lostTo int
+}
+
+// stored returns the content as a sync writes it.
+func (n *inode) stored() []byte {
+	data := slices.Clone(n.data)
+	clear(data[min(n.lostFrom, len(data)):min(n.lostTo, len(data))])
+	return data
 }
 
 // simDisk implements files in memory. Content counts as durable after a sync
@@ -96,6 +106,12 @@
 	return nil
 }
 
+// restart ends the faults, as when the process is started again.
+func (d *simDisk) restart() *simDisk {
+	d.failAt = 0
+	return d
+}
+
 // crash returns what is left after a crash: any of the unsynced changes of
 // names, and any part of the unsynced content.
 func (d *simDisk) crash() *simDisk {
@@ -108,7 +124,7 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(names)) {
 		data := d.settle(names[name])
-		left.names[name] = &inode{data, slices.Clone(data)}
+		left.names[name] = &inode{data: data, durable: slices.Clone(data)}
 	}
 	left.durable = maps.Clone(left.names)
 	return left
@@ -117,7 +133,7 @@
 func (d *simDisk) settle(n *inode) []byte {
 	synced := min(len(n.durable), len(n.data))
 	unsynced := len(n.data) - synced
-	data := slices.Clone(n.data)
+	data := n.stored()
 	switch d.rng.IntN(4) {
 	case 0:
 		return slices.Clone(n.durable)
@@ -152,19 +168,13 @@
 	return n, err
 }
 
-func (f *simFile) Truncate(size int64) error {
-	if err := f.disk.step(); err != nil {
-		return err
-	}
-	f.node.data = f.node.data[:size:size]
-	return nil
-}
-
 func (f *simFile) Sync() error {
+	n := f.node
 	if err := f.disk.step(); err != nil {
+		n.lostFrom, n.lostTo = len(n.durable), len(n.data)
 		return err
 	}
-	f.node.durable = slices.Clone(f.node.data)
+	n.durable = n.stored()
 	return nil
 }
 
--- a/disk/files.go
+++ b/disk/files.go
@@ -38,7 +38,6 @@
 // file is a file that is open for appending.
 type file interface {
 	io.WriteCloser
-	Truncate(size int64) error
 	Sync() error
 }
 
--- a/disk/open.go
+++ b/disk/open.go
@@ -107,8 +107,10 @@
 	return 0, corrupt(segmentName(numbers[0]), 0, "the segments before it are missing")
 }
 
-// readSegment reads a segment. It cuts the torn end of the last one and opens
-// it to append.
+// readSegment reads a segment. It writes the valid part of the last one anew
+// and opens it to append: after a failed sync and a restart of the process the
+// page cache may hold records that are not on the disk and that no further
+// sync of the same file writes.
 func (s *Store) readSegment(number uint64) ([]record, error) {
 	name := segmentName(number)
 	data, err := s.fs.read(name, maxSegmentBytes)
@@ -120,17 +122,12 @@
 	if err != nil || !last {
 		return records, err
 	}
-	s.size = int64(valid)
-	if s.segment, err = s.fs.open(name); err != nil {
+	if err := writeAtomic(s.fs, name, data[:valid]); err != nil {
 		return nil, err
 	}
-	if valid == len(data) {
-		return records, nil
-	}
-	if err := s.segment.Truncate(s.size); err != nil {
-		return nil, err
-	}
-	return records, s.segment.Sync()
+	s.size = int64(valid)
+	s.segment, err = s.fs.open(name)
+	return records, err
 }
 
 func (s *Store) replay(segments [][]record) error {
--- a/disk/store.go
+++ b/disk/store.go
@@ -11,9 +11,12 @@
 // state and the entries behind the snapshot.
 //
 // A torn record at the end of the last segment was never acknowledged and is
-// cut. Every other bad record is an error. After a failed write or sync the
-// content of the page cache is not known, therefore the store refuses all
-// further calls.
+// cut. Every other bad record is an error. A bad last record that was
+// acknowledged and then damaged cannot be told from a torn one.
+//
+// After a failed write or sync it is not known what the disk holds, therefore
+// the store refuses all further calls, and the next Open writes the last
+// segment anew.
 package disk
 
 import (
--- a/disk/store_test.go
+++ b/disk/store_test.go
@@ -133,7 +133,7 @@
 }
 
 // faultAt runs the workload with a fault at a step; it reports whether the step was reached.
-func faultAt(seed uint64, step int, halt bool) bool {
+func faultAt(seed uint64, step int, halt, restart bool) bool {
 	GinkgoHelper()
 	By(fmt.Sprint("seed ", seed, " step ", step))
 	d := newSimDisk(seed)
@@ -156,6 +156,14 @@
 	Expect(s.Append(azurestair.HardState{Term: 99}, nil)).To(MatchError(err))
 	Expect(s.SaveSnapshot(azurestair.SnapshotMeta{Index: 99, Term: 99, Membership: members}, nil)).To(MatchError(err))
 	Expect(d.steps).To(Equal(before), "a store that failed must not touch the disk again")
+	if restart {
+		// What the log holds after a restart of the process must survive a later
+		// loss of power, because the replica acts on it.
+		_, state, err := open(d.restart(), me, smallFolder)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(plain(state)).To(Or(Equal(plain(w.acked)), Equal(plain(w.next))))
+		w.acked, w.next = state, state
+	}
 	expectRecovered(d.crash(), w)
 	return true
 }
@@ -163,17 +171,19 @@
 var _ = Describe("faults", func() {
 	// Guards against votes and entries that are lost after they were acknowledged.
 	DescribeTable("lose nothing that was acknowledged, at every step",
-		func(halt bool) {
+		func(halt, restart bool) {
 			for seed := range uint64(20) {
 				step := 1
-				for faultAt(seed, step, halt) {
+				for faultAt(seed, step, halt, restart) {
 					step++
 				}
 				Expect(step).To(BeNumerically(">", 60))
 			}
 		},
-		Entry("crash", true),
-		Entry("failed or short call", false),
+		Entry("crash", true, false),
+		Entry("failed or short call", false, false),
+		Entry("crash after a restart of the process", true, true),
+		Entry("failed or short call, restart of the process, crash", false, true),
 	)
 })
 
@@ -247,6 +257,19 @@
 		expectEntries(d, 1)
 	})
 
+	// Guards against a log without the entries that replaced older ones.
+	It("refuses a gap between segments", func() {
+		d, _ := written(4)
+		s, _, err := open(d, me, 1)
+		Expect(err).NotTo(HaveOccurred())
+		for i, first := range []azurestair.Index{3, 5, 6} {
+			hard := azurestair.HardState{Term: 2, Commit: azurestair.Index(i)}
+			Expect(s.Append(hard, entriesFrom(first, 2, 2))).To(Succeed())
+		}
+		delete(d.names, segmentName(2))
+		expectCorrupt(d, segmentName(2))
+	})
+
 	It("refuses a missing segment and a missing snapshot", func() {
 		d := newSimDisk(5)
 		w := &workload{rng: rand.New(rand.NewPCG(5, 4))}
