--- a/raft/append.go
+++ b/raft/append.go
@@ -135,5 +135,4 @@
 		return
 	}
 	n.commitTo(i)
-	n.leaveIfRemoved()
 }
--- a/raft/doc.go
+++ b/raft/doc.go
@@ -20,6 +20,6 @@
 // appended. On first start each initial voter creates the same first entry,
 // which holds the initial membership, so that the log alone defines it. A
 // replica that starts empty and without an initial membership is joining: it
-// neither votes nor campaigns before a committed membership lists it as a
-// learner, because it may be a voter that lost its disk and with it its votes.
+// neither votes nor campaigns before its stored log lists it as a learner,
+// because it may be a voter that lost its disk and with it its votes.
 package raft
--- a/raft/election.go
+++ b/raft/election.go
@@ -24,11 +24,23 @@
 	n.electionDeadline = n.now.Add(t/4 + n.randomBelow(t/2))
 }
 
-// electable reports whether the replica may vote and campaign.
+// electable reports whether the replica may campaign.
 func (n *Node) electable() bool {
 	return !n.joining && n.isVoter(n.opts.ID)
 }
 
+// mayVote reports whether the replica may answer a candidate. Candidates ask
+// only voters. A learner therefore refuses, except if the candidate's log is
+// ahead of its own: that log holds its promotion, and without its vote a
+// leader that stops right after it appended the promotion may never return.
+func (n *Node) mayVote(m azurestair.RaftMessage) bool {
+	if n.joining {
+		return false
+	}
+	ahead := n.log.upToDate(m.PrevIndex, m.PrevTerm) && !n.log.matches(m.PrevIndex, m.PrevTerm)
+	return n.isVoter(n.opts.ID) || (n.isMember(n.opts.ID) && ahead)
+}
+
 func (n *Node) preCampaign() {
 	n.role, n.leader, n.transferVote = RolePreCandidate, "", false
 	n.votes = map[azurestair.InstanceID]bool{n.opts.ID: true}
@@ -71,7 +83,7 @@
 // handlePreVote answers whether a vote in the named term would be granted. It
 // changes nothing, so the answer needs no storing.
 func (n *Node) handlePreVote(m azurestair.RaftMessage) {
-	if !n.electable() {
+	if !n.mayVote(m) {
 		return
 	}
 	reply := azurestair.RaftMessage{Kind: azurestair.RaftPreVoteReply, To: m.From, Term: m.Term}
@@ -84,7 +96,7 @@
 // handleVote grants or refuses a vote. While the replica hears a leader it
 // does not even take over the newer term, unless the leader asked for the vote.
 func (n *Node) handleVote(m azurestair.RaftMessage) {
-	if !n.electable() {
+	if !n.mayVote(m) {
 		return
 	}
 	if m.Term > n.term {
--- a/raft/membership.go
+++ b/raft/membership.go
@@ -76,10 +76,13 @@
 	n.configs = slices.Clone(n.configs[k:])
 }
 
-// updateJoining ends the joining of a replica that is listed as a learner.
+// updateJoining ends the joining of a replica once its stored log lists it as
+// a learner. A lost voter is added as a learner only after its removal was
+// committed, so from then on its log refuses every candidate that still counts
+// on the lost vote.
 func (n *Node) updateJoining() {
 	for _, c := range n.configs {
-		if n.joining && c.index <= n.log.commit && slices.Contains(c.membership.Learners, n.opts.ID) {
+		if n.joining && c.index <= n.log.stored && slices.Contains(c.membership.Learners, n.opts.ID) {
 			n.joining = false
 		}
 	}
@@ -133,9 +136,6 @@
 	if action == azurestair.MemberPromote {
 		m.Voters = append(m.Voters, id)
 	}
-	if len(m.Voters) == 0 {
-		return m, fmt.Errorf("%w: the last voter cannot be removed", azurestair.ErrConflict)
-	}
 	return m, nil
 }
 
@@ -164,6 +164,11 @@
 		if !n.isMember(id) {
 			return fmt.Errorf("%w: %s is not a member", azurestair.ErrNotFound, id)
 		}
+		if id == n.opts.ID {
+			// A leader that alone holds its own removal would neither stand
+			// for election nor grant a vote, and two voters would be stuck.
+			return fmt.Errorf("%w: %s leads; transfer the leadership before its removal", azurestair.ErrConflict, id)
+		}
 	default:
 		return fmt.Errorf("%w: member action %q", azurestair.ErrInvalid, action)
 	}
@@ -178,9 +183,14 @@
 	return p != nil && n.now.Before(p.ackedAt.Add(n.opts.ElectionTimeout))
 }
 
+// caughtUp reports whether a learner may get its vote. It must have stored the
+// membership that lists it as a learner, because without it it never votes.
 func (n *Node) caughtUp(id azurestair.InstanceID) bool {
 	p := n.peer(id)
-	return p != nil && n.isLive(id) && p.state == ProgressReplicate && p.match+promoteLag >= n.log.last()
+	if p == nil || !n.isLive(id) || p.state != ProgressReplicate {
+		return false
+	}
+	return p.match >= n.configs[len(n.configs)-1].index && p.match+promoteLag >= n.log.last()
 }
 
 func (n *Node) hasLiveMajority(m azurestair.Membership) bool {
@@ -211,24 +221,6 @@
 	n.lead.peers = peers
 }
 
-// leaveIfRemoved ends the leadership once the leader's own removal is
-// committed, and lets the follower that lacks least campaign without delay.
-func (n *Node) leaveIfRemoved() {
-	if n.isVoter(n.opts.ID) || n.configs[len(n.configs)-1].index > n.log.commit {
-		return
-	}
-	var best *progress
-	for _, p := range n.lead.peers {
-		if !p.learner && (best == nil || p.match > best.match) {
-			best = p
-		}
-	}
-	if best != nil {
-		n.send(azurestair.RaftMessage{Kind: azurestair.RaftTimeoutNow, To: best.id})
-	}
-	n.becomeFollower(n.term, "")
-}
-
 // TransferLeadership hands the leadership to another voter. Until the transfer
 // ends, the leader takes no proposals and holds no lease. A transfer that
 // cannot bring the target up to date within an election timeout is given up.
--- a/raft/node.go
+++ b/raft/node.go
@@ -311,7 +311,6 @@
 		}
 	}
 	n.log.commit = i
-	n.updateJoining()
 }
 
 func (n *Node) send(m azurestair.RaftMessage) {
--- a/raft/ready.go
+++ b/raft/ready.go
@@ -109,6 +109,7 @@
 	if len(o.outstanding) == 0 {
 		o.outstanding = nil
 	}
+	n.updateJoining()
 	if n.role == RoleLeader {
 		n.advanceCommit()
 		n.continueTransfer()
--- a/raft/snapshot.go
+++ b/raft/snapshot.go
@@ -101,7 +101,6 @@
 		n.output.before = append(n.output.before, n.log.restore(s)...)
 		n.output.snapshot, n.output.restore = s, true
 		n.configs = []config{{index: s.Meta.Index, membership: s.Meta.Membership}}
-		n.updateJoining()
 	}
 	n.sendAfterStore(azurestair.RaftMessage{
 		Kind: azurestair.RaftSnapshotReply, To: from, PrevIndex: s.Meta.Index, Match: n.log.commit,
