--- a/retry/budget.go
+++ b/retry/budget.go
@@ -1,6 +1,10 @@
 package retry
 
-import "azurestair.example/azurestair"
+import (
+	"time"
+
+	"azurestair.example/azurestair"
+)
 
 const (
 	// DefaultPercent is the share of requests that may be retried.
@@ -23,6 +27,34 @@
 
 	// used is what is missing from a full bucket, in hundredths of a token.
 	used int
+	// saturatedAt is when the upstreams last had no room.
+	saturatedAt time.Time
+}
+
+// hedgePause is how long no hedge is sent after the upstreams had no room. A
+// hedge then takes a slot from a request that has none yet.
+const hedgePause = time.Second
+
+// Saturated notes that a request found no upstream with room. Next notes
+// load-shedding answers itself.
+func (b *Budget) Saturated(now time.Time) { b.saturatedAt = now }
+
+// spendHedge takes a token for a hedge. Half of the burst is kept for retries.
+func (b *Budget) spendHedge(now time.Time) bool {
+	if !b.saturatedAt.IsZero() && now.Sub(b.saturatedAt) < hedgePause {
+		return false
+	}
+	if !b.Unlimited && b.Left() <= b.burst()/2 {
+		return false
+	}
+	return b.Spend()
+}
+
+func (b *Budget) burst() int {
+	if b.Burst == 0 {
+		return DefaultBurst
+	}
+	return b.Burst
 }
 
 // Request adds the share of one request.
@@ -48,11 +80,7 @@
 
 // Left returns how many retries are possible now.
 func (b *Budget) Left() int {
-	burst := b.Burst
-	if burst == 0 {
-		burst = DefaultBurst
-	}
-	return max(0, burst*tokenParts-b.used) / tokenParts
+	return max(0, b.burst()*tokenParts-b.used) / tokenParts
 }
 
 const tokenParts = 100
--- a/retry/hedge.go
+++ b/retry/hedge.go
@@ -98,6 +98,6 @@
 
 // Hedge reports whether the hedge may be sent now, and takes a token for it.
 // The caller then calls Begin for it.
-func (p Policy) Hedge(r *Request, b *Budget) bool {
-	return r.outstanding == 1 && b.Spend()
+func (p Policy) Hedge(r *Request, b *Budget, now time.Time) bool {
+	return r.outstanding == 1 && b.spendHedge(now)
 }
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -96,13 +96,13 @@
 func (p Policy) Next(r *Request, b *Budget, a Attempt, now time.Time, rnd azurestair.Rand) Decision {
 	p = p.withDefaults()
 	r.end(a.Result)
+	if a.reason() == azurestair.ReasonShed {
+		b.Saturated(now)
+	}
 	if a.Result == azurestair.AttemptDone {
 		return Decision{Action: Finish, Outcome: azurestair.OutcomeDone}
 	}
-	if r.outstanding > 0 {
-		return Decision{Action: Wait}
-	}
-	if p.Without.Retries || r.attempts >= p.MaxAttempts || !r.isRepeatable() {
+	if r.outstanding > 0 || p.Without.Retries || r.attempts >= p.MaxAttempts || !r.isRepeatable() {
 		return r.Refuse(a.reason())
 	}
 	latest := p.latestStart(r)
--- a/retry/request.go
+++ b/retry/request.go
@@ -44,12 +44,16 @@
 
 // Refuse returns the truthful decision for a request that gets no further
 // attempt, for example because no upstream is available: refused if no attempt
-// can have run, unknown otherwise.
+// can have run, unknown otherwise. While an attempt is in flight it says Wait,
+// and the outcome is the one for a caller that cannot wait.
 func (r *Request) Refuse(reason azurestair.Reason) Decision {
 	d := Decision{Action: Finish, Outcome: azurestair.OutcomeRefused, Reason: reason}
 	if r.MayHaveRun() {
 		d.Outcome = azurestair.OutcomeUnknown
 	}
+	if r.outstanding > 0 {
+		d.Action = Wait
+	}
 	return d
 }
 
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -223,7 +223,16 @@
 	It("takes from the same budget", func() {
 		r, b := request(true, time.Second), retry.Budget{Burst: 1}
 		r.Begin("u1")
-		Expect(retry.Policy{}.Hedge(&r, &b)).To(BeTrue())
-		Expect(retry.Policy{}.Hedge(&r, &b)).To(BeFalse())
+		Expect(retry.Policy{}.Hedge(&r, &b, start)).To(BeTrue())
+		Expect(retry.Policy{}.Hedge(&r, &b, start)).To(BeFalse())
+	})
+
+	// Guards against hedges that take slots from requests that have none yet.
+	It("pauses after an upstream shed or had no room", func() {
+		r, b := request(true, time.Second), retry.Budget{}
+		b.Saturated(start)
+		r.Begin("u1")
+		Expect(retry.Policy{}.Hedge(&r, &b, start.Add(900*time.Millisecond))).To(BeFalse())
+		Expect(retry.Policy{}.Hedge(&r, &b, start.Add(time.Second))).To(BeTrue())
 	})
 })
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -110,10 +111,8 @@
 // failing makes the named upstreams fail with r.
 func failing(r azurestair.AttemptResult, ids ...azurestair.UpstreamID) func(azurestair.Choice) azurestair.AttemptResult {
 	return func(c azurestair.Choice) azurestair.AttemptResult {
-		for _, id := range ids {
-			if c.Upstream == id {
-				return r
-			}
+		if slices.Contains(ids, c.Upstream) {
+			return r
 		}
 		return azurestair.AttemptDone
 	}
@@ -126,11 +125,6 @@
 	Expect(routing.ReasonOf(err)).To(Equal(want))
 }
 
-func expectUnused(b *bench, id azurestair.UpstreamID) {
-	GinkgoHelper()
-	Expect(b.run(500, always(azurestair.AttemptDone))).NotTo(HaveKey(id))
-}
-
 var _ = Describe("a choice", func() {
 	// Guards against overloading a worker that other entries use too.
 	It("keeps to the share of slots and a small queue", func() {
@@ -229,13 +223,30 @@
 	})
 })
 
+// exception changes the snapshot's configuration.
+func exception(kind azurestair.TargetKind, name string, setting azurestair.ExceptionSetting, value int64) azurestair.Exception {
+	return azurestair.Exception{Target: azurestair.Target{Kind: kind, Name: name}, Setting: setting, Value: value}
+}
+
+func (b *bench) configure(e ...azurestair.Exception) {
+	b.snap.Config = &azurestair.Config{Exceptions: e}
+	b.set(b.snap.Upstreams...)
+}
+
+func drain(kind azurestair.TargetKind, name string) func(*bench) {
+	return func(b *bench) {
+		b.snap.Drains = []azurestair.Drain{{Target: azurestair.Target{Kind: kind, Name: name}}}
+		b.set(b.snap.Upstreams...)
+	}
+}
+
 var _ = Describe("leaving workers", func() {
 	// Guards R6: no new work after the first word of it, whatever older reports say.
 	DescribeTable("get no new work",
 		func(leave func(b *bench)) {
 			b := newBench(routing.Options{}, upstreams("x", 3, 9)...)
 			leave(b)
-			expectUnused(b, "x-1")
+			Expect(b.run(500, always(azurestair.AttemptDone))).NotTo(HaveKey(azurestair.UpstreamID("x-1")))
 		},
 		Entry("draining header", func(b *bench) { b.Confirm("x-1", azurestair.StateDraining, b.now) }),
 		Entry("older report after the header", func(b *bench) {
@@ -249,24 +260,17 @@
 			b.pass(time.Minute)
 			b.Confirm("x-1", azurestair.StateServing, b.now)
 		}),
-		Entry("operator's drain", func(b *bench) {
-			b.snap.Drains = []azurestair.Drain{{Target: azurestair.Target{Kind: azurestair.TargetUpstream, Name: "x-1"}}}
-			b.set(b.snap.Upstreams...)
-		}),
-		Entry("drain of the failure domain", func(b *bench) {
-			b.snap.Drains = []azurestair.Drain{{Target: azurestair.Target{Kind: azurestair.TargetFailureDomain, Name: "x-b"}}}
-			b.set(b.snap.Upstreams...)
-		}),
+		Entry("operator's drain", drain(azurestair.TargetUpstream, "x-1")),
+		Entry("drain of the failure domain", drain(azurestair.TargetFailureDomain, "x-b")),
 		Entry("weight of zero", func(b *bench) {
-			b.snap.Config = &azurestair.Config{Exceptions: []azurestair.Exception{{
-				Target:  azurestair.Target{Kind: azurestair.TargetUpstream, Name: "x-1"},
-				Setting: azurestair.SettingWeight,
-			}}}
-			b.set(b.snap.Upstreams...)
+			b.configure(exception(azurestair.TargetUpstream, "x-1", azurestair.SettingWeight, 0))
 		}),
-		Entry("gone from the snapshot", func(b *bench) {
+		Entry("gone from the snapshot", func(b *bench) { b.set(b.snap.Upstreams[0], b.snap.Upstreams[2]) }),
+		Entry("listed as unconfirmed", func(b *bench) {
 			list := upstreams("x", 3, 9)
-			b.set(list[0], list[2])
+			list[1].Confirmed = false
+			b.now = b.now.Add(routing.ConfirmFor)
+			b.set(list...)
 		}),
 	)
 
@@ -282,14 +286,10 @@
 var _ = Describe("exceptions", func() {
 	It("cap slots and reduce weight", func() {
 		b := newBench(routing.Options{}, upstreams("x", 2, 9)...)
-		b.snap.Config = &azurestair.Config{Exceptions: []azurestair.Exception{
-			{Target: azurestair.Target{Kind: azurestair.TargetUpstream, Name: "x-0"}, Setting: azurestair.SettingSlots, Value: 2},
-			{Target: azurestair.Target{Kind: azurestair.TargetFailureDomain, Name: "x-b"}, Setting: azurestair.SettingWeight, Value: 10},
-		}}
-		b.set(b.snap.Upstreams...)
+		b.configure(exception(azurestair.TargetUpstream, "x-0", azurestair.SettingSlots, 2),
+			exception(azurestair.TargetFailureDomain, "x-b", azurestair.SettingWeight, 10))
 		counts := b.run(1000, always(azurestair.AttemptDone))
-		Expect(counts["x-1"]).To(BeNumerically("<", 400))
-		Expect(counts["x-1"]).To(BeNumerically(">", 10))
+		Expect(counts["x-1"]).To(And(BeNumerically("<", 400), BeNumerically(">", 10)))
 		all, _ := b.fill()
 		Expect(all).To(HaveLen(2 + 1 + 9 + 2))
 	})
@@ -309,13 +309,6 @@
 		b.pick()
 	})
 
-	// Guards against a snapshot that keeps lapsed upstreams alive.
-	It("does not come from an upstream listed as unconfirmed", func() {
-		list := upstreams("x", 2, 9)
-		list[1].Confirmed = false
-		expectUnused(newBench(routing.Options{}, list...), "x-1")
-	})
-
 	// Guards against probes that take more slots than allowed, and against starved upstreams.
 	It("is renewed by probes within the budget, all in turn", func() {
 		b := newBench(routing.Options{Entries: 7}, upstreams("x", 100, 3)...)
@@ -393,7 +386,7 @@
 		b := newBench(noPenalty, upstreams("x", 12, 9)...)
 		b.run(1000, broken)
 		Expect(b.Ejected()).To(Equal(1))
-		expectUnused(b, "x-0")
+		Expect(b.run(500, always(azurestair.AttemptDone))).NotTo(HaveKey(azurestair.UpstreamID("x-0")))
 		b.pass(5 * time.Second)
 		counts := b.run(1000, always(azurestair.AttemptDone))
 		Expect(b.Ejected()).To(BeZero())
@@ -448,6 +441,71 @@
 	)
 })
 
+var _ = Describe("any order of events", func() {
+	// Guards the package's invariants where events meet that no other test combines.
+	It("keeps shares, shift cap, ejection limit and drains", func() {
+		for seed := range uint64(40) {
+			r := rand.New(rand.NewPCG(seed, 1))
+			list := append(upstreams("x", 5, 5), upstreams("y", 6, 5)...)
+			shift := func(_ azurestair.RegionName, n azurestair.Slots, _ time.Time) bool { return n < 7 }
+			b := newBench(routing.Options{Region: "x", Entries: 2, Shift: shift}, list...)
+			var open []azurestair.Choice
+			for range 3000 {
+				b.now = b.now.Add(time.Duration(r.IntN(40)) * time.Millisecond)
+				switch r.IntN(10) {
+				case 0:
+					list = randomChange(r, list)
+					b.set(list...)
+				case 1, 2, 3, 4:
+					c, err := b.Pick(azurestair.Work{}, nil, b.now)
+					if err == nil {
+						open = append(open, c)
+						expectServing(list, c.Upstream)
+					}
+				default:
+					if len(open) > 0 {
+						b.Done(open[0], azurestair.AttemptResult(r.IntN(4)), latency, b.now)
+						open = open[1:]
+					}
+				}
+				Expect(b.Shifted("y")).To(BeNumerically("<=", 7))
+				Expect(b.Ejected()).To(BeNumerically("<=", 3))
+				for _, u := range list {
+					Expect(b.InFlight(u.Announcement.Upstream)).To(And(BeNumerically(">=", 0), BeNumerically("<=", 3+1)))
+				}
+			}
+			for _, c := range open {
+				b.Done(c, azurestair.AttemptDone, latency, b.now)
+			}
+			b.pass(routing.DefaultLateSlot)
+			Expect(b.Shifted("y")).To(BeZero())
+			for _, u := range list {
+				Expect(b.InFlight(u.Announcement.Upstream)).To(BeZero())
+			}
+		}
+	})
+})
+
+// randomChange restarts an upstream or changes its state.
+func randomChange(r *rand.Rand, list []azurestair.UpstreamInfo) []azurestair.UpstreamInfo {
+	list = slices.Clone(list)
+	a := &list[r.IntN(len(list))].Announcement
+	a.Sequence++
+	states := []azurestair.UpstreamState{azurestair.StateServing, azurestair.StateDraining, azurestair.StateLeaving}
+	a.State = states[r.IntN(3)]
+	if r.IntN(2) == 0 {
+		a.Incarnation++
+		a.State = azurestair.StateServing
+	}
+	return list
+}
+
+func expectServing(list []azurestair.UpstreamInfo, id azurestair.UpstreamID) {
+	GinkgoHelper()
+	i := slices.IndexFunc(list, func(u azurestair.UpstreamInfo) bool { return u.Announcement.Upstream == id })
+	Expect(list[i].Announcement.State).To(Equal(azurestair.StateServing))
+}
+
 func BenchmarkPickDone(b *testing.B) {
 	for _, n := range []int{12, 100, 1000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
