--- a/routing/outlier.go
+++ b/routing/outlier.go
@@ -40,6 +40,10 @@
 	// in a row eject nobody: the cause is then not the single worker, and
 	// ejection would only take away capacity.
 	serviceFailing = 0.5
+	// trialGrace is how long only idempotent requests serve as trials. A failed
+	// trial of another request has an unknown outcome; it is used only if the
+	// service has no idempotent work to try with.
+	trialGrace = 5 * time.Second
 	// trialWeight is the share of normal work offered to a half-open worker.
 	trialWeight = 0.1
 )
@@ -134,6 +138,11 @@
 	h.failures, h.outcomes, h.failRate = 0, 0, 0
 }
 
+// mayTry reports whether the breaker lets the request through.
+func (h *health) mayTry(r request) bool {
+	return h.state != halfOpen || r.idempotent || r.now.Sub(h.until) >= trialGrace
+}
+
 // tryAgain makes an ejected worker half-open.
 func (p *Weighted) tryAgain(w *worker) {
 	w.health.state, w.health.trial = halfOpen, false
--- a/routing/weighted.go
+++ b/routing/weighted.go
@@ -50,11 +50,13 @@
 
 // Pick chooses an upstream, preferably none of avoid, and counts an attempt in
 // flight. The error is a *PickError.
-func (p *Weighted) Pick(_ azurestair.Work, avoid []azurestair.UpstreamID, now time.Time) (azurestair.Choice, error) {
+func (p *Weighted) Pick(work azurestair.Work, avoid []azurestair.UpstreamID, now time.Time) (azurestair.Choice, error) {
 	p.advance(now)
-	w, err := p.choose(avoid, now)
+	r := request{avoid: avoid, idempotent: work.Idempotent, now: now}
+	w, err := p.choose(r)
 	if err != nil && len(avoid) > 0 {
-		w, err = p.choose(nil, now)
+		r.avoid = nil
+		w, err = p.choose(r)
 	}
 	if err != nil {
 		return azurestair.Choice{}, err
@@ -70,14 +72,14 @@
 
 // request is what one choice is made by.
 type request struct {
-	avoid []azurestair.UpstreamID
-	now   time.Time
+	avoid      []azurestair.UpstreamID
+	idempotent bool
+	now        time.Time
 	// force takes workers of reduced weight when no other is left.
 	force bool
 }
 
-func (p *Weighted) choose(avoid []azurestair.UpstreamID, now time.Time) (*worker, error) {
-	r := request{avoid: avoid, now: now}
+func (p *Weighted) choose(r request) (*worker, error) {
 	if w := p.chooseHome(r); w != nil {
 		return w, nil
 	}
@@ -153,7 +155,7 @@
 		if w == nil {
 			break
 		}
-		accepted := r.force || w.accept >= 1 || p.chance(w.accept)
+		accepted := p.accepts(w, r)
 		if !accepted && best == nil && redraws > 0 {
 			redraws--
 			continue
@@ -169,6 +171,13 @@
 	return best
 }
 
+func (p *Weighted) accepts(w *worker, r request) bool {
+	if !w.health.mayTry(r) {
+		return false
+	}
+	return r.force || w.accept >= 1 || p.chance(w.accept)
+}
+
 func (p *Weighted) take(w *worker, now time.Time) {
 	w.inFlight++
 	if w.tier.remote {
