--- a/instance/gate.go
+++ b/instance/gate.go
@@ -263,7 +263,7 @@
 func (g *gate) mayHedge(r *retry.Request) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.policy.Hedge(r, &g.budget)
+	return g.policy.Hedge(r, &g.budget, g.clock.Now())
 }
 
 // setSlots sets how many requests the leases allow in progress.
--- a/routing/weighted.go
+++ b/routing/weighted.go
@@ -50,11 +50,13 @@
 
 // Pick chooses an upstream, preferably none of avoid, and counts an attempt in
 // flight. The error is a *PickError.
-func (p *Weighted) Pick(_ azurestair.Work, avoid []azurestair.UpstreamID, now time.Time) (azurestair.Choice, error) {
+func (p *Weighted) Pick(work azurestair.Work, avoid []azurestair.UpstreamID, now time.Time) (azurestair.Choice, error) {
 	p.advance(now)
-	w, err := p.choose(avoid, now)
+	r := request{avoid: avoid, idempotent: work.Idempotent, now: now}
+	w, err := p.choose(r)
 	if err != nil && len(avoid) > 0 {
-		w, err = p.choose(nil, now)
+		r.avoid = nil
+		w, err = p.choose(r)
 	}
 	if err != nil {
 		return azurestair.Choice{}, err
@@ -70,14 +72,14 @@
 
 // request is what one choice is made by.
 type request struct {
-	avoid []azurestair.UpstreamID
-	now   time.Time
+	avoid      []azurestair.UpstreamID
+	idempotent bool
+	now        time.Time
 	// force takes workers of reduced weight when no other is left.
 	force bool
 }
 
-func (p *Weighted) choose(avoid []azurestair.UpstreamID, now time.Time) (*worker, error) {
-	r := request{avoid: avoid, now: now}
+func (p *Weighted) choose(r request) (*worker, error) {
 	if w := p.chooseHome(r); w != nil {
 		return w, nil
 	}
@@ -88,29 +90,30 @@
 	return p.chooseRemote(r)
 }
 
+// candidate is a sampled worker with its score; lower is better. The zero
+// value is none.
+type candidate struct {
+	worker *worker
+	score  float64
+}
+
 // chooseHome compares the best free candidate with candidates that would queue
 // only if there is none or it looks slow.
 func (p *Weighted) chooseHome(r request) *worker {
 	if p.opts.Home != nil && !p.opts.Home(p.opts.Region, p.domain.inFlight+p.region.inFlight, r.now) {
 		return nil
 	}
-	free := p.nearer(p.best(&p.domain.free, r), p.best(&p.region.free, r), r.now)
-	if free != nil && p.cost(free, r.now) <= suspectFactor*max(p.mean, float64(minLatency)) {
-		return free
+	free := nearer(p.best(&p.domain.free, r), p.best(&p.region.free, r))
+	if free.worker != nil && p.cost(free.worker, r.now) <= suspectFactor*max(p.mean, float64(minLatency)) {
+		return free.worker
 	}
-	queued := p.nearer(p.best(&p.domain.queueing, r), p.best(&p.region.queueing, r), r.now)
-	return p.nearer(free, queued, r.now)
+	queued := nearer(p.best(&p.domain.queueing, r), p.best(&p.region.queueing, r))
+	return nearer(free, queued).worker
 }
 
 // nearer returns a unless it is missing or its score is far worse than b's.
-func (p *Weighted) nearer(a, b *worker, now time.Time) *worker {
-	if a == nil || b == nil {
-		if a == nil {
-			return b
-		}
-		return a
-	}
-	if p.score(a, now) > nearFactor*p.score(b, now) {
+func nearer(a, b candidate) candidate {
+	if a.worker == nil || b.worker != nil && a.score > nearFactor*b.score {
 		return b
 	}
 	return a
@@ -120,16 +123,16 @@
 	capped := false
 	for i := range p.remote {
 		t := p.remote[(p.remoteAt+i)%len(p.remote)]
-		w := p.best(&t.free, r)
-		if w == nil {
-			w = p.best(&t.queueing, r)
+		c := p.best(&t.free, r)
+		if c.worker == nil {
+			c = p.best(&t.queueing, r)
 		}
-		if w == nil {
+		if c.worker == nil {
 			continue
 		}
 		if p.opts.Shift != nil && p.opts.Shift(t.region, t.inFlight, r.now) {
 			p.remoteAt++
-			return w, nil
+			return c.worker, nil
 		}
 		capped = true
 	}
@@ -147,17 +150,17 @@
 // taken only with the chance that its weight gives it. Once one is taken, a
 // draw that is turned down is not repeated, and a small set is not drawn from
 // again and again: both would undo the weight.
-func (p *Weighted) best(s *candidateSet, r request) *worker {
-	var best *worker
-	bestScore, samples := 0.0, 0
+func (p *Weighted) best(s *candidateSet, r request) candidate {
+	var best candidate
+	samples := 0
 	redraws := min(maxRedraws, len(s.workers)-1)
 	for samples < p.opts.Samples {
-		w := p.draw(s, best, r.avoid)
+		w := p.draw(s, best.worker, r.avoid)
 		if w == nil {
 			break
 		}
-		accepted := r.force || w.accept >= 1 || p.chance(w.accept)
-		if !accepted && best == nil && redraws > 0 {
+		accepted := p.accepts(w, r)
+		if !accepted && best.worker == nil && redraws > 0 {
 			redraws--
 			continue
 		}
@@ -165,13 +168,20 @@
 		if !accepted {
 			continue
 		}
-		if score := p.score(w, r.now); best == nil || score < bestScore {
-			best, bestScore = w, score
+		if score := p.score(w, r.now); best.worker == nil || score < best.score {
+			best = candidate{worker: w, score: score}
 		}
 	}
 	return best
 }
 
+func (p *Weighted) accepts(w *worker, r request) bool {
+	if !w.health.mayTry(r) {
+		return false
+	}
+	return r.force || w.accept >= 1 || p.chance(w.accept)
+}
+
 func (p *Weighted) take(w *worker, now time.Time) {
 	w.inFlight++
 	w.tier.inFlight++
