--- a/cmd/azurestair/admin.go
+++ b/cmd/azurestair/admin.go
@@ -140,6 +140,19 @@
 	})
 }
 
+func membersCommand() *ffcli.Command {
+	f := newChangeFlags("members")
+	action := f.fs.String("action", "", "addLearner, promote or remove (required)")
+	name := f.fs.String("name", "", "instance (required)")
+	return command("members --action ACTION --name INSTANCE --reason TEXT", "change who replicates the log", f.fs,
+		func(ctx context.Context, _ []string) error {
+			return finishChange(f.client().Members(ctx, operator.MemberRequest{
+				ChangeID: f.changeID(), Reason: *f.reason,
+				Action: azurestair.MemberAction(*action), Instance: azurestair.InstanceID(*name),
+			}))
+		})
+}
+
 func statusCommand() *ffcli.Command {
 	f := newAdminFlags("status")
 	return command("status", "print what an instance knows", f.fs, func(ctx context.Context, _ []string) error {
--- a/cmd/azurestair/local.go
+++ b/cmd/azurestair/local.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"go.uber.org/fx"
@@ -110,12 +111,12 @@
 func initCommand() *ffcli.Command {
 	fs := flag.NewFlagSet("init", flag.ContinueOnError)
 	path := fs.String("settings", "", "settings file (required)")
-	return command("init --settings FILE", "prepare the data folder of a new control instance", fs, func(context.Context, []string) error {
+	return command("init --settings FILE", "prepare the data folder of a new control instance", fs, func(ctx context.Context, _ []string) error {
 		s, err := settings.Load(*path)
 		if err != nil {
 			return err
 		}
-		if err := disk.Init(s.Instance.DataDir, s.Instance.ID); err != nil {
+		if err := initFolder(ctx, s); err != nil {
 			return err
 		}
 		_, err = fmt.Printf("data folder %s now belongs to %s\n", s.Instance.DataDir, s.Instance.ID)
@@ -123,6 +124,30 @@
 	})
 }
 
+var errFleetExists = errors.New("the fleet has a configuration already, so this instance may have voted in it before; " +
+	"to replace its data, remove the instance with 'azurestair members', set control.learner = true and run init again")
+
+// fleetTimeout bounds the question whether the fleet exists.
+const fleetTimeout = 2 * time.Second
+
+// initFolder refuses to make a first voter of a fleet that is running: an empty
+// data folder there is a lost disk, and with it lost votes.
+func initFolder(ctx context.Context, s settings.Settings) error {
+	if s.Control.Learner {
+		return disk.InitJoining(s.Instance.DataDir, s.Instance.ID)
+	}
+	ctx, cancel := context.WithTimeout(ctx, fleetTimeout)
+	defer cancel()
+	exists, err := instance.FleetExists(ctx, s)
+	if err != nil {
+		return err
+	}
+	if exists {
+		return errFleetExists
+	}
+	return disk.Init(s.Instance.DataDir, s.Instance.ID)
+}
+
 func printJSON(v any) error {
 	enc := json.NewEncoder(os.Stdout)
 	enc.SetIndent("", "  ")
--- a/cmd/azurestair/main.go
+++ b/cmd/azurestair/main.go
@@ -36,7 +36,7 @@
 			serveCommand(), tryCommand(), checkCommand(), initCommand(), configCommand(),
 			drainCommand("drain", "take an upstream, an entry or a failure domain out of service"),
 			drainCommand("undrain", "return a target to service"),
-			statusCommand(), auditCommand(),
+			membersCommand(), statusCommand(), auditCommand(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
--- a/disk/identity.go
+++ b/disk/identity.go
@@ -45,13 +45,17 @@
 // identity, and one that holds a log without one, because the votes in that
 // log would be lost. After a crash in Init, Init may be called again.
 func Init(dir string, id azurestair.InstanceID) error {
-	if err := os.MkdirAll(dir, folderMode); err != nil {
+	if err := makeFolder(dir); err != nil {
 		return err
 	}
-	if err := syncFolder(filepath.Dir(filepath.Clean(dir))); err != nil {
+	return initialise(osFiles{dir}, id)
+}
+
+func makeFolder(dir string) error {
+	if err := os.MkdirAll(dir, folderMode); err != nil {
 		return err
 	}
-	return initialise(osFiles{dir}, id)
+	return syncFolder(filepath.Dir(filepath.Clean(dir)))
 }
 
 func initialise(fs files, id azurestair.InstanceID) (err error) {
--- a/instance/process.go
+++ b/instance/process.go
@@ -254,7 +254,12 @@
 	if err != nil {
 		return fmt.Errorf("data folder %s: %w", p.settings.Instance.DataDir, err)
 	}
-	opts := raft.Options{ID: p.settings.Instance.ID, Joining: p.settings.Control.Learner}
+	joining, err := store.Joining()
+	if err != nil {
+		_ = store.Close()
+		return err
+	}
+	opts := raft.Options{ID: p.settings.Instance.ID, Joining: joining}
 	if !p.settings.Control.Learner {
 		for _, v := range p.settings.Control.Voters {
 			opts.Membership.Voters = append(opts.Membership.Voters, v.ID)
@@ -265,6 +270,7 @@
 		_ = store.Close()
 		return err
 	}
+	r.joining, r.peers = joining, p.transport
 	p.store = store
 	p.writer = &logWriter{store: store, transport: p.transport, jobs: make(chan *storeJob, storeDepth), post: p.post}
 	p.imager = &imager{jobs: make(chan control.Image, 1), post: p.post}
--- a/instance/replica.go
+++ b/instance/replica.go
@@ -44,6 +44,9 @@
 	Claims int
 }
 
+// peerList learns the addresses of members of the log.
+type peerList interface{ AddPeer(a peer.Address) }
+
 // Replica replicates the log and, on the leader, answers reports. It belongs
 // to the control goroutine.
 type Replica struct {
@@ -52,14 +55,19 @@
 	node      *raft.Node
 	state     *control.State
 	transport azurestair.Transport
-	writer    *logWriter
-	imager    *imager
-	notifier  *notifier
-	self      azurestair.InstanceID
-
-	pending     []proposeEvent
-	waiting     map[azurestair.Index]waiter
-	storing     int
+	peers     peerList
+	// met is the snapshot whose members were looked at last.
+	met      *azurestair.Snapshot
+	writer   *logWriter
+	imager   *imager
+	notifier *notifier
+	self     azurestair.InstanceID
+
+	pending []proposeEvent
+	waiting map[azurestair.Index]waiter
+	storing int
+	// joining is true until the data folder has recorded that the log lists this instance.
+	joining     bool
 	imaging     bool
 	compactedAt azurestair.Index
 
@@ -109,10 +117,34 @@
 		e.reply <- proposeReply{err: r.notLeader()}
 		return
 	}
+	if err := r.changeMembers(e.command.Members, now); err != nil {
+		e.reply <- proposeReply{err: err}
+		return
+	}
 	e.command.At = azurestair.UnixMillisOf(now)
 	r.pending = append(r.pending, e)
 }
 
+// changeMembers has the log change its membership; the command itself follows
+// for the audit trail. A change that is carried out already is a resend.
+func (r *Replica) changeMembers(m *azurestair.MemberChange, now time.Time) error {
+	if m == nil {
+		return nil
+	}
+	members := r.node.Status().Membership
+	voter, learner := slices.Contains(members.Voters, m.Instance), slices.Contains(members.Learners, m.Instance)
+	done := map[azurestair.MemberAction]bool{
+		azurestair.MemberAddLearner: learner,
+		azurestair.MemberPromote:    voter,
+		azurestair.MemberRemove:     !voter && !learner,
+	}
+	if done[m.Action] {
+		return nil
+	}
+	_, _, err := r.node.ChangeMembership(m.Action, m.Instance, now)
+	return err
+}
+
 func (r *Replica) notLeader() error {
 	leader := r.node.Leader()
 	if leader == r.self {
@@ -153,9 +185,34 @@
 	}
 	r.lead(now, m.snapshot, m.holder.Grants())
 	r.maybeCompact()
+	r.maybeJoined()
+	r.meetMembers(m.snapshot)
 	return nil
 }
 
+// maybeJoined has the data folder record that this instance is listed now.
+func (r *Replica) maybeJoined() {
+	if !r.joining || r.storing > 0 || r.node.Status().Joining {
+		return
+	}
+	r.storing++
+	r.writer.jobs <- &storeJob{joined: true}
+}
+
+// meetMembers connects to members of the log that the settings do not list.
+func (r *Replica) meetMembers(held *azurestair.Snapshot) {
+	if held == nil || held == r.met {
+		return
+	}
+	r.met = held
+	members := r.node.Status().Membership
+	for _, i := range held.Instances {
+		if i.ID != r.self && (slices.Contains(members.Voters, i.ID) || slices.Contains(members.Learners, i.ID)) {
+			r.peers.AddPeer(peer.Address{ID: i.ID, Addr: i.PeerAddr})
+		}
+	}
+}
+
 // work proposes the collected commands and takes what the log has to do.
 func (r *Replica) work(now time.Time) error {
 	for r.storing < storeDepth {
@@ -280,6 +337,10 @@
 
 func (r *Replica) stored(job *storeJob) {
 	r.storing--
+	if job.joined {
+		r.joining = false
+		return
+	}
 	r.node.Stored(job.ready.Seq)
 }
 
--- a/instance/writer.go
+++ b/instance/writer.go
@@ -7,8 +7,15 @@
 	"azurestair.example/azurestair/raft"
 )
 
-// storeJob is one Ready whose storing has been handed to the writer.
-type storeJob struct{ ready raft.Ready }
+// storeJob is one Ready whose storing has been handed to the writer, or the
+// end of this instance's joining.
+type storeJob struct {
+	ready  raft.Ready
+	joined bool
+}
+
+// joiner is a store that remembers that its instance is joining the log.
+type joiner interface{ EndJoining() error }
 
 // logWriter stores what the log has to store, in order, and then sends the
 // messages that promise it.
@@ -23,7 +30,7 @@
 // nothing more, since a failed sync may have lost what it covered.
 func (w *logWriter) run() {
 	for job := range w.jobs {
-		err := w.storeOne(job.ready)
+		err := w.storeOne(job)
 		w.post(storedEvent{job: job, err: err})
 		if err != nil {
 			break
@@ -37,7 +44,11 @@
 	}
 }
 
-func (w *logWriter) storeOne(rd raft.Ready) error {
+func (w *logWriter) storeOne(job *storeJob) error {
+	if s, ok := w.store.(joiner); ok && job.joined {
+		return s.EndJoining()
+	}
+	rd := job.ready
 	if rd.Hard != nil {
 		if err := w.store.Append(*rd.Hard, rd.Entries); err != nil {
 			return err
--- a/operator/client.go
+++ b/operator/client.go
@@ -51,6 +51,11 @@
 	return call[ChangeAnswer](ctx, c, http.MethodPost, "/v1/undrain", q)
 }
 
+// Members changes the membership of the replicated log.
+func (c *Client) Members(ctx context.Context, q MemberRequest) (ChangeAnswer, error) {
+	return call[ChangeAnswer](ctx, c, http.MethodPost, "/v1/members", q)
+}
+
 // Status returns what the instance knows.
 func (c *Client) Status(ctx context.Context) (Status, error) {
 	return call[Status](ctx, c, http.MethodGet, "/v1/status", nil)
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -57,6 +57,7 @@
 	v1.GET("/config/history", h.history)
 	v1.POST("/drain", func(c *gin.Context) { h.drain(c, true) })
 	v1.POST("/undrain", func(c *gin.Context) { h.drain(c, false) })
+	v1.POST("/members", h.members)
 	v1.GET("/status", func(c *gin.Context) { c.JSON(http.StatusOK, h.backend.Status(c.Request.Context())) })
 	v1.GET("/audit", h.audit)
 	return e
@@ -107,6 +108,8 @@
 		status = http.StatusBadRequest
 	case errors.Is(err, azurestair.ErrNotFound):
 		status = http.StatusNotFound
+	case errors.Is(err, azurestair.ErrConflict):
+		status = http.StatusConflict
 	case errors.Is(err, azurestair.ErrTooLarge):
 		status = http.StatusRequestEntityTooLarge
 	case errors.Is(err, azurestair.ErrNotLeader), errors.Is(err, azurestair.ErrNoQuorum),
@@ -198,6 +201,22 @@
 	}
 }
 
+func (h *handler) members(c *gin.Context) {
+	var q MemberRequest
+	if err := decode(c, &q); err != nil {
+		writeError(c, err)
+		return
+	}
+	cmd := azurestair.Command{Members: &azurestair.MemberChange{
+		Change:   azurestair.Change{ID: q.ChangeID, Operator: operatorOf(c), Reason: q.Reason},
+		Action:   q.Action,
+		Instance: q.Instance,
+	}}
+	if a, ok := h.change(c, cmd); ok {
+		writeChange(c, a)
+	}
+}
+
 // change proposes a command; it has answered the request when it returns false.
 func (h *handler) change(c *gin.Context, cmd azurestair.Command) (ChangeAnswer, bool) {
 	ctx, cancel := context.WithTimeout(c.Request.Context(), requestTimeout)
--- a/operator/messages.go
+++ b/operator/messages.go
@@ -47,6 +47,17 @@
 // Validate checks the request.
 func (r DrainRequest) Validate() error { return r.Target.Validate() }
 
+// MemberRequest changes the membership of the replicated log.
+type MemberRequest struct {
+	ChangeID azurestair.ChangeID     `json:"changeId"`
+	Reason   string                  `json:"reason"`
+	Action   azurestair.MemberAction `json:"action"`
+	Instance azurestair.InstanceID   `json:"instance"`
+}
+
+// Validate checks the request; the change itself is checked with its operator.
+func (r MemberRequest) Validate() error { return azurestair.CheckName("instance", string(r.Instance)) }
+
 // ChangeAnswer is the result of a change.
 type ChangeAnswer struct {
 	Code    azurestair.ResultCode    `json:"code"`
--- a/peer/client.go
+++ b/peer/client.go
@@ -105,7 +105,8 @@
 }
 
 func isFinal(err error) bool {
-	return errors.Is(err, azurestair.ErrInvalid) || errors.Is(err, azurestair.ErrFull) || errors.Is(err, azurestair.ErrUnauthorized)
+	return errors.Is(err, azurestair.ErrInvalid) || errors.Is(err, azurestair.ErrFull) || errors.Is(err, azurestair.ErrUnauthorized) ||
+		errors.Is(err, azurestair.ErrConflict) || errors.Is(err, azurestair.ErrNotFound)
 }
 
 func (c *Client) target() (Address, bool) {
--- a/peer/errors.go
+++ b/peer/errors.go
@@ -21,6 +21,8 @@
 	{codes.ResourceExhausted, azurestair.ErrFull},
 	{codes.Unavailable, azurestair.ErrNoQuorum},
 	{codes.DeadlineExceeded, azurestair.ErrDeadline},
+	{codes.Aborted, azurestair.ErrConflict},
+	{codes.NotFound, azurestair.ErrNotFound},
 	{codes.Unauthenticated, azurestair.ErrUnauthorized},
 }
 
