--- a/settings/check.go
+++ b/settings/check.go
@@ -42,10 +42,12 @@
 	d.checkOneOf("log.format", s.Log.Format, LogFormat)
 }
 
-// has reports whether the key already has a fault, which hides follow-up faults.
+// has reports whether the key already has a fault, which hides follow-up
+// faults. A full report hides all others.
 func (d *decoder) has(path string) bool {
-	return slices.ContainsFunc(d.faults, func(e *Error) bool {
-		return e.Key == path || strings.HasPrefix(e.Key, path+".") || strings.HasPrefix(e.Key, path+"[")
+	return len(d.faults) >= maxFaults || slices.ContainsFunc(d.faults, func(e *Error) bool {
+		rest, ok := strings.CutPrefix(e.Key, path)
+		return ok && (rest == "" || rest[0] == '.' || rest[0] == '[')
 	})
 }
 
--- a/settings/decode.go
+++ b/settings/decode.go
@@ -36,12 +36,17 @@
 		d.add("", "file is too large; allowed are %d bytes", MaxFileBytes)
 		return nil, d.err()
 	}
+	found, tooDeep := scanPositions(string(data))
+	if tooDeep > 0 {
+		d.faults = Errors{{File: name, Line: tooDeep, Detail: fmt.Sprintf("nesting is too deep; allowed are %d levels", maxDepth)}}
+		return nil, d.err()
+	}
 	tables := map[string]any{}
 	if err := toml.Unmarshal(data, &tables); err != nil {
 		d.addSyntax(err)
 		return nil, d.err()
 	}
-	d.lines = scanPositions(string(data))
+	d.lines = found
 	d.table("", tables, reflect.ValueOf(dst).Elem())
 	return d, nil
 }
--- a/settings/positions.go
+++ b/settings/positions.go
@@ -20,8 +20,12 @@
 	return 1
 }
 
-// scanner finds keys in a file that the TOML library has accepted. On other
-// input it ends without a useful result.
+// maxDepth bounds the names in one key and the lists and tables in one value.
+// The time and memory of the TOML library grow with the square of the depth.
+const maxDepth = 16
+
+// scanner finds keys in a valid TOML file. Up to the first fault of another
+// file it sees the same structure as the TOML library.
 type scanner struct {
 	src   string
 	pos   int
@@ -29,9 +33,15 @@
 	found positions
 	// tables counts the tables of each array of tables.
 	tables map[string]int
+	// depth counts the open lists and inline tables.
+	depth int
+	// tooDeep is the line that exceeds maxDepth; zero if none does.
+	tooDeep int
 }
 
-func scanPositions(src string) positions {
+// scanPositions returns the lines of all keys, and the line at which the file
+// exceeds maxDepth or zero.
+func scanPositions(src string) (found positions, tooDeep int) {
 	s := &scanner{src: src, line: 1, found: positions{}, tables: map[string]int{}}
 	prefix := ""
 	for s.skipBlank(); !s.end(); s.skipBlank() {
@@ -43,7 +53,15 @@
 		}
 		s.ensureProgress(start)
 	}
-	return s.found
+	return s.found, s.tooDeep
+}
+
+// checkDepth ends the scan of a file that exceeds maxDepth.
+func (s *scanner) checkDepth(depth int) {
+	if depth > maxDepth {
+		s.tooDeep = s.line
+		s.pos = len(s.src)
+	}
 }
 
 func (s *scanner) end() bool { return s.pos >= len(s.src) }
@@ -141,6 +159,7 @@
 	for {
 		s.skipWhile(" \t")
 		names = append(names, s.simpleKey())
+		s.checkDepth(len(names))
 		s.skipWhile(" \t")
 		if s.peek() != '.' {
 			return names
@@ -165,6 +184,9 @@
 }
 
 func (s *scanner) value(path string) {
+	s.depth++
+	defer func() { s.depth-- }()
+	s.checkDepth(s.depth)
 	switch s.peek() {
 	case '"', '\'':
 		s.text()
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -131,6 +131,18 @@
 		expectFault(err, line, "control.voters[0].peerAddr", "127.0.0.1:7114")
 	})
 
+	// Guards against small files that take minutes to read.
+	DescribeTable("has a limit on nesting",
+		func(text string) {
+			_, err := settings.Parse("f.toml", []byte(text))
+			expectFault(err, 1, "", "16 levels")
+		},
+		Entry("lists", "a = "+strings.Repeat("[", 200_000)),
+		Entry("inline tables", "a = "+strings.Repeat("{a=", 100_000)),
+		Entry("a dotted key", strings.Repeat("a.", 200_000)+"a = 1"),
+		Entry("a header", "["+strings.Repeat("a.", 200_000)+"a]"),
+	)
+
 	It("has at most a fixed size and number of faults", func() {
 		_, err := settings.Parse("f.toml", make([]byte, settings.MaxFileBytes+1))
 		expectFault(err, 1, "", "too large")
