--- a/cmd/azurestair/local.go
+++ b/cmd/azurestair/local.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -27,10 +29,41 @@
 		if err != nil {
 			return err
 		}
-		return serve(ctx, instance.New(s, instance.Options{LogOutput: os.Stderr}))
+		r := &reloader{path: *path, out: make(chan settings.Settings)}
+		go r.run(ctx)
+		return serve(ctx, instance.New(s, instance.Options{LogOutput: os.Stderr, Reload: r.out}))
 	})
 }
 
+// reloader reads the settings file again on SIGHUP.
+type reloader struct {
+	path string
+	out  chan settings.Settings
+}
+
+func (r *reloader) run(ctx context.Context) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		s, err := settings.Load(r.path)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "azurestair: settings not reloaded:", err)
+			continue
+		}
+		select {
+		case r.out <- s:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 var errFailed = errors.New("the instance has failed; see its log")
 
 // serve runs the application until a signal or its own failure ends it.
--- a/instance/access.go
+++ b/instance/access.go
@@ -3,11 +3,10 @@
 import (
 	"crypto/sha256"
 	"crypto/subtle"
+	"sync/atomic"
 
 	"azurestair.example/azurestair"
-	"azurestair.example/azurestair/operator"
 	"azurestair.example/azurestair/settings"
-	"azurestair.example/azurestair/upstream"
 )
 
 // findToken returns the name of the token. It compares with every stored hash
@@ -28,13 +27,20 @@
 	return name, nil
 }
 
-func operatorAuth(tokens []settings.Token) operator.Authorizer {
-	return func(token string) (azurestair.OperatorName, error) { return findToken(tokens, token) }
+// access checks tokens; the accepted ones may be replaced at any time.
+type access struct {
+	tokens atomic.Pointer[settings.Tokens]
 }
 
-func upstreamAuth(tokens []settings.Token) upstream.Authorizer {
-	return func(token string) (string, error) {
-		name, err := findToken(tokens, token)
-		return string(name), err
-	}
+func (a *access) set(t settings.Tokens) { a.tokens.Store(&t) }
+
+// operator returns the operator that a token belongs to.
+func (a *access) operator(token string) (azurestair.OperatorName, error) {
+	return findToken(a.tokens.Load().Operators, token)
+}
+
+// upstream returns the name of the upstreams' token.
+func (a *access) upstream(token string) (string, error) {
+	name, err := findToken(a.tokens.Load().Upstreams, token)
+	return string(name), err
 }
--- a/instance/process.go
+++ b/instance/process.go
@@ -33,6 +33,9 @@
 	Clock azurestair.Clock
 	// LogOutput receives the log lines; nil discards them.
 	LogOutput io.Writer
+	// Reload delivers changed settings; their tokens and log level take effect
+	// without a restart.
+	Reload <-chan settings.Settings
 	// Listen opens a listener.
 	Listen func(network, addr string) (net.Listener, error)
 	// DialPeer and DialUpstream open connections.
@@ -74,6 +77,7 @@
 			l.UseLogLevel(slog.LevelDebug)
 			return l
 		}),
+		fx.Supply(&slog.LevelVar{}),
 		fx.Provide(newLogger, newConns, newClient, newEntryOf, newProcess, newMeters),
 		fx.Invoke(func(lc fx.Lifecycle, p *Process) {
 			lc.Append(fx.Hook{OnStart: p.start, OnStop: p.stop})
@@ -81,8 +85,7 @@
 	)
 }
 
-func newLogger(s settings.Settings, o Options) (*slog.Logger, error) {
-	var level slog.Level
+func newLogger(s settings.Settings, o Options, level *slog.LevelVar) (*slog.Logger, error) {
 	if err := level.UnmarshalText([]byte(s.Log.Level)); err != nil {
 		return nil, fmt.Errorf("%w: log.level: %w", azurestair.ErrInvalid, err)
 	}
@@ -162,6 +165,8 @@
 	entry    *Entry
 	metrics  *meters
 	down     fx.Shutdowner
+	level    *slog.LevelVar
+	access   access
 
 	self       azurestair.InstanceInfo
 	controller *Controller
@@ -181,12 +186,13 @@
 }
 
 func newProcess(s settings.Settings, o Options, log *slog.Logger, conns *peer.Conns, client *peer.Client, entry *Entry,
-	m *meters, down fx.Shutdowner,
+	m *meters, down fx.Shutdowner, level *slog.LevelVar,
 ) *Process {
 	p := &Process{
 		settings: s, options: o, log: log, conns: conns, client: client, entry: entry, metrics: m, down: down,
-		self: selfOf(s, o.Clock.Now()),
+		self: selfOf(s, o.Clock.Now()), level: level,
 	}
+	p.access.set(s.Tokens)
 	if entry != nil {
 		p.self = entry.self
 	}
@@ -220,11 +226,28 @@
 		p.wg.Go(func() { p.notifier.run(ctx) })
 	}
 	p.wg.Go(func() { p.reporter.run(ctx) })
+	p.wg.Go(func() { p.run(ctx) })
 	p.wg.Go(func() { p.runController(ctx) })
 	p.log.Info("started", "callers", p.self.CallerAddr, "peers", p.self.PeerAddr, "roles", p.settings.Instance.Roles)
 	return nil
 }
 
+// run takes over changed settings until ctx ends.
+func (p *Process) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-p.options.Reload:
+			p.access.set(s.Tokens)
+			if err := p.level.UnmarshalText([]byte(s.Log.Level)); err != nil {
+				p.log.Error("log level not changed", "err", err)
+			}
+			p.log.Info("settings reloaded", "operators", len(s.Tokens.Operators), "upstreams", len(s.Tokens.Upstreams))
+		}
+	}
+}
+
 // runController runs the control goroutine; the process ends when it fails.
 func (p *Process) runController(ctx context.Context) {
 	p.controller.run(ctx)
@@ -308,14 +331,14 @@
 	}
 	p.peers = peer.NewServer(p.controller, tlsCfg)
 	p.wg.Go(func() { _ = p.peers.Serve(l) })
-	admin := operator.NewHandler(&backend{p}, operatorAuth(p.settings.Tokens.Operators), p.options.Clock, p.metrics)
+	admin := operator.NewHandler(&backend{p}, p.access.operator, p.options.Clock, p.metrics)
 	if err := p.serveHTTP("operators", p.settings.Listen.Operators, admin); err != nil {
 		return err
 	}
 	if p.entry == nil {
 		return nil
 	}
-	announce := upstream.NewAnnounceHandler(&announcer{p}, upstreamAuth(p.settings.Tokens.Upstreams))
+	announce := upstream.NewAnnounceHandler(&announcer{p}, p.access.upstream)
 	if err := p.serveHTTP("upstreams", p.settings.Listen.Upstreams, announce); err != nil {
 		return err
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -80,7 +80,6 @@
 type Tokens struct {
 	Operators []Token `toml:"operators"`
 	Upstreams []Token `toml:"upstreams"`
-	PeerKey   PeerKey `toml:"peerKey"`
 }
 
 // Token is an accepted bearer token. For operators the name appears in the audit trail.
@@ -98,25 +97,6 @@
 	return readHex(h[:], text, "the SHA-256 hash of the token; plain tokens are not accepted")
 }
 
-// PeerKey is a secret that all processes of a fleet share. The zero value means none.
-type PeerKey [32]byte
-
-// UnmarshalText reads 64 lower-case hexadecimal digits.
-func (k *PeerKey) UnmarshalText(text []byte) error {
-	return readHex(k[:], text, "a key of 32 random bytes")
-}
-
-// String hides the key from logs.
-func (k PeerKey) String() string {
-	if k == (PeerKey{}) {
-		return "none"
-	}
-	return "hidden"
-}
-
-// GoString hides the key from logs.
-func (k PeerKey) GoString() string { return k.String() }
-
 func readHex(dst, text []byte, meaning string) error {
 	for _, c := range text {
 		if (c < '0' || c > '9') && (c < 'a' || c > 'f') {
