--- a/errors.go
+++ b/errors.go
@@ -35,6 +35,8 @@
 // NotLeaderError is an ErrNotLeader that may name the leader.
 type NotLeaderError struct {
 	Leader InstanceID
+	// Addr is where the leader accepts peers, if known.
+	Addr string
 }
 
 // Error describes the error.
--- a/instance/claim.go
+++ b/instance/claim.go
@@ -26,11 +26,16 @@
 )
 
 // serveOnce forwards a request that must run at most once: it is claimed in
-// the ledger before its first byte is sent, and its outcome is recorded.
+// the ledger before its first byte is sent, and its outcome is recorded. An
+// entry that has lost control does not make the caller wait for a ledger that
+// it probably cannot reach; the caller can turn to another entry.
 func (c *call) serveOnce(ctx context.Context) caller.Reply {
 	if c.req.Key == "" {
 		return invalid(azurestair.ReasonKeyMissing)
 	}
+	if !c.entry.view.Load().isCurrent(c.entry.clock.Now()) {
+		return unknown(azurestair.ReasonLedgerUnreachable)
+	}
 	if reason := c.readBody(); reason != azurestair.ReasonNone {
 		return caller.Reply{Outcome: azurestair.OutcomeInvalid, Reason: reason}
 	}
--- a/instance/controller.go
+++ b/instance/controller.go
@@ -160,6 +160,8 @@
 
 func (leaveEvent) handle(c *Controller, now time.Time) { c.member.leave(now) }
 
+func (e goneEvent) handle(c *Controller, _ time.Time) { c.member.goneSoon(e.done) }
+
 func (e handOverEvent) handle(c *Controller, now time.Time) {
 	e.reply <- c.replica != nil && c.replica.handOver(now)
 }
--- a/instance/entry.go
+++ b/instance/entry.go
@@ -204,8 +204,12 @@
 		ConfigVersion: v.snapshot.ConfigVersion(),
 		Entries:       make([]caller.Entry, 0, found.Len()),
 	}
+	current := v.isCurrent(e.clock.Now())
 	for i := range found.Len() {
 		info := found.At(i)
+		if info.ID == e.self.ID && !current && found.Len() > 1 {
+			continue
+		}
 		a.Entries = append(a.Entries, caller.Entry{
 			Instance: info.ID, Addr: info.CallerAddr, Region: info.Region, FailureDomain: info.FailureDomain,
 		})
--- a/instance/events.go
+++ b/instance/events.go
@@ -78,9 +78,13 @@
 // notifyEvent says that the leader has a newer snapshot.
 type notifyEvent struct{}
 
-// leaveEvent starts the departure of this instance.
+// leaveEvent takes this instance out of look-ups; it goes on serving.
 type leaveEvent struct{}
 
+// goneEvent has the last report of this instance sent; done is closed when it
+// has been answered.
+type goneEvent struct{ done chan<- struct{} }
+
 // handOverEvent has a leader pass its leadership on; the reply says whether
 // this instance still leads with others to follow it.
 type handOverEvent struct{ reply chan<- bool }
--- a/instance/member.go
+++ b/instance/member.go
@@ -34,7 +34,10 @@
 	tableDone       bool
 	announced       map[azurestair.UpstreamID]*announced
 
-	leaving   bool
+	leaving bool
+	// gone is closed when the last report has been answered; nil before the end.
+	gone      chan<- struct{}
+	lastSent  bool
 	reporting bool
 	due       bool
 	sentAt    time.Time
@@ -68,6 +71,12 @@
 	m.publish(now)
 }
 
+// goneSoon has the last report sent next.
+func (m *Member) goneSoon(done chan<- struct{}) {
+	m.gone = done
+	m.reportSoon()
+}
+
 // announce takes an upstream's announcement.
 func (m *Member) announce(a azurestair.Announcement, now time.Time) error {
 	old, known := m.announced[a.Upstream]
@@ -103,7 +112,7 @@
 		m.nextTick = now.Add(tickEvery)
 		m.tick(now)
 	}
-	if m.reporting || now.Sub(m.sentAt) < reportSpacing {
+	if m.reporting || m.lastSent || now.Sub(m.sentAt) < reportSpacing {
 		return
 	}
 	if m.due || now.Sub(m.sentAt) >= reportEvery {
@@ -146,7 +155,7 @@
 
 func (m *Member) nextDeadline() time.Time {
 	next := m.nextTick
-	if m.reporting {
+	if m.reporting || m.lastSent {
 		return next
 	}
 	at := m.sentAt.Add(reportEvery)
@@ -161,7 +170,8 @@
 
 // send hands a report to the reporter.
 func (m *Member) send(now time.Time) {
-	r := azurestair.Report{Instance: m.self, Leaving: m.leaving && m.entry.isIdle()}
+	r := azurestair.Report{Instance: m.self, Leaving: m.gone != nil}
+	m.lastSent = r.Leaving
 	r.Instance.Ready = m.entry != nil && !m.leaving && m.isCurrent(now)
 	r.Instance.InForce = m.snapshot.ConfigVersion()
 	if m.snapshot != nil {
@@ -185,6 +195,10 @@
 // reported takes over the leader's reply to the last report.
 func (m *Member) reported(e reportedEvent, now time.Time) {
 	m.reporting = false
+	if m.lastSent {
+		close(m.gone)
+		return
+	}
 	if e.err != nil {
 		m.failed(e.err)
 		return
--- a/instance/process.go
+++ b/instance/process.go
@@ -380,6 +380,7 @@
 			_ = s.Close()
 		}
 	}
+	p.sayGone(grace)
 	p.handOver(grace)
 	p.cancel()
 	<-p.controller.stopped
@@ -404,6 +405,17 @@
 	leaveNotice = 300 * time.Millisecond
 )
 
+// goneTimeout bounds the wait for the answer to the last report.
+const goneTimeout = 500 * time.Millisecond
+
+// sayGone sends the last report, by which the leader takes back the leases.
+func (p *Process) sayGone(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, goneTimeout)
+	defer cancel()
+	done := make(chan struct{})
+	_, _ = ask(ctx, p.controller, goneEvent{done: done}, done)
+}
+
 // handOverPoll is how often a leaving leader looks whether another has taken over.
 const handOverPoll = 20 * time.Millisecond
 
--- a/instance/replica.go
+++ b/instance/replica.go
@@ -45,7 +45,10 @@
 }
 
 // peerList learns the addresses of members of the log.
-type peerList interface{ AddPeer(a peer.Address) }
+type peerList interface {
+	AddPeer(a peer.Address)
+	Addr(id azurestair.InstanceID) string
+}
 
 // Replica replicates the log and, on the leader, answers reports. It belongs
 // to the control goroutine.
@@ -150,7 +153,7 @@
 	if leader == r.self {
 		return fmt.Errorf("%w: the leader's lease has run out", azurestair.ErrNoQuorum)
 	}
-	return azurestair.NotLeaderError{Leader: leader}
+	return azurestair.NotLeaderError{Leader: leader, Addr: r.peers.Addr(leader)}
 }
 
 // readable reports whether a read now sees every change that was acknowledged before.
--- a/peer/client.go
+++ b/peer/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,14 +42,6 @@
 	return &Client{conns: conns, peers: control}
 }
 
-// SetPeers replaces the control instances.
-func (c *Client) SetPeers(control []Address) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.peers = control
-	c.leader = 0
-}
-
 // Propose has the leader apply a command. It repeats the command until ctx ends.
 func (c *Client) Propose(ctx context.Context, cmd azurestair.Command) (azurestair.Result, error) {
 	var res azurestair.Result
@@ -134,10 +127,31 @@
 				return
 			}
 		}
+		c.meet(notLeader)
+		if c.peers[c.leader%len(c.peers)] != tried {
+			return
+		}
 	}
 	c.leader = (c.leader + 1) % n
 }
 
+// maxPeers bounds the control instances that a client remembers.
+const maxPeers = 4 * azurestair.MaxVoters
+
+// meet adds a leader that the settings do not list, as after a replacement.
+func (c *Client) meet(e azurestair.NotLeaderError) {
+	if e.Leader == "" || azurestair.CheckAddr(e.Addr) != nil || len(c.peers) >= maxPeers {
+		return
+	}
+	for _, p := range c.peers {
+		if p.ID == e.Leader {
+			return
+		}
+	}
+	c.peers = append(slices.Clone(c.peers), Address{ID: e.Leader, Addr: e.Addr})
+	c.leader = len(c.peers) - 1
+}
+
 func (c *Client) tryOnce(ctx context.Context, to Address, method string, q, a any) error {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
--- a/peer/errors.go
+++ b/peer/errors.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -10,7 +11,8 @@
 	"azurestair.example/azurestair"
 )
 
-// notLeaderPrefix starts the status message of an ErrNotLeader; the leader's id follows.
+// notLeaderPrefix starts the status message of an ErrNotLeader; the leader's id
+// and address follow.
 const notLeaderPrefix = "notLeader:"
 
 var codeErrors = []struct {
@@ -33,7 +35,7 @@
 	}
 	var notLeader azurestair.NotLeaderError
 	if errors.As(err, &notLeader) {
-		return status.Error(codes.FailedPrecondition, notLeaderPrefix+string(notLeader.Leader))
+		return status.Error(codes.FailedPrecondition, notLeaderPrefix+string(notLeader.Leader)+" "+notLeader.Addr)
 	}
 	for _, c := range codeErrors {
 		if errors.Is(err, c.err) {
@@ -55,8 +57,9 @@
 	if !ok {
 		return err
 	}
-	if msg := s.Message(); s.Code() == codes.FailedPrecondition && len(msg) >= len(notLeaderPrefix) && msg[:len(notLeaderPrefix)] == notLeaderPrefix {
-		return azurestair.NotLeaderError{Leader: azurestair.InstanceID(msg[len(notLeaderPrefix):])}
+	if hint, ok := strings.CutPrefix(s.Message(), notLeaderPrefix); ok && s.Code() == codes.FailedPrecondition {
+		leader, addr, _ := strings.Cut(hint, " ")
+		return azurestair.NotLeaderError{Leader: azurestair.InstanceID(leader), Addr: addr}
 	}
 	for _, c := range codeErrors {
 		if c.code == s.Code() {
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -55,6 +55,16 @@
 	t.wg.Go(func() { l.run(t.ctx) })
 }
 
+// Addr returns the address of a peer, empty if it is not known.
+func (t *Transport) Addr(id azurestair.InstanceID) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if l, ok := t.links[id]; ok {
+		return l.to.Addr
+	}
+	return ""
+}
+
 // Send queues a message; it drops the message when the queue is full.
 func (t *Transport) Send(m azurestair.RaftMessage) {
 	t.mu.Lock()
