--- a/instance/entry.go
+++ b/instance/entry.go
@@ -95,11 +95,14 @@
 		return
 	}
 	for name, g := range e.allGates() {
-		n := v.slots(name, e.self.Region, now)
+		var n azurestair.Slots
 		for _, r := range v.snapshot.Config.Regions {
+			usable := v.slots(name, r.Name, now)
 			if r.Name != e.self.Region {
-				n += v.shift(name, r.Name, now)
+				usable = v.shift(name, r.Name, now)
 			}
+			g.setShare(r.Name, usable)
+			n += usable
 		}
 		g.setSlots(n)
 	}
--- a/instance/gate.go
+++ b/instance/gate.go
@@ -277,6 +277,15 @@
 	g.resize(g.clock.Now())
 }
 
+// setShare sets how many requests the leases allow into a region.
+func (g *gate) setShare(region azurestair.RegionName, n azurestair.Slots) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p, ok := g.picker.(azurestair.Sharer); ok {
+		p.SetShare(region, n, g.clock.Now())
+	}
+}
+
 // resize takes the late slots off what the leases allow. The caller holds mu.
 func (g *gate) resize(now time.Time) {
 	g.admitter.SetSlots(max(0, g.slots-azurestair.Slots(len(g.late))), now)
--- a/interfaces.go
+++ b/interfaces.go
@@ -70,6 +70,12 @@
 	ProbeCandidates(now time.Time) []UpstreamID
 }
 
+// Sharer is a Picker that spreads a leased budget over the upstreams.
+type Sharer interface {
+	// SetShare takes over how many requests into a region may be in flight.
+	SetShare(region RegionName, leased Slots, now time.Time)
+}
+
 // Configurer is an Admitter that takes over changed fleet defaults.
 type Configurer interface {
 	Configure(d Defaults, now time.Time)
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -164,6 +164,15 @@
 		expectRefused(b, azurestair.ReasonShiftCap)
 	})
 
+	// Guards against a lease that a busy entry cannot use, because its part of
+	// each worker stays that of an idle one.
+	It("uses of each worker the part that it has leased of the region", func() {
+		b := newBench(routing.Options{Region: "y", Entries: 9}, both...)
+		Expect(b.fill()).To(HaveLen(4 * (1 + 1)))
+		b.SetShare("y", 24, b.now)
+		Expect(b.fill()).To(HaveLen(4 * (6 + 1 - 2)))
+	})
+
 	// Guards R1: late slots and attempts together stay under the cap.
 	It("waits for local saturation and stays under the budget", func() {
 		b := newBench(routing.Options{Region: "x", Shift: underFive}, both...)
--- a/routing/update.go
+++ b/routing/update.go
@@ -137,6 +137,7 @@
 func (p *Weighted) configure(s *azurestair.Snapshot) {
 	weights := exceptions(s, azurestair.SettingWeight)
 	caps := exceptions(s, azurestair.SettingSlots)
+	clear(p.total)
 	for _, w := range p.order {
 		if !w.listed {
 			p.forgetEjection(w)
@@ -152,7 +153,38 @@
 		if v, ok := exceptionFor(caps, w.info); ok {
 			slots = min(slots, azurestair.Slots(v))
 		}
-		w.setShare(slots, p.opts.Entries)
+		w.slots = slots
+		if !w.drained {
+			p.total[w.info.Region] += slots
+		}
+	}
+	p.shareOut()
+}
+
+// SetShare takes over how many requests into a region the entry has leased.
+// The entry may use the same part of each worker there. Without a lease it is
+// the part that all entries would have if they shared evenly.
+func (p *Weighted) SetShare(region azurestair.RegionName, leased azurestair.Slots, now time.Time) {
+	if p.leased[region] == leased {
+		return
+	}
+	p.leased[region] = leased
+	p.shareOut()
+	for _, w := range p.order {
+		if w.info.Region == region {
+			p.settle(w, now)
+		}
+	}
+}
+
+func (p *Weighted) shareOut() {
+	for _, w := range p.order {
+		even := 1 / float64(p.opts.Entries)
+		part := even
+		if total := p.total[w.info.Region]; total > 0 {
+			part = max(even, min(1, float64(p.leased[w.info.Region])/float64(total)))
+		}
+		w.setShare(w.slots, part, p.opts.Entries)
 	}
 }
 
--- a/routing/weighted.go
+++ b/routing/weighted.go
@@ -28,6 +28,10 @@
 	// remoteAt rotates the region that is asked first.
 	remoteAt int
 
+	// leased and total are the entry's lease and all usable slots by region.
+	leased map[azurestair.RegionName]azurestair.Slots
+	total  map[azurestair.RegionName]azurestair.Slots
+
 	mean     float64
 	failRate float64
 	ejected  int
@@ -45,6 +49,8 @@
 		opts:     o.withDefaults(),
 		defaults: azurestair.Defaults{}.WithDefaults(),
 		workers:  map[azurestair.UpstreamID]*worker{},
+		leased:   map[azurestair.RegionName]azurestair.Slots{},
+		total:    map[azurestair.RegionName]azurestair.Slots{},
 	}
 }
 
--- a/routing/worker.go
+++ b/routing/worker.go
@@ -34,6 +34,7 @@
 	listed       bool
 	drained      bool
 	weight       float64
+	slots        azurestair.Slots
 	shareOfSlots float64
 	share        int
 	queue        int
@@ -110,10 +111,10 @@
 	return max(part, rampStart)
 }
 
-// setShare divides the worker's slots among the entries. Shares are rounded
-// up, so that every entry can reach every worker.
-func (w *worker) setShare(slots azurestair.Slots, entries int) {
-	w.shareOfSlots = max(float64(slots), 0) / float64(entries)
+// setShare gives the entry its part of the worker's slots; entries share the
+// connections. Shares are rounded up, so that every entry can reach every worker.
+func (w *worker) setShare(slots azurestair.Slots, part float64, entries int) {
+	w.shareOfSlots = max(float64(slots), 0) * part
 	w.share = int(math.Ceil(w.shareOfSlots))
 	w.queue = max(1, w.share/queueShare)
 	conns := max(1, int(w.info.MaxConns)/entries)
