--- a/instance/entry.go
+++ b/instance/entry.go
@@ -71,6 +71,14 @@
 	e.limitConns(s)
 }
 
+// contact tells the pickers that control stands by the snapshot that they
+// have, by which its upstreams stay confirmed.
+func (e *Entry) contact(s *azurestair.Snapshot) {
+	for _, g := range e.allGates() {
+		g.update(s)
+	}
+}
+
 // limitConns shares each upstream's connection limit among the entries.
 func (e *Entry) limitConns(s *azurestair.Snapshot) {
 	keep := map[string]bool{}
--- a/instance/member.go
+++ b/instance/member.go
@@ -219,6 +219,8 @@
 	m.resend(e.reply.Unknown)
 	if m.snapshot != before {
 		m.changed(before, now)
+	} else if m.entry != nil && m.snapshot != nil {
+		m.entry.contact(m.snapshot)
 	}
 	m.publish(now)
 }
--- /dev/null
+++ b/instance/suite_test.go
@@ -0,0 +1,64 @@
+package instance
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"azurestair.example/azurestair"
+)
+
+func TestInstance(t *testing.T) {
+	RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "instance")
+}
+
+// fixedClock is a clock that tests set.
+type fixedClock struct{ now time.Time }
+
+func (c *fixedClock) Now() time.Time { return c.now }
+
+// countingPicker counts the updates that it gets.
+type countingPicker struct {
+	azurestair.Picker
+	updates int
+}
+
+func (p *countingPicker) Update(*azurestair.Snapshot, time.Time) { p.updates++ }
+
+// memberWithPicker returns a member that holds a snapshot, and its picker.
+func memberWithPicker(now time.Time) (*Member, *countingPicker) {
+	clock := &fixedClock{now: now}
+	p := &countingPicker{}
+	e := &Entry{clock: clock, metrics: newMeters()}
+	gates := map[azurestair.ServiceName]*gate{"catalogue": newGate(clock, nil, p, nil)}
+	e.gates.Store(&gates)
+	m := newMember(azurestair.InstanceInfo{ID: "entry-1"}, e, nil, slog.New(slog.DiscardHandler))
+	m.snapshot = &azurestair.Snapshot{Term: 2, Revision: 1, Config: &azurestair.Config{Version: 1}}
+	return m, p
+}
+
+var _ = ginkgo.Describe("a report's reply without news", func() {
+	now := time.Unix(1_700_000_000, 0)
+
+	// Guards against upstreams that count as unconfirmed, and get no work,
+	// because nothing has changed for 3 s.
+	ginkgo.It("confirms the upstreams of the held snapshot", func() {
+		m, p := memberWithPicker(now)
+		m.entry.view.Store(&view{snapshot: m.snapshot})
+		m.reported(reportedEvent{sent: now, reply: azurestair.ReportReply{Term: 2, ControlTTLMs: 3000}}, now)
+		Expect(p.updates).To(Equal(1))
+		Expect(m.isCurrent(now.Add(2999 * time.Millisecond))).To(BeTrue())
+		Expect(m.isCurrent(now.Add(3 * time.Second))).To(BeFalse())
+	})
+
+	// Guards against a confirmation without contact.
+	ginkgo.It("does not confirm when the exchange failed", func() {
+		m, p := memberWithPicker(now)
+		m.reported(reportedEvent{sent: now, err: azurestair.ErrNoQuorum}, now)
+		Expect(p.updates).To(BeZero())
+	})
+})
