--- a/raft/election.go
+++ b/raft/election.go
@@ -18,10 +18,11 @@
 }
 
 // retryElection sets a shorter deadline: after a failed attempt the leader is
-// already known to be silent, and only other candidates must be avoided.
+// already known to be silent, and only other candidates must be avoided. The
+// shortest span leaves time for one round trip and a sync.
 func (n *Node) retryElection() {
 	t := n.opts.ElectionTimeout
-	n.electionDeadline = n.now.Add(t/4 + n.randomBelow(t/2))
+	n.electionDeadline = n.now.Add(t*3/20 + n.randomBelow(t/4))
 }
 
 // electable reports whether the replica may campaign.
