--- a/raft/doc.go
+++ b/raft/doc.go
@@ -22,4 +22,26 @@
 // replica that starts empty and without an initial membership is joining: it
 // neither votes nor campaigns before its stored log lists it as a learner,
 // because it may be a voter that lost its disk and with it its votes.
+//
+// The owner's loop, on one goroutine:
+//
+//	select {
+//	case <-timer.C:
+//		node.Tick(clock.Now())
+//	case m := <-messages:
+//		err = node.Step(m, clock.Now())
+//	case seq := <-stored:
+//		node.Stored(seq)
+//	}
+//	for rd, ok := node.Ready(); ok; rd, ok = node.Ready() {
+//		send(rd.Messages)
+//		if rd.Seq > 0 {
+//			writer <- rd // Append, SaveSnapshot, send AfterStore, report Seq
+//		}
+//		if rd.Restore {
+//			load(rd.Snapshot)
+//		}
+//		apply(rd.Committed)
+//	}
+//	resetTimer(node.NextDeadline())
 package raft
