--- a/control/allocator.go
+++ b/control/allocator.go
@@ -262,7 +262,7 @@
 }
 
 func (b *budget) search(id azurestair.InstanceID) (int, bool) {
-	return search(b.order, id, func(s *share) azurestair.InstanceID { return s.holder })
+	return searchSorted(b.order, id, func(s *share) azurestair.InstanceID { return s.holder })
 }
 
 // grant answers one demand.
--- a/control/lease_property_test.go
+++ b/control/lease_property_test.go
@@ -20,15 +20,8 @@
 	simDrift = 0.01
 )
 
-// simClock has its own offset and rate.
-type simClock struct {
-	offset time.Duration
-	rate   float64
-}
-
-func (c simClock) at(t time.Duration) time.Time {
-	return start.Add(c.offset + time.Duration(float64(t)*c.rate))
-}
+// simClock returns the local time; each clock has its own offset and rate.
+type simClock func(t time.Duration) time.Time
 
 type simHolder struct {
 	id     azurestair.InstanceID
@@ -84,14 +77,15 @@
 func (s *sim) upTo(d time.Duration) time.Duration { return time.Duration(s.rng.Int64N(int64(d))) }
 
 func (s *sim) newClock() simClock {
-	return simClock{offset: s.upTo(time.Hour), rate: 1 + simDrift*(2*s.rng.Float64()-1)}
+	offset, rate := s.upTo(time.Hour), 1+simDrift*(2*s.rng.Float64()-1)
+	return func(t time.Duration) time.Time { return start.Add(offset + time.Duration(float64(t)*rate)) }
 }
 
 // elect replaces the leader. Its knowledge of floors is what one holder has.
 func (s *sim) elect(t time.Duration) {
 	s.clock, s.leader = s.newClock(), &control.Allocator{}
 	s.leader.Inherit(s.holders[s.rng.IntN(len(s.holders))].granted)
-	s.leader.Quiet(s.clock.at(t).Add(control.QuietTime))
+	s.leader.Quiet(s.clock(t).Add(control.QuietTime))
 	_ = s.leader.SetLimit(s.resource, s.limit)
 }
 
@@ -152,13 +146,13 @@
 func (s *sim) report(h *simHolder, t time.Duration) {
 	h.next = t + 500*time.Millisecond
 	h.sent++
-	number, inc, now := h.sent, h.inc, h.clock.at(t)
+	number, inc, now := h.sent, h.inc, h.clock(t)
 	d := h.holder.Demand(s.resource, min(h.want, h.holder.Limit(s.resource, now)), h.want)
 	s.send(h, nil, t, func(t time.Duration) {
-		grants := s.leader.Demand(h.id, inc, []azurestair.Demand{d}, s.clock.at(t))
+		grants := s.leader.Demand(h.id, inc, []azurestair.Demand{d}, s.clock(t))
 		s.send(h, h, t, func(t time.Duration) {
 			if number == h.sent && inc == h.inc {
-				h.holder.Apply(grants, now, h.clock.at(t))
+				h.holder.Apply(grants, now, h.clock(t))
 				h.granted = grants
 			}
 		})
@@ -169,7 +163,7 @@
 // former incarnation only the lease counts: the next one has its floor.
 func (s *sim) held(t time.Duration) (held, used int64) {
 	for _, h := range s.holders {
-		now := h.clock.at(t)
+		now := h.clock(t)
 		limit := h.holder.Limit(s.resource, now)
 		held += limit
 		used += min(h.want, limit)
@@ -261,7 +255,7 @@
 		expectRiseWithin(shift, func(s *sim, _ uint64, t time.Duration) int64 {
 			s.disturb(t)
 			s.step(t)
-			leased, reserved := s.leader.Outstanding(s.resource, s.clock.at(t))
+			leased, reserved := s.leader.Outstanding(s.resource, s.clock(t))
 			return leased + max(reserved, 8*shift.Floor)
 		})
 	})
--- a/control/limits.go
+++ b/control/limits.go
@@ -42,7 +42,7 @@
 	var out []ResourceLimit
 	for _, s := range cfg.Services {
 		for _, r := range cfg.Regions {
-			n := slots[place{s.Name, r.Name}]
+			n := slots[servicePlace{s.Name, r.Name}]
 			out = append(out, slotsLimit(s.Name, r.Name, n, maxHolders), shiftLimit(cfg, s.Name, r.Name, n, maxHolders))
 		}
 	}
@@ -85,25 +85,25 @@
 	return floor
 }
 
-// place is a service in a region.
-type place struct {
+// servicePlace is a service in a region.
+type servicePlace struct {
 	service azurestair.ServiceName
 	region  azurestair.RegionName
 }
 
 // regionSlots adds up the slots that may be used in each region.
-func regionSlots(cfg *azurestair.Config, drains []azurestair.Drain, upstreams []azurestair.UpstreamInfo) map[place]int64 {
+func regionSlots(cfg *azurestair.Config, drains []azurestair.Drain, upstreams []azurestair.UpstreamInfo) map[servicePlace]int64 {
 	drained := map[azurestair.Target]bool{}
 	for _, d := range drains {
 		drained[d.Target] = true
 	}
-	sum := map[place]int64{}
+	sum := map[servicePlace]int64{}
 	for _, u := range upstreams {
 		a := u.Announcement
 		if a.State != azurestair.StateServing || drained[upstreamTarget(a)] || drained[domainTarget(a)] {
 			continue
 		}
-		sum[place{a.Service, a.Region}] += EffectiveSlots(cfg, a)
+		sum[servicePlace{a.Service, a.Region}] += EffectiveSlots(cfg, a)
 	}
 	return sum
 }
--- a/control/publisher.go
+++ b/control/publisher.go
@@ -45,7 +45,7 @@
 
 	current *azurestair.Snapshot
 	// changes holds what changed with each of the last revisions, the newest last.
-	changes []change
+	changes []revisionChange
 	// deltas holds the deltas made for the current revision, by their base.
 	deltas map[azurestair.Revision]*azurestair.Delta
 	// listing, loads and refreshed are the registry's counts of changes at the
@@ -55,14 +55,14 @@
 	loadsAt, refreshAt time.Time
 }
 
-// change names what a revision changed; the values are in the current snapshot.
-type change struct {
+// revisionChange names what a revision changed; the values are in the current snapshot.
+type revisionChange struct {
 	config, drains bool
 	upstreams      []azurestair.UpstreamID
 	instances      []azurestair.InstanceID
 }
 
-func (c change) empty() bool {
+func (c revisionChange) empty() bool {
 	return !c.config && !c.drains && len(c.upstreams) == 0 && len(c.instances) == 0
 }
 
@@ -96,10 +96,10 @@
 		return p.current, false
 	}
 	next := *p.current
-	c := change{config: src.Config != next.Config, drains: !slices.Equal(src.Drains, next.Drains)}
+	c := revisionChange{config: src.Config != next.Config, drains: !slices.Equal(src.Drains, next.Drains)}
 	if d := p.due(src.Registry, now); d != 0 {
-		next.Upstreams, c.upstreams = merge(next.Upstreams, src.Registry.Upstreams(), upstreamKey, d.keepsUpstream)
-		next.Instances, c.instances = merge(next.Instances, src.Registry.Instances(), instanceKey, d.keepsInstance)
+		next.Upstreams, c.upstreams = mergeSorted(next.Upstreams, src.Registry.Upstreams(), upstreamKey, d.keepsUpstream)
+		next.Instances, c.instances = mergeSorted(next.Instances, src.Registry.Instances(), instanceKey, d.keepsInstance)
 	}
 	if c.empty() {
 		return p.current, false
@@ -115,6 +115,19 @@
 	return p.current, true
 }
 
+// NextDeadline returns when Publish must be called although the registry has
+// not changed again; zero if never.
+func (p *Publisher) NextDeadline(r *Registry) time.Time {
+	switch {
+	case r.soft != p.loads && p.loadsAt.Before(p.refreshAt):
+		return p.loadsAt
+	case r.soft != p.refreshed:
+		return p.refreshAt
+	default:
+		return time.Time{}
+	}
+}
+
 // restart publishes the first snapshot of a term, which no delta leads to.
 func (p *Publisher) restart(src Source, now time.Time) {
 	s := &azurestair.Snapshot{
@@ -187,7 +200,7 @@
 }
 
 // record makes s the current snapshot.
-func (p *Publisher) record(s *azurestair.Snapshot, c change) {
+func (p *Publisher) record(s *azurestair.Snapshot, c revisionChange) {
 	p.current, p.deltas = s, nil
 	p.changes = append(p.changes, c)
 	if surplus := len(p.changes) - orDefault(p.History, DefaultHistory); surplus > 0 {
@@ -221,7 +234,7 @@
 func (p *Publisher) deltaFrom(held azurestair.Revision) *azurestair.Delta {
 	s := p.current
 	d := &azurestair.Delta{Term: s.Term, Base: held, Revision: s.Revision, Commit: s.Commit}
-	var all change
+	var all revisionChange
 	for _, c := range p.changes[len(p.changes)-int(s.Revision-held):] {
 		all.config = all.config || c.config
 		all.drains = all.drains || c.drains
@@ -234,8 +247,8 @@
 	if all.drains {
 		d.Drains = &s.Drains
 	}
-	d.Upstreams, d.RemovedUpstreams = collect(s.Upstreams, all.upstreams, upstreamKey)
-	d.Instances, d.RemovedInstances = collect(s.Instances, all.instances, instanceKey)
+	d.Upstreams, d.RemovedUpstreams = collectKeys(s.Upstreams, all.upstreams, upstreamKey)
+	d.Instances, d.RemovedInstances = collectKeys(s.Instances, all.instances, instanceKey)
 	return d
 }
 
@@ -258,8 +271,8 @@
 	if d.Drains != nil {
 		next.Drains = *d.Drains
 	}
-	next.Upstreams = patch(s.Upstreams, d.Upstreams, d.RemovedUpstreams, upstreamKey)
-	next.Instances = patch(s.Instances, d.Instances, d.RemovedInstances, instanceKey)
+	next.Upstreams = patchSorted(s.Upstreams, d.Upstreams, d.RemovedUpstreams, upstreamKey)
+	next.Instances = patchSorted(s.Instances, d.Instances, d.RemovedInstances, instanceKey)
 	return &next, nil
 }
 
@@ -267,10 +280,10 @@
 
 func instanceKey(i azurestair.InstanceInfo) azurestair.InstanceID { return i.ID }
 
-// merge returns the list that replaces old, and the keys of what changed. An
+// mergeSorted returns the list that replaces old, and the keys of what changed. An
 // element in both lists keeps its old value where keep says so. Both lists are
 // sorted by key. Without a change it returns old itself.
-func merge[T any, K cmp.Ordered](old, cur []T, key func(T) K, keep func(old, cur T) bool) ([]T, []K) {
+func mergeSorted[T any, K cmp.Ordered](old, cur []T, key func(T) K, keep func(old, cur T) bool) ([]T, []K) {
 	var changed []K
 	out := make([]T, 0, len(cur))
 	i := 0
@@ -300,12 +313,12 @@
 	return out, changed
 }
 
-// collect returns the elements of a sorted list that have the given keys, and
+// collectKeys returns the elements of a sorted list that have the given keys, and
 // the keys that the list does not have.
-func collect[T any, K cmp.Ordered](list []T, keys []K, key func(T) K) (found []T, missing []K) {
+func collectKeys[T any, K cmp.Ordered](list []T, keys []K, key func(T) K) (found []T, missing []K) {
 	slices.Sort(keys)
 	for _, k := range slices.Compact(keys) {
-		i, ok := search(list, k, key)
+		i, ok := searchSorted(list, k, key)
 		if ok {
 			found = append(found, list[i])
 		} else {
@@ -315,8 +328,8 @@
 	return found, missing
 }
 
-// patch returns the sorted list without the removed elements and with the set ones.
-func patch[T any, K cmp.Ordered](list, set []T, removed []K, key func(T) K) []T {
+// patchSorted returns the sorted list without the removed elements and with the set ones.
+func patchSorted[T any, K cmp.Ordered](list, set []T, removed []K, key func(T) K) []T {
 	if len(set) == 0 && len(removed) == 0 {
 		return list
 	}
@@ -338,6 +351,6 @@
 	return out
 }
 
-func search[T any, K cmp.Ordered](list []T, k K, key func(T) K) (int, bool) {
+func searchSorted[T any, K cmp.Ordered](list []T, k K, key func(T) K) (int, bool) {
 	return slices.BinarySearchFunc(list, k, func(t T, k K) int { return cmp.Compare(key(t), k) })
 }
--- a/control/publisher_test.go
+++ b/control/publisher_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -56,8 +57,10 @@
 
 	// Guards against one delta for each load report.
 	It("publishes a large change of load soon and a small one later", func() {
+		Expect(p.NextDeadline(r)).To(BeZero())
 		announceLoad(r, 2, 1, 500)
 		expectPublishing(false, p, src, 500, 1000, 1999)
+		Expect(p.NextDeadline(r)).To(Equal(at(2000)))
 		expectPublishing(true, p, src, 2000)
 		announceLoad(r, 3, 3, 2400)
 		expectPublishing(false, p, src, 2400)
@@ -151,7 +154,7 @@
 	GinkgoHelper()
 	p, r := &control.Publisher{History: 8}, &control.Registry{}
 	src := source(r)
-	followers := make([]*azurestair.Snapshot, 4)
+	followers := slices.Repeat([]*azurestair.Snapshot{{}}, 4)
 	for ms := 0; ms < 30_000; ms += 250 {
 		changeRandomly(rng, r, &src, ms)
 		r.Expire(at(ms))
@@ -167,9 +170,6 @@
 
 func follow(p *control.Publisher, held *azurestair.Snapshot) *azurestair.Snapshot {
 	GinkgoHelper()
-	if held == nil {
-		held = &azurestair.Snapshot{}
-	}
 	before, _ := json.Marshal(held)
 	d, s := p.Delta(held.Term, held.Revision)
 	switch {
--- a/control/registry_test.go
+++ b/control/registry_test.go
@@ -44,32 +44,22 @@
 	var r *control.Registry
 	BeforeEach(func() { r = &control.Registry{} })
 
-	// Guards against new work for an upstream that has said it is going.
-	DescribeTable("honours a change of state at once and against older messages", func(s azurestair.UpstreamState) {
+	// Guards against new work for an upstream that has said it is going, and
+	// against a delayed message that lists it again after it left.
+	It("honours a change of state at once and against older messages", func() {
 		announce(r, 0, 1)
 		a := worker(1)
-		a.State, a.Sequence = s, 5
-		Expect(r.Announce(a, at(100))).To(Succeed())
-		expectWorkers(r, "001 "+string(s))
-		announce(r, 200, 1)
-		expectWorkers(r, "001 "+string(s))
-	},
-		Entry("draining", azurestair.StateDraining),
-		Entry("leaving", azurestair.StateLeaving),
-	)
-
-	// Guards against a delayed message that lists an upstream again after it left.
-	It("remembers an upstream that left", func() {
-		a := worker(1)
-		a.State, a.Sequence = azurestair.StateLeaving, 5
-		Expect(r.Announce(a, at(0))).To(Succeed())
+		for i, s := range []azurestair.UpstreamState{azurestair.StateDraining, azurestair.StateLeaving} {
+			a.State, a.Sequence = s, azurestair.Sequence(5+i)
+			Expect(r.Announce(a, at(100))).To(Succeed())
+			announce(r, 200, 1)
+			expectWorkers(r, "001 "+string(s))
+		}
 		Expect(r.Alive([]azurestair.UpstreamID{a.Upstream}, at(2000))).To(BeEmpty())
-		expire(r, 3000)
-		expectWorkers(r)
+		expire(r, 3100)
 		announce(r, 4000, 1)
 		expectWorkers(r)
-		a = worker(1)
-		a.Incarnation = 2
+		a.State, a.Incarnation = azurestair.StateServing, 2
 		Expect(r.Announce(a, at(5000))).To(Succeed())
 		expectWorkers(r, "001 serving")
 	})
--- a/lookup/table_test.go
+++ b/lookup/table_test.go
@@ -114,7 +114,8 @@
 	It("replaces a dead entry at once", func() {
 		before, e := settle(nil, entries(7)), entries(7)
 		e.Live = e.Live[1:]
-		after, _ := lookup.Build(before, e, 0)
+		after, done := lookup.Build(before, e, 0)
+		Expect(done).To(BeTrue())
 		expectNone(after, "entry-0")
 		Expect(movedShare(before, after, "entry-0")).To(BeZero())
 	})
@@ -136,13 +137,6 @@
 		Entry("drain", func(e *lookup.Entries) { e.Drained["entry-3"] = true }),
 	)
 
-	// Guards against a drain of every entry that leaves callers without an answer.
-	It("keeps entries when all are drained", func() {
-		e := entries(1)
-		e.Drained["entry-0"] = true
-		Expect(settle(nil, e).Find(block(1)).Len()).To(Equal(1))
-	})
-
 	// Guards against needless moves and needless work.
 	It("is stable while nothing changes", func() {
 		t := settle(nil, entries(7))
@@ -151,9 +145,13 @@
 		Expect(next).To(BeIdenticalTo(t))
 	})
 
-	It("finds nothing in an empty table", func() {
-		Expect((&lookup.Table{}).Find(block(1)).Len()).To(BeZero())
+	// Guards against a drain of every entry that leaves callers without an answer.
+	It("finds as many entries as there are, drained ones if need be", func() {
+		e := entries(1)
+		e.Drained["entry-0"] = true
+		Expect(settle(nil, e).Find(block(1)).Len()).To(Equal(1))
 		Expect(settle(nil, entries(0)).Find(block(1)).Len()).To(BeZero())
+		Expect((&lookup.Table{}).Find(block(1)).Len()).To(BeZero())
 	})
 })
 
