--- a/control/lease_property_test.go
+++ b/control/lease_property_test.go
@@ -198,20 +198,20 @@
 
 // expectRiseWithin runs schedules with a ramp and checks that no value
 // exceeds an earlier one of the last interval by more than the step, and that
-// the values rise at all.
+// the schedules come near it.
 func expectRiseWithin(l control.Limit, run func(s *sim, seed uint64, t time.Duration) int64) {
 	GinkgoHelper()
-	n := int(l.Interval / simStep)
+	n, most := int(l.Interval/simStep), int64(0)
 	for seed := range uint64(100) {
 		s := newSim(seed, func(*rand.Rand) control.Limit { return l })
 		var values []int64
-		most := int64(0)
 		for t := time.Duration(0); t < simLength; t += simStep {
 			values = append(values, run(s, seed, t))
 			most = max(most, values[len(values)-1]-slices.Min(values[max(0, len(values)-n-1):]))
 		}
-		Expect(most).To(And(BeNumerically(">", l.Step/2), BeNumerically("<=", l.Step)), "seed %d", seed)
+		Expect(most).To(BeNumerically("<=", l.Step), "seed %d", seed)
 	}
+	Expect(most).To(BeNumerically(">", l.Step*3/4))
 }
 
 var _ = Describe("leases", func() {
