--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -75,7 +75,7 @@
 	// Guards against retries in step and at once on the worker that failed.
 	DescribeTable("waits a jittered time, longer after a timeout",
 		func(result azurestair.AttemptResult, bound time.Duration) {
-			var longest time.Duration
+			shortest, longest := bound, time.Duration(0)
 			rnd := rand.NewPCG(1, 1)
 			for range 200 {
 				r := request(true, time.Second)
@@ -83,8 +83,9 @@
 				d := retry.Policy{}.Next(&r, &retry.Budget{}, retry.Attempt{Result: result}, start, rnd)
 				Expect(d.At).To(BeTemporally("<=", start.Add(bound)))
 				Expect(d.SameAt).To(BeTemporally("==", start.Add(bound)))
-				longest = max(longest, d.At.Sub(start))
+				shortest, longest = min(shortest, d.At.Sub(start)), max(longest, d.At.Sub(start))
 			}
+			Expect(shortest).To(BeNumerically("<", bound/10))
 			Expect(longest).To(BeNumerically(">", bound*9/10))
 		},
 		Entry("error", broken, 5*time.Millisecond),
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -146,6 +146,16 @@
 		Expect(b.pick("x-0").Upstream).To(BeEquivalentTo("x-0"))
 	})
 
+	// Guards against an old report that keeps work away from a worker for good.
+	It("uses a load report only while it is fresh", func() {
+		b, list := newBench(routing.Options{}, upstreams("x", 2, 9)...), upstreams("x", 2, 9)
+		list[0].Announcement.Sequence, list[0].Announcement.Load.Queued = 2, 1000
+		b.set(list...)
+		Expect(b.run(500, done)).NotTo(HaveKey(azurestair.UpstreamID("x-0")))
+		b.pass(2 * time.Second)
+		Expect(b.run(500, done)["x-0"]).To(BeNumerically("~", 250, 100))
+	})
+
 	// Guards against a crash or a wrong answer before the first snapshot.
 	It("is refused without upstreams", func() {
 		expectRefused(newBench(routing.Options{}), azurestair.ReasonNoUpstream)
@@ -182,7 +192,8 @@
 	It("keep their slots until the late bound or the answer", func() {
 		b := newBench(routing.Options{Without: routing.Mechanisms{Ejection: true}}, upstreams("x", 1, 3)...)
 		all := b.fill()
-		for _, c := range all {
+		b.Abandon(all[0], true, latency, b.now)
+		for _, c := range all[1:] {
 			b.Done(c, azurestair.AttemptTimeout, latency, b.now)
 		}
 		b.pass(routing.DefaultLateSlot - time.Second)
--- a/routing/worker.go
+++ b/routing/worker.go
@@ -207,7 +207,7 @@
 func acceptance(weight float64) float64 { return weight * (1 + weight) / 2 }
 
 // nextChange returns when the worker's standing may next change by itself;
-// zero if it may not.
+// zero if it may not. It lies after now, so that advance comes to an end.
 func (p *Weighted) nextChange(w *worker, now time.Time) time.Time {
 	var next time.Time
 	earlier := func(t time.Time) {
@@ -225,7 +225,10 @@
 		earlier(w.health.until)
 	}
 	if !w.rampFrom.IsZero() {
-		earlier(now.Add(max(p.defaults.SlowStartMs.Duration()/rampSteps, time.Millisecond)))
+		earlier(now.Add(p.defaults.SlowStartMs.Duration() / rampSteps))
+	}
+	if !next.IsZero() && !next.After(now) {
+		return now.Add(time.Millisecond)
 	}
 	return next
 }
