--- /dev/null
+++ b/faults/suite_test.go
@@ -0,0 +1,57 @@
+package faults
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var (
+	seedFlag = flag.Uint64("faults.seed", 1, "seed of all random choices")
+	longFlag = flag.Bool("faults.long", false, "run each case with more seeds")
+)
+
+// longSeeds is the number of seeds of each case in a long run.
+const longSeeds = 5
+
+// binaries is the folder of the programs that the suite has built.
+var binaries string
+
+func TestFaults(t *testing.T) {
+	t.Logf("seed %d", *seedFlag)
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(15 * time.Second)
+	SetDefaultEventuallyPollingInterval(20 * time.Millisecond)
+	RunSpecs(t, "faults")
+}
+
+var _ = BeforeSuite(func() {
+	dir, err := os.MkdirTemp("", "azurestair-faults-")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(os.RemoveAll, dir)
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "../cmd/azurestair", "../cmd/azurestair-upstream")
+	build.Stderr = GinkgoWriter
+	Expect(build.Run()).To(Succeed())
+})
+
+// eachSeed runs a case with each seed of this run.
+func eachSeed(run func(rng *rand.Rand)) {
+	n := uint64(1)
+	if *longFlag {
+		n = longSeeds
+	}
+	for i := range n {
+		seed := *seedFlag + i
+		By(fmt.Sprintf("seed %d", seed))
+		run(rand.New(rand.NewPCG(seed, 0)))
+	}
+}
--- a/stub/announce.go
+++ b/stub/announce.go
@@ -78,7 +78,7 @@
 	defer u.mu.Unlock()
 	u.sequence++
 	return azurestair.Announcement{
-		Upstream: u.opts.ID, Service: u.opts.Service, Addr: u.addr, Region: u.opts.Region,
+		Upstream: u.opts.ID, Service: u.opts.Service, Addr: u.opts.Advertise, Region: u.opts.Region,
 		FailureDomain: u.opts.FailureDomain, Slots: u.opts.Slots, MaxConns: u.opts.MaxConns, State: u.state,
 		Incarnation: u.incarnation, Sequence: u.sequence,
 		Load: azurestair.Load{InFlight: azurestair.Slots(u.inFlight), Queued: azurestair.Slots(u.waiting)},
--- a/stub/upstream.go
+++ b/stub/upstream.go
@@ -29,6 +29,11 @@
 	Entries []string
 	Token   string
 	Listen  string
+	// Advertise is the address that the stub announces; empty means its own.
+	Advertise string
+	// Intercept, if set, may answer a request in place of the stub, for
+	// instance wrongly. It returns false for a request that the stub answers.
+	Intercept func(w http.ResponseWriter, r *http.Request) bool
 }
 
 // Upstream is a running stub. Create it with Start.
@@ -69,6 +74,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", opts.Listen, err)
 	}
+	if opts.Advertise == "" {
+		opts.Advertise = l.Addr().String()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	u := &Upstream{
 		opts: opts, addr: l.Addr().String(), slots: make(chan struct{}, opts.Slots), cancel: cancel,
@@ -209,6 +217,9 @@
 	}
 	defer func() { <-u.slots }()
 	u.work(ctx, r.Header.Get(HeaderTestID))
+	if u.opts.Intercept != nil && u.opts.Intercept(w, r) {
+		return
+	}
 	if r.Method == http.MethodGet {
 		_, _ = fmt.Fprintf(w, "%s %s\n", u.opts.ID, r.URL.RequestURI())
 		return
