--- a/stub/upstream.go
+++ b/stub/upstream.go
@@ -96,6 +96,9 @@
 // ID returns the name of the stub.
 func (u *Upstream) ID() azurestair.UpstreamID { return u.opts.ID }
 
+// Service returns the service that the stub belongs to.
+func (u *Upstream) Service() azurestair.ServiceName { return u.opts.Service }
+
 // Runs returns how often the request with the given value of Stub-Request ran.
 func (u *Upstream) Runs(id string) int {
 	u.mu.Lock()
