--- /dev/null
+++ b/load/fleet.go
@@ -0,0 +1,329 @@
+package load
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/disk"
+	"azurestair.example/azurestair/operator"
+	"azurestair.example/azurestair/peer"
+	"azurestair.example/azurestair/stub"
+)
+
+// Tokens of the measured fleet; it listens on loopback addresses only.
+const (
+	operatorToken = "load-operator"
+	upstreamToken = "load-upstream"
+)
+
+// Limits on the size of a fleet.
+const (
+	MaxEntries  = 24
+	MaxControls = 7
+)
+
+// FleetOptions describe a fleet. The first Controls of the Entries also
+// replicate the log.
+type FleetOptions struct {
+	// Binary is the azurestair program.
+	Binary   string
+	Controls int
+	Entries  int
+	// Procs bounds the processors that one instance uses at once.
+	Procs      int
+	Deployment Deployment
+	// Dir holds settings, logs and data of the instances.
+	Dir string
+}
+
+// Validate checks the options.
+func (o FleetOptions) Validate() error {
+	if o.Entries < 1 || o.Entries > MaxEntries || o.Controls < 1 || o.Controls > min(MaxControls, o.Entries) {
+		return fmt.Errorf("%w: %d entries and %d control instances; allowed are 1 to %d and 1 to %d",
+			azurestair.ErrInvalid, o.Entries, o.Controls, MaxEntries, MaxControls)
+	}
+	return nil
+}
+
+// member is one instance of a fleet.
+type member struct {
+	id                                   azurestair.InstanceID
+	region                               azurestair.RegionName
+	domain                               azurestair.FailureDomainName
+	callers, upstreams, operators, peers string
+	control                              bool
+	process                              *process
+}
+
+// Fleet is a running fleet with its stub upstreams.
+type Fleet struct {
+	opts    FleetOptions
+	members []*member
+	stubs   map[azurestair.ServiceName][]*stub.Upstream
+	wire    *wire
+	config  azurestair.Config
+}
+
+// StartFleet starts the instances and stub upstreams and applies the configuration.
+func StartFleet(ctx context.Context, o FleetOptions) (*Fleet, error) {
+	if err := o.Validate(); err != nil {
+		return nil, err
+	}
+	f := &Fleet{opts: o, stubs: map[azurestair.ServiceName][]*stub.Upstream{}, wire: newWire(0), config: o.Deployment.Config()}
+	if err := f.start(ctx); err != nil {
+		f.Stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	for i := range f.opts.Entries {
+		if err := f.addMember(i); err != nil {
+			return err
+		}
+	}
+	for _, m := range f.members {
+		if err := f.prepare(m); err != nil {
+			return err
+		}
+		if err := f.run(m); err != nil {
+			return err
+		}
+	}
+	if err := f.startStubs(); err != nil {
+		return err
+	}
+	return f.configure(ctx)
+}
+
+func (f *Fleet) addMember(i int) error {
+	m := &member{id: azurestair.InstanceID(fmt.Sprintf("entry-%d", i+1)), control: i < f.opts.Controls}
+	m.region, m.domain = f.opts.Deployment.place(i)
+	for _, addr := range []*string{&m.callers, &m.upstreams, &m.operators, &m.peers} {
+		free, err := freeAddr()
+		if err != nil {
+			return err
+		}
+		*addr = free
+	}
+	f.members = append(f.members, m)
+	return nil
+}
+
+// freeAddr returns a loopback address on which nothing listened just now.
+func freeAddr() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
+func (f *Fleet) file(m *member, name string) string {
+	return filepath.Join(f.opts.Dir, string(m.id)+name)
+}
+
+// prepare writes the settings of an instance and its data folder.
+func (f *Fleet) prepare(m *member) error {
+	roles := `"entry"`
+	if m.control {
+		roles = `"entry", "control"`
+		if err := disk.Init(f.file(m, ".data"), m.id); err != nil {
+			return err
+		}
+	}
+	var voters strings.Builder
+	for _, v := range f.members[:f.opts.Controls] {
+		fmt.Fprintf(&voters, "{ id = %q, peerAddr = %q }, ", v.id, v.peers)
+	}
+	text := fmt.Sprintf(`[instance]
+id = %q
+region = %q
+failureDomain = %q
+roles = [%s]
+dataDir = %q
+
+[listen]
+callers = %q
+upstreams = %q
+operators = %q
+peers = %q
+
+[control]
+voters = [%s]
+
+[tokens]
+operators = [{ name = "load", sha256 = "%x" }]
+upstreams = [{ name = "load", sha256 = "%x" }]
+
+[limits]
+shutdownGraceMs = 2000
+
+[log]
+level = "warn"
+`, m.id, m.region, m.domain, roles, f.file(m, ".data"), m.callers, m.upstreams, m.operators, m.peers, voters.String(),
+		sha256.Sum256([]byte(operatorToken)), sha256.Sum256([]byte(upstreamToken)))
+	return os.WriteFile(f.file(m, ".toml"), []byte(text), 0o600)
+}
+
+// run starts the process of an instance.
+func (f *Fleet) run(m *member) error {
+	p, err := startProcess(f.opts.Binary, f.file(m, ".log"), f.opts.Procs, "serve", "--settings", f.file(m, ".toml"))
+	m.process = p
+	return err
+}
+
+func (f *Fleet) startStubs() error {
+	var entries []string
+	for _, m := range f.members {
+		entries = append(entries, m.upstreams)
+	}
+	for _, p := range f.opts.Deployment.Pools {
+		for i := range p.Workers {
+			region, domain := f.opts.Deployment.place(i)
+			n := i % len(entries)
+			u, err := stub.Start(stub.Options{
+				ID: p.upstreamID(i), Service: p.Service, Region: region, FailureDomain: domain,
+				Slots: p.Slots, QueueLimit: p.Slots, MaxConns: maxConns, ServiceTime: p.ServiceTime,
+				Entries: append(entries[n:len(entries):len(entries)], entries[:n]...), Token: upstreamToken, Dial: f.wire.dial,
+			})
+			if err != nil {
+				return err
+			}
+			f.stubs[p.Service] = append(f.stubs[p.Service], u)
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) admin(m *member) *operator.Client {
+	return &operator.Client{Addr: m.operators, Token: operatorToken}
+}
+
+// Limits on waiting for the fleet.
+const (
+	startTimeout = 20 * time.Second
+	pollEvery    = 20 * time.Millisecond
+)
+
+// configure applies the configuration and waits until all budgets are leased everywhere.
+func (f *Fleet) configure(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := poll(ctx, func() error { return f.apply(ctx, f.members[0], "load-0") }); err != nil {
+		return fmt.Errorf("apply the configuration: %w", err)
+	}
+	return poll(ctx, func() error { return f.ready(ctx) })
+}
+
+// apply replaces the configuration by one with a new version through an instance.
+func (f *Fleet) apply(ctx context.Context, via *member, id azurestair.ChangeID) error {
+	a, err := f.admin(via).Apply(ctx, operator.ConfigRequest{
+		ChangeID: id, Reason: "measurement", BaseVersion: f.config.Version, Config: f.config, WaitMs: operator.DefaultWaitMs,
+	})
+	if err != nil {
+		return err
+	}
+	f.config.Version = a.Version
+	if len(a.NotInForce) > 0 {
+		return fmt.Errorf("%w: version %d is not in effect on %v", errTooLate, a.Version, a.NotInForce)
+	}
+	return nil
+}
+
+// ready reports whether all instances are ready and know all upstreams and budgets.
+func (f *Fleet) ready(ctx context.Context) error {
+	want := 0
+	for _, p := range f.opts.Deployment.Pools {
+		want += p.Workers
+	}
+	for _, m := range f.members {
+		st, err := f.admin(m).Status(ctx)
+		if err != nil {
+			return err
+		}
+		ready := 0
+		for _, i := range st.Instances {
+			if i.Ready {
+				ready++
+			}
+		}
+		if ready < len(f.members) || len(st.Upstreams) < want {
+			return fmt.Errorf("%w: %s knows %d instances and %d upstreams", azurestair.ErrNotFound, m.id, ready, len(st.Upstreams))
+		}
+		for _, b := range st.Budgets {
+			if !b.Leased {
+				return fmt.Errorf("%w: %s holds no lease of %s", azurestair.ErrNotFound, m.id, b.Resource)
+			}
+		}
+	}
+	return nil
+}
+
+// leader returns the control instance that leads.
+func (f *Fleet) leader(ctx context.Context) (*member, error) {
+	for _, m := range f.members[:f.opts.Controls] {
+		st, err := f.admin(m).Status(ctx)
+		if err == nil && st.Leader == m.id {
+			return m, nil
+		}
+	}
+	return nil, fmt.Errorf("%w: leader", azurestair.ErrNotFound)
+}
+
+// voters lists the control instances for a peer client.
+func (f *Fleet) voters() []peer.Address {
+	var out []peer.Address
+	for _, m := range f.members[:f.opts.Controls] {
+		out = append(out, peer.Address{ID: m.id, Addr: m.peers})
+	}
+	return out
+}
+
+// Stop ends all processes and stub upstreams.
+func (f *Fleet) Stop() {
+	for _, stubs := range f.stubs {
+		for _, u := range stubs {
+			u.Close()
+		}
+	}
+	ended := make(chan struct{}, len(f.members))
+	for _, m := range f.members {
+		go m.runStop(ended)
+	}
+	for range f.members {
+		<-ended
+	}
+}
+
+func (m *member) runStop(ended chan<- struct{}) {
+	if m.process != nil {
+		m.process.stop()
+	}
+	ended <- struct{}{}
+}
+
+// poll repeats f until it succeeds or ctx ends.
+func poll(ctx context.Context, f func() error) error {
+	t := time.NewTicker(pollEvery)
+	defer t.Stop()
+	for {
+		err := f()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-t.C:
+		}
+	}
+}
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,87 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// Bound says on which side of the target a figure must lie.
+type Bound uint8
+
+const (
+	// NoBound marks a figure without a target.
+	NoBound Bound = iota
+	// AtMost asks for a figure not above the target.
+	AtMost
+	// AtLeast asks for a figure not below the target.
+	AtLeast
+)
+
+// Figure is one measured value.
+type Figure struct {
+	Scenario string  `json:"scenario"`
+	Name     string  `json:"name"`
+	Value    float64 `json:"value"`
+	Unit     string  `json:"unit"`
+	Bound    Bound   `json:"bound,omitempty"`
+	Target   float64 `json:"target,omitempty"`
+}
+
+// Met reports whether the figure meets its target; one without a target does.
+func (f Figure) Met() bool {
+	switch f.Bound {
+	case AtMost:
+		return f.Value <= f.Target
+	case AtLeast:
+		return f.Value >= f.Target
+	}
+	return true
+}
+
+func (f Figure) target() string {
+	switch f.Bound {
+	case AtMost:
+		return fmt.Sprintf("<= %g %s", f.Target, verdict(f))
+	case AtLeast:
+		return fmt.Sprintf(">= %g %s", f.Target, verdict(f))
+	}
+	return ""
+}
+
+func verdict(f Figure) string {
+	if f.Met() {
+		return "met"
+	}
+	return "MISSED"
+}
+
+// Failure is a scenario that could not be measured.
+type Failure struct {
+	Scenario string `json:"scenario"`
+	Error    string `json:"error"`
+}
+
+// Report is what a run measured.
+type Report struct {
+	Deployment string    `json:"deployment"`
+	Entries    int       `json:"entries"`
+	Controls   int       `json:"controls"`
+	Procs      int       `json:"procs"`
+	Figures    []Figure  `json:"figures"`
+	Failures   []Failure `json:"failures,omitempty"`
+}
+
+// Write prints the report as a table.
+func (r Report) Write(w io.Writer) error {
+	_, _ = fmt.Fprintf(w, "deployment %s, %d entries, %d of them also control, %d processors each\n",
+		r.Deployment, r.Entries, r.Controls, r.Procs)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, f := range r.Figures {
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%.4g\t%s\t%s\n", f.Scenario, f.Name, f.Value, f.Unit, f.target())
+	}
+	for _, f := range r.Failures {
+		_, _ = fmt.Fprintf(t, "%s\tnot measured: %s\t\t\t\n", f.Scenario, f.Error)
+	}
+	return t.Flush()
+}
--- /dev/null
+++ b/load/run.go
@@ -0,0 +1,190 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"slices"
+	"time"
+
+	"azurestair.example/azurestair"
+)
+
+var errTooLate = errors.New("too late")
+
+// Options describe a run.
+type Options struct {
+	Binary     string
+	Controls   int
+	Entries    int
+	Procs      int
+	Deployment string
+	// Delay is the one-way delay between the callers and the entries.
+	Delay time.Duration
+	// Duration is how long each measured schedule lasts.
+	Duration time.Duration
+	// Only names the scenarios to run; empty means all.
+	Only []string
+}
+
+// MaxDuration bounds one schedule, so that no scenario takes more than about 20 s of load.
+const MaxDuration = 8 * time.Second
+
+// run is one run of the scenarios on one fleet.
+type run struct {
+	opts    Options
+	fleet   *Fleet
+	http    *http.Client
+	wire    *wire
+	report  Report
+	current string
+}
+
+// scenario is one measurement.
+type scenario struct {
+	name string
+	do   func(*run, context.Context) error
+}
+
+func scenarios() []scenario {
+	return []scenario{
+		{"idle", (*run).idle},
+		{"latency", (*run).latency},
+		{"lookups", (*run).lookups},
+		{"slow", (*run).slow},
+		{"deferredFlood", (*run).deferredFlood},
+		{"urgentFlood", (*run).urgentFlood},
+		{"caller", (*run).greedyCaller},
+		{"claims", (*run).claims},
+		{"changes", (*run).changes},
+		{"leader", (*run).leaderLoss},
+	}
+}
+
+// Names lists the scenarios.
+func Names() []string {
+	var out []string
+	for _, s := range scenarios() {
+		out = append(out, s.name)
+	}
+	return out
+}
+
+// Run starts a fleet, measures the scenarios and stops the fleet.
+func Run(ctx context.Context, o Options) (Report, error) {
+	d, err := o.deployment()
+	if err != nil {
+		return Report{}, err
+	}
+	dir, err := os.MkdirTemp("", "azurestair-load-")
+	if err != nil {
+		return Report{}, err
+	}
+	defer os.RemoveAll(dir) //nolint:errcheck // nothing is left to do
+	f, err := StartFleet(ctx, FleetOptions{
+		Binary: o.Binary, Controls: o.Controls, Entries: o.Entries, Procs: o.Procs, Deployment: d, Dir: dir,
+	})
+	if err != nil {
+		return Report{}, err
+	}
+	defer f.Stop()
+	w := newWire(o.Delay)
+	r := &run{opts: o, fleet: f, wire: w, http: newHTTP(w), report: Report{
+		Deployment: d.Name, Entries: o.Entries, Controls: o.Controls, Procs: o.Procs,
+	}}
+	r.all(ctx)
+	return r.report, nil
+}
+
+func (o Options) deployment() (Deployment, error) {
+	if o.Duration <= 0 || o.Duration > MaxDuration {
+		return Deployment{}, fmt.Errorf("%w: duration %s; allowed up to %s", azurestair.ErrInvalid, o.Duration, MaxDuration)
+	}
+	for _, name := range o.Only {
+		if !slices.Contains(Names(), name) {
+			return Deployment{}, fmt.Errorf("%w: scenario %q; allowed are %v", azurestair.ErrInvalid, name, Names())
+		}
+	}
+	for _, d := range Deployments() {
+		if d.Name == o.Deployment {
+			return d, nil
+		}
+	}
+	return Deployment{}, fmt.Errorf("%w: deployment %q", azurestair.ErrInvalid, o.Deployment)
+}
+
+func (r *run) all(ctx context.Context) {
+	for _, s := range scenarios() {
+		if len(r.opts.Only) > 0 && !slices.Contains(r.opts.Only, s.name) {
+			continue
+		}
+		r.current = s.name
+		if err := s.do(r, ctx); err != nil {
+			r.report.Failures = append(r.report.Failures, Failure{Scenario: s.name, Error: err.Error()})
+		}
+	}
+}
+
+// note records a figure without a target.
+func (r *run) note(name string, value float64, unit string) {
+	r.report.Figures = append(r.report.Figures, Figure{Scenario: r.current, Name: name, Value: value, Unit: unit})
+}
+
+// check records a figure with its target.
+func (r *run) check(name string, value float64, unit string, b Bound, target float64) {
+	r.report.Figures = append(r.report.Figures, Figure{
+		Scenario: r.current, Name: name, Value: value, Unit: unit, Bound: b, Target: target,
+	})
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func micros(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
+
+// pool returns the i-th pool of the deployment.
+func (r *run) pool(i int) Pool { return r.fleet.opts.Deployment.Pools[i] }
+
+func (r *run) callerAddrs() []string {
+	var out []string
+	for _, m := range r.fleet.members {
+		out = append(out, m.callers)
+	}
+	return out
+}
+
+func (r *run) requester(s azurestair.ServiceName, rank azurestair.Rank) *requester {
+	return &requester{http: r.http, entries: r.callerAddrs(), service: s, rank: rank, prefix: r.current + "-" + rank.String()}
+}
+
+// send runs a schedule at the given rate.
+func (r *run) send(ctx context.Context, rate Rate, to Sender) *Sample {
+	s := NewSample()
+	Schedule{Rate: rate, Duration: r.opts.Duration}.Run(ctx, to, s)
+	return s
+}
+
+// flow is one of several schedules that run at the same time.
+type flow struct {
+	rate   Rate
+	to     Sender
+	sample *Sample
+}
+
+func (f *flow) run(ctx context.Context, d time.Duration, ended chan<- struct{}) {
+	Schedule{Rate: f.rate, Duration: d}.Run(ctx, f.to, f.sample)
+	ended <- struct{}{}
+}
+
+// together runs flows at the same time.
+func (r *run) together(ctx context.Context, flows ...*flow) {
+	ended := make(chan struct{}, len(flows))
+	for _, f := range flows {
+		f.sample = NewSample()
+		go f.run(ctx, r.opts.Duration, ended)
+	}
+	for range flows {
+		<-ended
+	}
+}
--- a/stub/announce.go
+++ b/stub/announce.go
@@ -18,7 +18,7 @@
 
 // run announces the stub each interval and at once when its state changes.
 func (u *Upstream) run(ctx context.Context) {
-	client := &http.Client{Timeout: announceTimeout}
+	client := &http.Client{Timeout: announceTimeout, Transport: &http.Transport{DialContext: u.opts.Dial}}
 	defer client.CloseIdleConnections()
 	next := 0
 	for {
--- a/stub/upstream.go
+++ b/stub/upstream.go
@@ -29,6 +29,8 @@
 	Entries []string
 	Token   string
 	Listen  string
+	// Dial opens the connections for announcements; nil means a plain dialer.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
 // Upstream is a running stub. Create it with Start.
