--- a/instance/replica.go
+++ b/instance/replica.go
@@ -364,7 +364,7 @@
 			// Without a configuration no predecessor can have listed or leased anything.
 			held = &azurestair.Snapshot{}
 		} else {
-			r.allocator.Quiet(now.Add(control.LeaseTTL))
+			r.allocator.Quiet(now.Add(control.QuietTime))
 		}
 		r.registry.Seed(held, now)
 		r.allocator.Inherit(inherited)
--- a/stub/upstream.go
+++ b/stub/upstream.go
@@ -34,6 +34,8 @@
 	// Intercept, if set, may answer a request in place of the stub, for
 	// instance wrongly. It returns false for a request that the stub answers.
 	Intercept func(w http.ResponseWriter, r *http.Request) bool
+	// Dial opens the connections for announcements; nil means a plain dialer.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
 // Upstream is a running stub. Create it with Start.
