--- a/instance/attempt.go
+++ b/instance/attempt.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"azurestair.example/azurestair"
@@ -30,6 +31,9 @@
 	open   []*try
 	// fresh is true once an attempt on a reused connection has failed.
 	fresh bool
+	// over is true once the caller's reply is decided; guarded by mu.
+	mu   sync.Mutex
+	over bool
 	// free is true once the request has had its retry outside the budget.
 	free bool
 	next int
@@ -43,6 +47,7 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	sent    time.Time
+	startAt time.Time
 	answer  upstream.Answer
 	err     error
 }
@@ -50,27 +55,31 @@
 // attempt sends the request until it is done or given up. before runs
 // directly before the first byte of each attempt.
 func (c *call) attempt(ctx context.Context, before func() error) caller.Reply {
-	t := &tries{call: c, before: before, req: retry.NewRequest(c.work), ended: make(chan *try, maxOpen)}
+	t := &tries{call: c, before: before, req: retry.NewRequest(c.work), ended: make(chan *try, maxTries)}
 	c.gate.countRequest()
 	return t.serve(ctx)
 }
 
-// maxOpen bounds the attempts of one request that are in flight together.
-const maxOpen = 2
+// maxTries bounds the attempts of one request, so that none waits to report its end.
+const maxTries = 8
 
 // serve runs attempts one after the other, with at most one hedge beside the first.
 func (t *tries) serve(ctx context.Context) caller.Reply {
-	defer t.abandon()
-	if d, ok := t.begin(ctx); !ok {
+	defer t.end()
+	if d, ok := t.begin(time.Time{}); !ok {
 		return t.finish(d)
 	}
 	hedge, stop := t.hedgeTimer()
 	defer stop()
+	gone := ctx.Done()
 	for {
 		select {
+		case <-gone:
+			gone = nil
+			t.abandon()
 		case <-hedge:
 			hedge = nil
-			t.hedge(ctx)
+			t.hedge()
 		case e := <-t.ended:
 			t.open = slices.DeleteFunc(t.open, func(o *try) bool { return o == e })
 			d := t.decide(ctx, e)
@@ -89,15 +98,19 @@
 	}
 }
 
-// begin starts an attempt; without one it returns what the caller gets.
-func (t *tries) begin(ctx context.Context) (retry.Decision, bool) {
+// begin starts an attempt; without one it returns what the caller gets. An
+// upstream that was tried before gets it no sooner than sameAt.
+//
+// The attempt has a context of its own: a hedge that loses goes on until it is
+// answered, which tells when its slot is free and how slow the upstream is.
+func (t *tries) begin(sameAt time.Time) (retry.Decision, bool) {
 	c := t.call
 	choice, err := c.gate.pick(c.work, t.req.Avoid())
 	if err != nil {
 		return t.req.Refuse(routing.ReasonOf(err)), false
 	}
 	now := c.entry.clock.Now()
-	tryCtx, cancel := context.WithCancel(ctx)
+	tryCtx, cancel := context.WithCancel(c.entry.ctx)
 	body, n := c.attemptBody()
 	if choice.Shift {
 		body = c.entry.links.paced(tryCtx, body, c.entry.self.Region, choice.Region)
@@ -109,6 +122,9 @@
 		Rank: c.work.Rank, Idempotent: c.work.Idempotent, Fresh: t.fresh,
 		Deadline: c.gate.attemptDeadline(&t.req, now), BeforeSend: t.before,
 	}}
+	if slices.Contains(t.req.Avoid(), choice.Upstream) {
+		e.startAt = sameAt
+	}
 	t.req.Begin(choice.Upstream)
 	t.open = append(t.open, e)
 	c.entry.metrics.attempts.Inc(1)
@@ -126,7 +142,7 @@
 		return t.req.Refuse(azurestair.ReasonDeadline), false
 	}
 	t.call.entry.metrics.retries.Inc(1)
-	return t.begin(ctx)
+	return t.begin(d.SameAt)
 }
 
 func (t *tries) hedgeTimer() (<-chan time.Time, func()) {
@@ -142,12 +158,12 @@
 }
 
 // hedge sends a second attempt on a fresh connection while the first is in flight.
-func (t *tries) hedge(ctx context.Context) {
+func (t *tries) hedge() {
 	if !t.call.gate.mayHedge(&t.req) {
 		return
 	}
 	t.fresh = true
-	_, _ = t.begin(ctx)
+	_, _ = t.begin(time.Time{})
 }
 
 // decide takes account of an attempt that has ended.
@@ -183,17 +199,59 @@
 	return unknown(d.Reason)
 }
 
-// abandon cancels the attempts that are not needed any more; their connections
-// are closed, by which the upstream learns of it.
+// abandon cancels the attempts of a caller that has gone; their connections
+// are closed, by which the upstreams learn of it.
 func (t *tries) abandon() {
 	for _, e := range t.open {
 		e.cancel()
 	}
 }
 
+// end has every attempt that has not been taken discard its answer.
+func (t *tries) end() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.over = true
+	for {
+		select {
+		case e := <-t.ended:
+			e.discard()
+		default:
+			return
+		}
+	}
+}
+
+// report hands an ended attempt to serve, or discards it when nobody waits.
+func (t *tries) report(e *try) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.over {
+		e.discard()
+		return
+	}
+	t.ended <- e
+}
+
+// discard drops the answer of an attempt that another one has overtaken.
+func (e *try) discard() {
+	if e.answer.Result == azurestair.AttemptDone && e.answer.Body != nil {
+		_ = e.answer.Body.Close()
+		e.settle(azurestair.AttemptDone)
+	}
+	e.cancel()
+}
+
 // run sends the attempt and reports its end to the tries and to the gate.
 func (e *try) run() {
 	c := e.tries.call
+	defer e.tries.report(e)
+	if !e.wait() {
+		e.answer.Result, e.answer.Reason = azurestair.AttemptNotRun, azurestair.ReasonDeadline
+		c.gate.abandon(e.choice, false, 0)
+		e.cancel()
+		return
+	}
 	e.answer, e.err = c.entry.client.Do(e.ctx, e.choice.Addr, e.attempt)
 	if e.answer.State != "" {
 		c.gate.confirm(e.choice.Upstream, e.answer.State)
@@ -210,8 +268,24 @@
 	}
 	if e.answer.Result != azurestair.AttemptDone || e.answer.Body == nil {
 		e.settle(e.answer.Result)
+		e.cancel()
+	}
+}
+
+// wait waits until the attempt may start; it returns false if that is too late.
+func (e *try) wait() bool {
+	d := e.startAt.Sub(e.tries.call.entry.clock.Now())
+	if e.startAt.IsZero() || d <= 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-e.ctx.Done():
+		return false
 	}
-	e.tries.ended <- e
 }
 
 // readWhole reads a short answer, so that one that breaks off can be retried.
@@ -237,14 +311,22 @@
 	}
 }
 
-// settle tells the gate how the attempt ended. An attempt that this entry cut
-// off itself, or that waited on a silent connection, says nothing against the upstream.
+// settle tells the gate how the attempt ended. One that this entry cut off or
+// did not send, or that waited on a silent connection, says nothing against
+// the upstream.
 func (e *try) settle(r azurestair.AttemptResult) {
+	g := e.tries.call.gate
 	took := e.tries.call.entry.clock.Now().Sub(e.sent)
-	if r != azurestair.AttemptDone && r != azurestair.AttemptNotRun && (e.ctx.Err() != nil || e.answer.Silent) {
-		r = azurestair.AttemptDone
+	switch {
+	case r == azurestair.AttemptDone:
+		g.done(e.choice, r, took)
+	case errors.Is(e.err, azurestair.ErrDeadline), e.answer.Silent:
+		g.abandon(e.choice, false, took)
+	case e.ctx.Err() != nil:
+		g.abandon(e.choice, r != azurestair.AttemptNotRun, took)
+	default:
+		g.done(e.choice, r, took)
 	}
-	e.tries.call.gate.done(e.choice, r, took)
 }
 
 // reply passes the answer on; the attempt stays open until its body is closed.
@@ -253,7 +335,6 @@
 		Outcome: azurestair.OutcomeDone, Status: e.answer.Status, Header: e.answer.Header, Length: e.answer.Length,
 	}
 	if e.answer.Body == nil {
-		e.cancel()
 		r.Body = io.NopCloser(bytes.NewReader(e.answer.Whole))
 		return r
 	}
--- a/instance/gate.go
+++ b/instance/gate.go
@@ -9,7 +9,6 @@
 
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/retry"
-	"azurestair.example/azurestair/routing"
 )
 
 // gate admits the requests of one service and chooses their upstreams. It is
@@ -43,8 +42,10 @@
 	region azurestair.RegionName
 }
 
-// lateFor is how long the slot of a timed-out attempt counts as busy.
-const lateFor = routing.DefaultLateSlot
+// lateFor is how long the slot of a cut-off attempt counts as busy. Each
+// attempt carries its deadline to the upstream; the time covers upstreams that
+// notice it late.
+const lateFor = 2 * time.Second
 
 func newGate(clock azurestair.Clock, a azurestair.Admitter, p azurestair.Picker, r azurestair.Rand) *gate {
 	return &gate{
@@ -187,10 +188,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c, err := g.picker.Pick(w, avoid, g.clock.Now())
-	if err == nil {
-		g.inFlight[c.Region]++
+	if err != nil {
+		g.budget.Saturated(g.clock.Now())
+		return c, err
 	}
-	return c, err
+	g.inFlight[c.Region]++
+	return c, nil
 }
 
 // done ends an attempt; the slot of one that timed out stays busy for a while.
@@ -202,7 +205,26 @@
 	if r == azurestair.AttemptDone {
 		g.latency.Observe(latency)
 	}
-	if r != azurestair.AttemptTimeout {
+	g.free(c, r == azurestair.AttemptTimeout, now)
+}
+
+// abandon ends an attempt whose outcome says nothing about the upstream.
+func (g *gate) abandon(c azurestair.Choice, sent bool, elapsed time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	if p, ok := g.picker.(azurestair.Abandoner); ok {
+		p.Abandon(c, sent, elapsed, now)
+	} else {
+		g.picker.Done(c, azurestair.AttemptDone, elapsed, now)
+	}
+	g.free(c, sent, now)
+}
+
+// free ends the count of an attempt, at once or after the bound for one that
+// the upstream may still be working on. The caller holds mu.
+func (g *gate) free(c azurestair.Choice, late bool, now time.Time) {
+	if !late {
 		g.inFlight[c.Region]--
 		return
 	}
--- a/instance/process.go
+++ b/instance/process.go
@@ -148,7 +148,7 @@
 	}
 	p := routing.NewWeighted(routing.Options{
 		Service: s, Region: e.self.Region, FailureDomain: e.self.FailureDomain,
-		Home: home, Shift: shift, Entries: control.DefaultMaxHolders,
+		Home: home, Shift: shift, LateSlot: lateFor, Entries: control.DefaultMaxHolders,
 	})
 	seed := rand.NewPCG(rand.Uint64(), rand.Uint64())
 	return newGate(e.clock, admission.New(admission.Options{Rand: seed}), p, seed)
--- a/interfaces.go
+++ b/interfaces.go
@@ -70,6 +70,12 @@
 	ProbeCandidates(now time.Time) []UpstreamID
 }
 
+// Abandoner is a Picker that can end an attempt whose outcome says nothing
+// about the upstream. If it was sent, its slot stays counted until a later bound.
+type Abandoner interface {
+	Abandon(c Choice, sent bool, elapsed time.Duration, now time.Time)
+}
+
 // Sharer is a Picker that spreads a leased budget over the upstreams.
 type Sharer interface {
 	// SetShare takes over how many requests into a region may be in flight.
