--- /dev/null
+++ b/faults/connections_test.go
@@ -0,0 +1,84 @@
+package faults
+
+import (
+	"math/rand/v2"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const (
+	// silenced is the number of idempotent requests that are under way or
+	// start while the connections are silent.
+	silenced = 800
+	// silentWorkers is the number of callers that send them.
+	silentWorkers = 24
+)
+
+var _ = Describe("connections to upstreams", func() {
+	// Guards against requests that wait for connections that will never
+	// answer, and against repeats of requests that may have run.
+	It("go silent all at once", func() {
+		eachSeed(func(rng *rand.Rand) {
+			f := newFleet(fleetOptions{perDomain: 2})
+			once := func(rng *rand.Rand, q request) result {
+				return result{request: q, replies: []reply{f.send(f.nodes[rng.IntN(numInstances)], q)}}
+			}
+			idempotent := f.startTraffic(rng, "silent", silentWorkers, []kind{browse}, once)
+			keyed := f.startTraffic(rng, "keyed", 4, []kind{engrave, pay}, f.throughAll())
+			idempotent.more(400)
+			before := idempotent.count()
+			for _, r := range f.relays {
+				r.Silence()
+			}
+			idempotent.more(silenced)
+			results := idempotent.stop()
+			f.expectTruth(results)
+			expectMost(results[before:], 99)
+			f.expectTruth(keyed.stop())
+		})
+	})
+
+	// Guards against an entry that takes a part of an answer, or the answer to
+	// another request, for the answer.
+	It("bring wrong answers", func() {
+		eachSeed(func(rng *rand.Rand) {
+			m := newMisbehaviour()
+			f := newFleet(fleetOptions{perDomain: 2, stub: m.install})
+			load := f.startTraffic(rng, "wrong", 16, allKinds, f.throughAll())
+			Eventually(m.least, "30s").Should(BeNumerically(">=", wrongAnswers))
+			results := load.stop()
+			f.expectTruth(results)
+			Expect(f.answeredBy(results, badSuffix)).To(BeZero(), "wrong answers were passed on as whole")
+			expectMost(ofKind(results, browse), 90)
+		})
+	})
+})
+
+// wrongAnswers is the least number of answers with each fault in a test.
+const wrongAnswers = 5
+
+// answeredBy counts the done answers of upstreams whose name has the suffix.
+func (f *fleet) answeredBy(results []result, suffix string) int {
+	n := 0
+	for _, r := range results {
+		for _, p := range r.replies {
+			if p.isDone() && strings.HasSuffix(p.upstream, suffix) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// ofKind returns the results of one kind of request.
+func ofKind(results []result, k kind) []result {
+	var out []result
+	for _, r := range results {
+		if r.request.kind == k {
+			out = append(out, r)
+		}
+	}
+	return out
+}
--- a/faults/fleet_test.go
+++ b/faults/fleet_test.go
@@ -119,12 +119,13 @@
 		for _, p := range controlPlaces {
 			for i := range max(1, o.perDomain) {
 				at := listen[len(f.upstreams)]
+				first := len(f.upstreams) % len(entries)
 				r := f.relay(at)
 				opts := stub.Options{
 					ID: azurestair.UpstreamID(fmt.Sprintf("%s-%s-%d", s, p.domain, i)), Service: s,
 					Region: p.region, FailureDomain: p.domain, Slots: 24, QueueLimit: 24, Listen: at, Advertise: r.Addr(),
 					ServiceTime: 2 * time.Millisecond, Token: upstreamToken,
-					Entries: slices.Concat(entries[len(f.upstreams):], entries[:len(f.upstreams)]),
+					Entries: slices.Concat(entries[first:], entries[:first]),
 				}
 				if o.stub != nil {
 					o.stub(&opts)
--- a/faults/partition_test.go
+++ b/faults/partition_test.go
@@ -1,8 +1,10 @@
 package faults
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -28,18 +30,17 @@
 			for i := range partitionChanges {
 				v = f.apply(rest[rng.IntN(len(rest))], v, fmt.Sprintf("cut-%d", i))
 			}
-			By("changes made")
 			Eventually(victim.ready).Should(MatchError(errNotReady))
 			v = f.apply(rest[0], v, "cut-last")
 			Eventually(f.inForce).WithArguments(v, rest[0], rest[1], rest[2]).Should(Succeed())
 			Consistently(victim.ready, "500ms").Should(MatchError(errNotReady))
-			By("lookups")
 			for _, n := range rest {
 				Eventually(n.lookupNames).WithArguments(victim).Should(BeFalse())
 			}
-			_, err := victim.admin().Apply(GinkgoT().Context(), change(1, "cut-off"))
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			_, err := victim.admin().Apply(ctx, change(1, "cut-off"))
+			cancel()
 			Expect(err).To(HaveOccurred(), "a change was accepted without a quorum")
-			By("heal")
 			f.heal(victim)
 			f.expectCurrentOnly(victim, v)
 			Eventually(f.whole).Should(Succeed())
