--- a/caller/handler.go
+++ b/caller/handler.go
@@ -253,6 +253,10 @@
 		h[name] = values
 	}
 	h.Set(HeaderOutcome, string(azurestair.OutcomeDone))
+	if r.Reason != azurestair.ReasonNone {
+		// A done request whose answer is no longer kept has an empty one.
+		h.Set(HeaderReason, string(r.Reason))
+	}
 	if r.Replayed {
 		h.Set(HeaderReplayed, "true")
 	}
--- a/instance/claim.go
+++ b/instance/claim.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -157,21 +158,58 @@
 	} else {
 		answer.Dropped = true
 	}
-	c.record(claim, azurestair.ClaimDone, &answer)
 	rest := reply.Body
 	if len(data) <= bufferLimit {
+		c.record(claim, azurestair.ClaimDone, &answer)
 		_ = rest.Close()
 		reply.Streamed = false
 		reply.Body, reply.Length = io.NopCloser(bytes.NewReader(data)), int64(len(data))
 		return reply
 	}
-	reply.Body = struct {
-		io.Reader
-		io.Closer
-	}{io.MultiReader(bytes.NewReader(data), rest), rest}
+	reply.Body = &recordedBody{
+		Reader: io.MultiReader(bytes.NewReader(data), rest), rest: rest, call: c, claim: claim, answer: &answer,
+	}
 	return reply
 }
 
+// recordedBody passes on an answer that is too long to be held back and
+// records the outcome of its claim at the end. An answer that breaks off must
+// not be recorded as done, since a resend would then get it as complete.
+type recordedBody struct {
+	io.Reader
+	rest     io.Closer
+	call     *call
+	claim    azurestair.Claim
+	answer   *azurestair.Answer
+	recorded bool
+}
+
+// Read reads the answer; only io.EOF marks a whole one.
+func (b *recordedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	switch {
+	case errors.Is(err, io.EOF):
+		b.record(azurestair.ClaimDone, b.answer)
+	case err != nil:
+		b.record(azurestair.ClaimUnknown, nil)
+	}
+	return n, err
+}
+
+// Close ends the answer; one with an unread rest did not reach the caller.
+func (b *recordedBody) Close() error {
+	b.record(azurestair.ClaimUnknown, nil)
+	return b.rest.Close()
+}
+
+func (b *recordedBody) record(state azurestair.ClaimState, a *azurestair.Answer) {
+	if b.recorded {
+		return
+	}
+	b.recorded = true
+	b.call.record(b.claim, state, a)
+}
+
 // keptHeaderBytes bounds the header fields that the ledger keeps of an answer.
 const keptHeaderBytes = 2 << 10
 
