--- a/cmd/azurestair/local.go
+++ b/cmd/azurestair/local.go
@@ -23,8 +23,11 @@
 
 func serveCommand() *ffcli.Command {
 	fs := flag.NewFlagSet("serve", flag.ContinueOnError)
-	path := fs.String("settings", "", "settings file (required)")
-	return command("serve --settings FILE", "run the parts that the settings name", fs, func(ctx context.Context, _ []string) error {
+	path := fs.String("settings", "", "settings file of this instance in TOML (required)")
+	return command("serve --settings FILE", "run an instance until SIGTERM; SIGHUP reloads tokens and the log level", fs, func(ctx context.Context) error {
+		if err := required(fs, "settings"); err != nil {
+			return err
+		}
 		s, err := settings.Load(*path)
 		if err != nil {
 			return err
@@ -95,7 +98,7 @@
 	asJSON := fs.Bool("json", false, "print the report as JSON")
 	verbose := fs.Bool("verbose", false, "print the log of the instances")
 	return command("try [--json] [--verbose]", "run the whole path in one process and check the promises", fs,
-		func(ctx context.Context, _ []string) error {
+		func(ctx context.Context) error {
 			log := io.Discard
 			if *verbose {
 				log = os.Stderr
@@ -122,11 +125,11 @@
 
 func checkCommand() *ffcli.Command {
 	fs := flag.NewFlagSet("check", flag.ContinueOnError)
-	path := fs.String("settings", "", "settings file")
-	fleet := fs.String("fleet", "", "fleet configuration file")
-	return command("check [--settings FILE] [--fleet FILE]", "check files without starting", fs, func(context.Context, []string) error {
+	path := fs.String("settings", "", "settings file of an instance in TOML")
+	fleet := fs.String("fleet", "", "fleet configuration file in TOML")
+	return command("check [--settings FILE] [--fleet FILE]", "check files without starting; prints file, line, key and what is allowed", fs, func(context.Context) error {
 		if *path == "" && *fleet == "" {
-			return flag.ErrHelp
+			return usageError("check: give --settings FILE, --fleet FILE or both")
 		}
 		var errs []error
 		if *path != "" {
@@ -143,8 +146,11 @@
 
 func initCommand() *ffcli.Command {
 	fs := flag.NewFlagSet("init", flag.ContinueOnError)
-	path := fs.String("settings", "", "settings file (required)")
-	return command("init --settings FILE", "prepare the data folder of a new control instance", fs, func(ctx context.Context, _ []string) error {
+	path := fs.String("settings", "", "settings file of this instance in TOML (required)")
+	return command("init --settings FILE", "prepare the data directory of a new control instance, once", fs, func(ctx context.Context) error {
+		if err := required(fs, "settings"); err != nil {
+			return err
+		}
 		s, err := settings.Load(*path)
 		if err != nil {
 			return err
--- a/cmd/azurestair/main.go
+++ b/cmd/azurestair/main.go
@@ -2,30 +2,99 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"azurestair.example/azurestair/settings"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	err := root().ParseAndRun(ctx, os.Args[1:])
-	if err == nil {
-		return
+	status := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(status) //nolint:gocritic // stop has run
+}
+
+// Exit statuses.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	// exitUsage says that the command line itself is wrong.
+	exitUsage = 2
+)
+
+// errUsage reports a wrong command line.
+var errUsage = errors.New("wrong command line")
+
+// usageError is an errUsage that prints only its text.
+type usageError string
+
+// Error returns the text.
+func (e usageError) Error() string { return string(e) }
+
+// Is reports whether target is errUsage.
+func (e usageError) Is(target error) bool { return target == errUsage }
+
+// run executes a command line and returns its exit status. Help goes to out,
+// errors to errOut.
+func run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	// The flag package prints the usage after each wrong flag; here only those
+	// who ask for it get it.
+	var usage bytes.Buffer
+	cmd := root()
+	setOutput(cmd, &usage)
+	if err := cmd.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			_, _ = usage.WriteTo(out)
+			return exitOK
+		}
+		_, _ = fmt.Fprintf(errOut, "azurestair: %v; add --help for the flags\n", err)
+		return exitUsage
 	}
-	if !errors.Is(err, flag.ErrHelp) {
-		fmt.Fprintln(os.Stderr, "azurestair:", err)
+	err := cmd.Run(ctx)
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.Is(err, flag.ErrHelp):
+		_, _ = usage.WriteTo(errOut)
+		return exitUsage
 	}
-	stop()
-	os.Exit(1) //nolint:gocritic // stop has run
+	writeError(errOut, err)
+	if errors.Is(err, errUsage) {
+		return exitUsage
+	}
+	return exitFailed
+}
+
+func setOutput(c *ffcli.Command, w io.Writer) {
+	if c.FlagSet == nil {
+		c.FlagSet = flag.NewFlagSet(c.Name, flag.ContinueOnError)
+	}
+	c.FlagSet.SetOutput(w)
+	for _, sub := range c.Subcommands {
+		setOutput(sub, w)
+	}
+}
+
+// writeError prints an error. Faults of a file begin with file and line, which editors look for.
+func writeError(w io.Writer, err error) {
+	var fault *settings.Error
+	if errors.As(err, &fault) {
+		_, _ = fmt.Fprintln(w, err)
+		return
+	}
+	_, _ = fmt.Fprintln(w, "azurestair:", err)
 }
 
 func root() *ffcli.Command {
@@ -38,14 +107,44 @@
 			drainCommand("undrain", "return a target to service"),
 			membersCommand(), statusCommand(), auditCommand(),
 		},
-		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+		LongHelp: "Each flag may also be given as a variable: AZURESTAIR_ with the name in capitals, for example\n" +
+			"AZURESTAIR_TOKEN, AZURESTAIR_ADDR or AZURESTAIR_CHANGE_ID. Exit status: 0 done, 1 failed or refused,\n" +
+			"2 wrong command line.",
+		Exec: func(_ context.Context, args []string) error { return groupError("command", args) },
 	}
 }
 
+// groupError answers a command that has only subcommands.
+func groupError(kind string, args []string) error {
+	if len(args) == 0 {
+		return flag.ErrHelp
+	}
+	return usageError(fmt.Sprintf("unknown %s %q; add --help for the list", kind, args[0]))
+}
+
+// required reports a required flag that was not given.
+func required(fs *flag.FlagSet, names ...string) error {
+	given := map[string]bool{}
+	fs.Visit(func(f *flag.Flag) { given[f.Name] = f.Value.String() != "" })
+	for _, name := range names {
+		if !given[name] {
+			return usageError(fmt.Sprintf("%s: --%s is missing: %s", fs.Name(), name, fs.Lookup(name).Usage))
+		}
+	}
+	return nil
+}
+
 // command returns a command whose flags may also be given as AZURESTAIR_ variables.
-func command(usage, help string, fs *flag.FlagSet, exec func(context.Context, []string) error) *ffcli.Command {
+// It takes no arguments beside its flags.
+func command(usage, help string, fs *flag.FlagSet, exec func(context.Context) error) *ffcli.Command {
+	checked := func(ctx context.Context, args []string) error {
+		if len(args) > 0 {
+			return usageError(fmt.Sprintf("%s: unexpected argument %q; add --help for the flags", fs.Name(), args[0]))
+		}
+		return exec(ctx)
+	}
 	return &ffcli.Command{
 		Name: fs.Name(), ShortUsage: "azurestair " + usage, ShortHelp: help, FlagSet: fs,
-		Options: []ff.Option{ff.WithEnvVarPrefix("AZURESTAIR")}, Exec: exec,
+		Options: []ff.Option{ff.WithEnvVarPrefix("AZURESTAIR")}, Exec: checked,
 	}
 }
--- a/errors.go
+++ b/errors.go
@@ -10,8 +10,9 @@
 	ErrNotLeader = errs.New("not the leader")
 	// ErrNoQuorum reports that a majority of voters could not be reached in time.
 	ErrNoQuorum = errs.New("no quorum")
-	// ErrConflict reports a compare-and-set on a version that is no longer current.
-	ErrConflict = errs.New("version conflict")
+	// ErrConflict reports a change that does not fit the present state, for
+	// example a compare-and-set on a version that is no longer current.
+	ErrConflict = errs.New("conflict")
 	// ErrNotFound reports a name or key that is not known.
 	ErrNotFound = errs.New("not found")
 	// ErrFull reports that a bounded store has no room.
--- a/operator/client.go
+++ b/operator/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/control"
@@ -96,12 +97,12 @@
 	}
 	resp, err := client.Do(r)
 	if err != nil {
-		return a, err
+		return a, fmt.Errorf("%w from %s (is it listen.operators of a running instance?): %w", ErrNoAnswer, c.Addr, cause(err))
 	}
 	defer resp.Body.Close() //nolint:errcheck // the body was read
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
-		return a, err
+		return a, fmt.Errorf("%w from %s: %w", ErrNoAnswer, c.Addr, err)
 	}
 	return answerOf[A](resp.StatusCode, data)
 }
@@ -125,7 +126,11 @@
 	case http.StatusOK:
 		return nil
 	case http.StatusConflict:
-		return azurestair.ErrConflict
+		kind = azurestair.ErrConflict
+	case http.StatusInsufficientStorage:
+		kind = azurestair.ErrFull
+	case http.StatusRequestEntityTooLarge:
+		kind = azurestair.ErrTooLarge
 	case http.StatusBadRequest:
 		kind = azurestair.ErrInvalid
 	case http.StatusUnauthorized:
@@ -142,7 +147,42 @@
 		Detail string `json:"detail"`
 	}
 	_ = json.Unmarshal(data, &e)
-	return fmt.Errorf("%w: status %d: %s%s", kind, status, e.Error, e.Detail)
+	return &answerError{kind: kind, status: status, detail: e.Error + e.Detail}
+}
+
+// answerError is an error answer of the API.
+type answerError struct {
+	kind   error
+	status int
+	detail string
+}
+
+// Error returns the answer's own text, or the kind and the status without one.
+func (e *answerError) Error() string {
+	switch {
+	case e.detail == "":
+		return fmt.Sprintf("%v (status %d)", e.kind, e.status)
+	case strings.HasPrefix(e.detail, e.kind.Error()):
+		return e.detail
+	}
+	return e.kind.Error() + ": " + e.detail
 }
 
-var errUnexpected = errors.New("unexpected answer")
+// Unwrap returns the kind.
+func (e *answerError) Unwrap() error { return e.kind }
+
+// cause returns the error without the method and address that net/http adds.
+func cause(err error) error {
+	var u *url.Error
+	if errors.As(err, &u) {
+		return u.Err
+	}
+	return err
+}
+
+var (
+	// ErrNoAnswer reports a call without an answer; a change may have been made.
+	ErrNoAnswer = errors.New("no answer")
+
+	errUnexpected = errors.New("unexpected answer")
+)
--- a/settings/decode.go
+++ b/settings/decode.go
@@ -65,7 +65,9 @@
 // addErr reports a failed Validate or Check of the root package.
 func (d *decoder) addErr(path string, err error) {
 	if err != nil {
-		d.add(path, "%s", strings.ReplaceAll(err.Error(), azurestair.ErrInvalid.Error()+": ", ""))
+		detail := strings.ReplaceAll(err.Error(), azurestair.ErrInvalid.Error()+": ", "")
+		// The key stands before the detail already.
+		d.add(path, "%s", strings.Replace(detail, path+" = ", "is ", 1))
 	}
 }
 
