--- a/caller/handler.go
+++ b/caller/handler.go
@@ -66,12 +66,12 @@
 func (h *handler) lookup(c *gin.Context) {
 	addr, err := lookupAddr(c)
 	if err != nil {
-		writeInvalid(c, azurestair.ReasonBadRequest)
+		h.reject(c, &Request{}, Reply{Outcome: azurestair.OutcomeInvalid, Reason: azurestair.ReasonBadRequest, NotRun: true})
 		return
 	}
 	answer := h.server.Lookup(addr)
 	if len(answer.Entries) == 0 {
-		h.writeError(c, "", Reply{Outcome: azurestair.OutcomeRefused, Reason: azurestair.ReasonNotReady, NotRun: true})
+		h.reject(c, &Request{}, Reply{Outcome: azurestair.OutcomeRefused, Reason: azurestair.ReasonNotReady, NotRun: true})
 		return
 	}
 	c.Header("Cache-Control", fmt.Sprintf("max-age=%d", answer.TTLMs/1000))
@@ -89,7 +89,7 @@
 func (h *handler) request(c *gin.Context) {
 	r, err := h.parse(c)
 	if err != nil {
-		writeInvalid(c, azurestair.ReasonBadRequest)
+		h.reject(c, r, Reply{Outcome: azurestair.OutcomeInvalid, Reason: azurestair.ReasonBadRequest, NotRun: true})
 		return
 	}
 	rc := http.NewResponseController(c.Writer)
@@ -122,6 +122,7 @@
 	return h.clock.Now().Add(h.bodyTimeout)
 }
 
+// parse reads the head of a request; with an error the request holds what was read before it.
 func (h *handler) parse(c *gin.Context) (*Request, error) {
 	q := c.Request
 	r := &Request{
@@ -137,15 +138,15 @@
 		Caller:    azurestair.CallerID(q.Header.Get(HeaderCaller)),
 	}
 	if len(q.Header.Values(HeaderKey)) > 1 {
-		return nil, fmt.Errorf("%w: more than one %s header", azurestair.ErrInvalid, HeaderKey)
+		return r, fmt.Errorf("%w: more than one %s header", azurestair.ErrInvalid, HeaderKey)
 	}
 	if r.Key != "" {
 		if err := r.Key.Validate(); err != nil {
-			return nil, err
+			return r, err
 		}
 	}
 	if err := h.parseCaller(q, r); err != nil {
-		return nil, err
+		return r, err
 	}
 	return r, h.parseTimeout(q.Header.Get(HeaderTimeout), r)
 }
@@ -201,10 +202,10 @@
 	return out
 }
 
-func writeInvalid(c *gin.Context, reason azurestair.Reason) {
-	c.Header(HeaderOutcome, string(azurestair.OutcomeInvalid))
-	c.Header(HeaderReason, string(reason))
-	c.JSON(http.StatusBadRequest, ErrorBody{Outcome: azurestair.OutcomeInvalid, Reason: reason, NotRun: true})
+// reject answers what never reaches the server's Serve, and has it counted.
+func (h *handler) reject(c *gin.Context, r *Request, reply Reply) {
+	h.server.Rejected(r, reply)
+	h.writeError(c, r.ID, reply)
 }
 
 // statusOf maps a reply without an upstream's answer to its HTTP status.
@@ -253,6 +254,9 @@
 		h[name] = values
 	}
 	h.Set(HeaderOutcome, string(azurestair.OutcomeDone))
+	if r.Reason != azurestair.ReasonNone {
+		h.Set(HeaderReason, string(r.Reason))
+	}
 	if r.Replayed {
 		h.Set(HeaderReplayed, "true")
 	}
--- a/caller/request.go
+++ b/caller/request.go
@@ -77,6 +77,8 @@
 	Lookup(addr netip.Addr) LookupAnswer
 	// Serve handles a request until its reply is known.
 	Serve(ctx context.Context, r *Request) Reply
+	// Rejected counts a reply that was given without Serve.
+	Rejected(r *Request, reply Reply)
 	// Ready reports whether this instance may be named in look-ups.
 	Ready() error
 }
--- a/instance/attempt.go
+++ b/instance/attempt.go
@@ -94,7 +94,7 @@
 	c := t.call
 	choice, err := c.gate.pick(c.work, t.req.Avoid())
 	if err != nil {
-		return t.req.Refuse(routing.ReasonOf(err)), false
+		return t.req.Refuse(c.pickReason(err)), false
 	}
 	now := c.entry.clock.Now()
 	tryCtx, cancel := context.WithCancel(ctx)
@@ -116,6 +116,24 @@
 	return retry.Decision{}, true
 }
 
+// pickReason tells a region that lacks link budget from one that is at its shift cap.
+func (c *call) pickReason(err error) azurestair.Reason {
+	reason := routing.ReasonOf(err)
+	if reason != azurestair.ReasonShiftCap {
+		return reason
+	}
+	v, now, used := c.entry.view.Load(), c.entry.clock.Now(), c.gate.usage().inFlight
+	for _, r := range v.snapshot.Config.Regions {
+		if r.Name == c.entry.self.Region || used[r.Name] >= v.shift(c.work.Service, r.Name, now) {
+			continue
+		}
+		if !c.entry.links.allows(v, r.Name, now) {
+			return azurestair.ReasonLinkBudget
+		}
+	}
+	return reason
+}
+
 // again starts a retry when its time has come.
 func (t *tries) again(ctx context.Context, d retry.Decision) (retry.Decision, bool) {
 	timer := time.NewTimer(max(0, d.At.Sub(t.call.entry.clock.Now())))
--- a/instance/backend.go
+++ b/instance/backend.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -75,6 +76,10 @@
 		st.Upstreams = append(st.Upstreams, operator.UpstreamStatus{Announcement: a, Confirmed: u.Confirmed, Drained: drained})
 	}
 	st.Budgets = budgets(v, now)
+	gates := b.p.entry.allGates()
+	for _, name := range slices.Sorted(maps.Keys(gates)) {
+		st.Services = append(st.Services, gates[name].status(name))
+	}
 }
 
 func budgets(v *view, now time.Time) []operator.Budget {
@@ -91,7 +96,7 @@
 func replicaStatus(r ReplicaStatus) *operator.ReplicaStatus {
 	out := &operator.ReplicaStatus{
 		State: r.Raft.Role.String(), Term: r.Raft.Term, Leader: r.Raft.Leader, Commit: r.Raft.Commit,
-		Applied: r.Raft.Applied, Members: r.Raft.Membership, Claims: r.Claims,
+		Applied: r.Raft.Applied, Members: r.Raft.Membership, Claims: r.Claims, Joining: r.Raft.Joining,
 		Match: map[azurestair.InstanceID]azurestair.Index{},
 	}
 	for _, f := range r.Raft.Followers {
--- a/instance/gate.go
+++ b/instance/gate.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/admission"
+	"azurestair.example/azurestair/operator"
 	"azurestair.example/azurestair/retry"
 	"azurestair.example/azurestair/routing"
 )
@@ -304,6 +306,49 @@
 	return usage{inFlight: maps.Clone(g.inFlight), waiting: azurestair.Slots(len(g.waiting))}
 }
 
+// counter is an admitter that counts its decisions.
+type counter interface{ Counts() admission.Counts }
+
+// lister is a picker that describes its workers.
+type lister interface {
+	Status(list []routing.Status, now time.Time) []routing.Status
+}
+
+// status describes the gate for operators.
+func (g *gate) status(name azurestair.ServiceName) operator.ServiceStatus {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	st := operator.ServiceStatus{Service: name}
+	if c, ok := g.admitter.(counter); ok {
+		counts := c.Counts()
+		st.Slots, st.Reserve = counts.Slots, counts.Reserve
+		for r, n := range counts.Ranks {
+			st.Ranks = append(st.Ranks, rankStatus(azurestair.Rank(r), n)) //nolint:gosec // within NumRanks
+		}
+	}
+	if p, ok := g.picker.(lister); ok {
+		for _, w := range p.Status(nil, g.clock.Now()) {
+			st.Workers = append(st.Workers, operator.WorkerStatus{
+				Upstream: w.Upstream, Standing: string(w.Standing), InFlight: w.InFlight, Late: w.Late,
+				LatencyMicros: w.Latency.Microseconds(), Ejections: w.Ejections,
+			})
+		}
+	}
+	return st
+}
+
+func rankStatus(r azurestair.Rank, n admission.RankCounts) operator.RankStatus {
+	return operator.RankStatus{
+		Rank: r.String(), Floor: n.Floor, InProgress: n.InProgress, Waiting: n.Waiting,
+		Offered: n.Offered, Admitted: n.Admitted, Cancelled: n.Cancelled,
+		Refused: map[azurestair.Reason]uint64{
+			azurestair.ReasonDeadline:    n.RefusedDeadline,
+			azurestair.ReasonQueueFull:   n.RefusedQueueFull,
+			azurestair.ReasonCallerShare: n.RefusedCallerShare,
+		},
+	}
+}
+
 func (g *gate) update(s *azurestair.Snapshot) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -35,12 +35,17 @@
 	reasonPrefix  = "reason."
 )
 
+// reply counts a reply and how long its request took.
 func (m *meters) reply(r caller.Reply, took time.Duration) {
+	m.count(r)
+	m.latency.Update(took.Microseconds())
+}
+
+func (m *meters) count(r caller.Reply) {
 	metrics.GetOrRegisterCounter(outcomePrefix+string(r.Outcome), m.registry).Inc(1)
 	if r.Reason != azurestair.ReasonNone {
 		metrics.GetOrRegisterCounter(reasonPrefix+string(r.Reason), m.registry).Inc(1)
 	}
-	m.latency.Update(took.Microseconds())
 }
 
 // counters returns the counters whose names start with prefix, without it.
--- a/instance/process.go
+++ b/instance/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -75,6 +76,8 @@
 		fx.WithLogger(func(log *slog.Logger) fxevent.Logger {
 			l := &fxevent.SlogLogger{Logger: log}
 			l.UseLogLevel(slog.LevelDebug)
+			// Start and Stop return the same errors.
+			l.UseErrorLevel(slog.LevelDebug)
 			return l
 		}),
 		fx.Supply(&slog.LevelVar{}),
@@ -274,6 +277,10 @@
 		return nil
 	}
 	store, state, err := disk.Open(p.settings.Instance.DataDir, p.settings.Instance.ID)
+	if errors.Is(err, azurestair.ErrNoIdentity) {
+		return fmt.Errorf("data folder %s: %w; run 'azurestair init' for a new instance, "+
+			"and see \"A lost disk\" in docs/OPERATING.md for one that has voted", p.settings.Instance.DataDir, err)
+	}
 	if err != nil {
 		return fmt.Errorf("data folder %s: %w", p.settings.Instance.DataDir, err)
 	}
--- a/operator/messages.go
+++ b/operator/messages.go
@@ -95,6 +95,40 @@
 	Drained      bool                    `json:"drained"`
 }
 
+// ServiceStatus is how an entry serves one service.
+type ServiceStatus struct {
+	Service azurestair.ServiceName `json:"service"`
+	// Slots is what the leases allow in progress; Reserve is the part that only urgent work uses.
+	Slots   azurestair.Slots `json:"slots"`
+	Reserve azurestair.Slots `json:"reserve"`
+	Ranks   []RankStatus     `json:"ranks"`
+	Workers []WorkerStatus   `json:"workers"`
+}
+
+// RankStatus counts the requests of one rank. Floor, InProgress and Waiting
+// are present numbers, the others count since the start.
+type RankStatus struct {
+	Rank       string                       `json:"rank"`
+	Floor      int                          `json:"floor"`
+	InProgress int                          `json:"inProgress"`
+	Waiting    int                          `json:"waiting"`
+	Offered    uint64                       `json:"offered"`
+	Admitted   uint64                       `json:"admitted"`
+	Cancelled  uint64                       `json:"cancelled"`
+	Refused    map[azurestair.Reason]uint64 `json:"refused"`
+}
+
+// WorkerStatus is how an entry sees one upstream. Standing says whether it gets
+// new work and, if not, why.
+type WorkerStatus struct {
+	Upstream      azurestair.UpstreamID `json:"upstream"`
+	Standing      string                `json:"standing"`
+	InFlight      azurestair.Slots      `json:"inFlight"`
+	Late          azurestair.Slots      `json:"late"`
+	LatencyMicros int64                 `json:"latencyMicros"`
+	Ejections     int                   `json:"ejections"`
+}
+
 // Status is what an instance knows.
 type Status struct {
 	Self          azurestair.InstanceInfo      `json:"self"`
@@ -107,6 +141,7 @@
 	Upstreams     []UpstreamStatus             `json:"upstreams"`
 	Drains        []azurestair.Drain           `json:"drains"`
 	Budgets       []Budget                     `json:"budgets"`
+	Services      []ServiceStatus              `json:"services"`
 	Refusals      map[azurestair.Reason]int64  `json:"refusals"`
 	Outcomes      map[azurestair.Outcome]int64 `json:"outcomes"`
 	Replica       *ReplicaStatus               `json:"replica,omitempty"`
@@ -122,6 +157,8 @@
 	Members azurestair.Membership                      `json:"members"`
 	Match   map[azurestair.InstanceID]azurestair.Index `json:"match,omitempty"`
 	Claims  int                                        `json:"claims"`
+	// Joining is true until the stored log lists this instance as a learner; it cannot vote before.
+	Joining bool `json:"joining"`
 }
 
 // ErrorBody is the body of an error answer.
--- a/request.go
+++ b/request.go
@@ -44,7 +44,6 @@
 	ReasonBadRequest        Reason = "badRequest"
 	ReasonBodyTooLarge      Reason = "bodyTooLarge"
 	ReasonNotReady          Reason = "notReady"
-	ReasonShuttingDown      Reason = "shuttingDown"
 	ReasonEntryLost         Reason = "entryLost"
 	ReasonAnswerDropped     Reason = "answerNoLongerKept"
 )
