--- a/upstream/client.go
+++ b/upstream/client.go
@@ -103,7 +103,7 @@
 			p.prune(c.clock.Now())
 			continue
 		}
-		p.suspect(c.clock.Now())
+		p.close(c.clock.Now())
 		delete(c.pools, addr)
 	}
 }
@@ -141,7 +141,7 @@
 	resp, err := uc.exchange(a) //nolint:bodyclose // Answer.Body closes it
 	if err != nil {
 		stop()
-		return c.failed(p, uc, started, err)
+		return c.failed(ctx, p, uc, started, err)
 	}
 	return c.answered(p, uc, a, resp, stop)
 }
@@ -152,7 +152,7 @@
 		uc = p.take(!a.Idempotent, c.clock.Now())
 	}
 	if uc == nil {
-		if err := p.reserve(); err != nil {
+		if err := p.reserve(a.Fresh); err != nil {
 			return nil, err
 		}
 		dctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -164,7 +164,8 @@
 		}
 		uc = newConn(nc, p.addr, c.clock.Now())
 	}
-	uc.written = 0
+	uc.written.Store(0)
+	uc.readErr = nil
 	if err := uc.SetDeadline(a.Deadline); err != nil {
 		p.discard(uc)
 		return nil, fmt.Errorf("connect to %s: %w", p.addr, err)
@@ -178,8 +179,11 @@
 	if err != nil {
 		return nil, err
 	}
-	werr := r.Write(c)
-	if werr != nil && (c.written == 0 || isTimeout(werr)) {
+	if a.BodyLen < 0 || a.BodyLen > longBody {
+		return c.exchangeLong(r)
+	}
+	werr := c.send(r)
+	if werr != nil && (c.written.Load() == 0 || isTimeout(werr) || errors.Is(werr, ErrRequestBody)) {
 		return nil, werr
 	}
 	// An upstream may answer and close before it has read the whole request,
@@ -228,18 +232,20 @@
 }
 
 // failed classifies an attempt that brought no answer.
-func (c *Client) failed(p *pool, uc *conn, started time.Time, err error) (Answer, error) {
+func (c *Client) failed(ctx context.Context, p *pool, uc *conn, started time.Time, err error) (Answer, error) {
 	ans := Answer{Reused: uc.reused}
+	// An upload may still be writing; nothing is written after the close.
+	p.discard(uc)
 	switch {
-	case uc.written == 0:
+	case uc.written.Load() == 0:
 		ans.Result, ans.Reason = azurestair.AttemptNotRun, azurestair.ReasonConnect
-	case isTimeout(err):
+	case !errors.Is(err, ErrRequestBody) && (isTimeout(err) || isTimeout(uc.readErr)):
 		ans.Result, ans.Reason = azurestair.AttemptTimeout, azurestair.ReasonTimeout
 	default:
 		ans.Result, ans.Reason = azurestair.AttemptBroken, azurestair.ReasonBroken
 	}
-	p.discard(uc)
-	if ans.Result == azurestair.AttemptTimeout && uc.reused {
+	// An attempt that was cancelled before its deadline says nothing about the connection.
+	if ans.Result == azurestair.AttemptTimeout && uc.reused && !errors.Is(ctx.Err(), context.Canceled) {
 		p.suspect(c.clock.Now())
 		ans.Silent = c.heard.Load() < started.UnixNano()
 	}
@@ -266,7 +272,7 @@
 	switch {
 	case resp.Header.Get(HeaderRequest) != string(a.ID):
 		err = errEcho
-	case resp.ContentLength < 0 && resp.Close && len(resp.TransferEncoding) == 0:
+	case resp.ContentLength < 0 && resp.Close && len(resp.TransferEncoding) == 0 && a.Method != http.MethodHead:
 		err = errFraming
 	}
 	if err != nil {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -19,9 +20,16 @@
 // conn is a connection to an upstream. It is used by one attempt at a time.
 type conn struct {
 	net.Conn
-	key     string
-	r       *bufio.Reader
-	written int64
+	key string
+	r   *bufio.Reader
+	// written counts the bytes of the attempt; a write in progress counts as
+	// complete, so that zero after Close proves that nothing was sent.
+	written atomic.Int64
+	// writeFailed is true once a write has failed; it belongs to the writing goroutine.
+	writeFailed bool
+	// readErr is the last read error. The parser of heads reports a head that
+	// was cut by a timeout as malformed.
+	readErr error
 	// headLeft bounds the bytes that may be read before the head of an answer is complete; negative means no bound.
 	headLeft int64
 	opened   time.Time
@@ -49,13 +57,20 @@
 	if c.headLeft > 0 {
 		c.headLeft -= int64(n)
 	}
+	if err != nil {
+		c.readErr = err
+	}
 	return n, err
 }
 
 // Write counts what the operating system accepted.
 func (c *conn) Write(p []byte) (int, error) {
+	c.written.Add(int64(len(p)))
 	n, err := c.Conn.Write(p)
-	c.written += int64(n)
+	c.written.Add(int64(n - len(p)))
+	if err != nil {
+		c.writeFailed = true
+	}
 	return n, err
 }
 
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -35,6 +35,8 @@
 	limit int
 	// suspectBefore retires connections that were opened before the time of the last stall.
 	suspectBefore time.Time
+	// closed is true once the upstream is no longer listed.
+	closed bool
 }
 
 // take returns an idle connection that may still be used, newest first, or nil.
@@ -76,10 +78,16 @@
 	return c.opened.Before(p.suspectBefore)
 }
 
-// reserve counts a connection that is about to be opened.
-func (p *pool) reserve() error {
+// reserve counts a connection that is about to be opened. With replace, the
+// one that has been idle for longest makes room for it at the limit.
+func (p *pool) reserve(replace bool) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if replace && p.open >= p.limit && len(p.idle) > 0 {
+		_ = p.idle[0].Close()
+		p.idle = p.idle[1:]
+		p.open--
+	}
 	if p.open >= p.limit {
 		return fmt.Errorf("%w: %d connections to %s are open", azurestair.ErrFull, p.open, p.addr)
 	}
@@ -102,6 +110,11 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		_ = c.Close()
+		p.open--
+		return
+	}
 	p.idle = append(p.idle, c)
 }
 
@@ -125,6 +138,14 @@
 	}
 }
 
+// close closes the idle connections; those in use are closed when their attempt ends.
+func (p *pool) close(now time.Time) {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.suspect(now)
+}
+
 // prune closes connections that have been idle for too long.
 func (p *pool) prune(now time.Time) {
 	p.mu.Lock()
