--- a/instance/attempt.go
+++ b/instance/attempt.go
@@ -317,6 +317,9 @@
 		_ = e.answer.Body.Close()
 		e.err = err
 		e.answer.Result, e.answer.Reason = azurestair.AttemptBroken, azurestair.ReasonBroken
+		if upstream.IsTimeout(err) {
+			e.answer.Result, e.answer.Reason = azurestair.AttemptTimeout, azurestair.ReasonTimeout
+		}
 	case len(data) > wholeLimit:
 		e.answer.Body = struct {
 			io.Reader
--- a/instance/gate.go
+++ b/instance/gate.go
@@ -11,6 +11,7 @@
 	"azurestair.example/azurestair/admission"
 	"azurestair.example/azurestair/operator"
 	"azurestair.example/azurestair/retry"
+	"azurestair.example/azurestair/routing"
 )
 
 // gate admits the requests of one service and chooses their upstreams. It is
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -183,7 +183,7 @@
 		return c.exchangeLong(r)
 	}
 	werr := c.send(r)
-	if werr != nil && (c.written.Load() == 0 || isTimeout(werr) || errors.Is(werr, ErrRequestBody)) {
+	if werr != nil && (c.written.Load() == 0 || IsTimeout(werr) || errors.Is(werr, ErrRequestBody)) {
 		return nil, werr
 	}
 	// An upstream may answer and close before it has read the whole request,
@@ -239,7 +239,7 @@
 	switch {
 	case uc.written.Load() == 0:
 		ans.Result, ans.Reason = azurestair.AttemptNotRun, azurestair.ReasonConnect
-	case !errors.Is(err, ErrRequestBody) && (isTimeout(err) || isTimeout(uc.readErr)):
+	case !errors.Is(err, ErrRequestBody) && (IsTimeout(err) || IsTimeout(uc.readErr)):
 		ans.Result, ans.Reason = azurestair.AttemptTimeout, azurestair.ReasonTimeout
 	default:
 		ans.Result, ans.Reason = azurestair.AttemptBroken, azurestair.ReasonBroken
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -98,7 +98,8 @@
 	return err != nil || !open
 }
 
-func isTimeout(err error) bool {
+// IsTimeout reports whether a deadline of the connection ended the call.
+func IsTimeout(err error) bool {
 	var ne net.Error
 	return errors.Is(err, os.ErrDeadlineExceeded) || (errors.As(err, &ne) && ne.Timeout())
 }
