--- a/instance/entry.go
+++ b/instance/entry.go
@@ -71,6 +71,13 @@
 	e.limitConns(s)
 }
 
+// heard takes over a reply of control that brought no new snapshot.
+func (e *Entry) heard(s *azurestair.Snapshot) {
+	for _, g := range e.allGates() {
+		g.heard(s)
+	}
+}
+
 // limitConns shares each upstream's connection limit among the entries.
 func (e *Entry) limitConns(s *azurestair.Snapshot) {
 	keep := map[string]bool{}
--- a/instance/gate.go
+++ b/instance/gate.go
@@ -307,6 +307,14 @@
 	g.budget.Percent = d.RetryPercent
 }
 
+// heard tells the picker that control has answered. An unchanged snapshot
+// still confirms the upstreams that it lists as confirmed.
+func (g *gate) heard(s *azurestair.Snapshot) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.picker.Update(s, g.clock.Now())
+}
+
 func (g *gate) poke() {
 	select {
 	case g.wake <- struct{}{}:
--- a/instance/member.go
+++ b/instance/member.go
@@ -203,8 +203,11 @@
 	}
 	m.holder.Apply(e.reply.Grants, e.sent, now)
 	m.resend(e.reply.Unknown)
-	if m.snapshot != before {
+	switch {
+	case m.snapshot != before:
 		m.changed(before, now)
+	case m.entry != nil && m.snapshot != nil:
+		m.entry.heard(m.snapshot)
 	}
 	m.publish(now)
 }
