--- a/budget.go
+++ b/budget.go
@@ -41,6 +41,9 @@
 	// Floor is the floor that the entry has now. The leader keeps a larger one
 	// reserved until the entry reports the smaller one.
 	Floor int64 `cbor:"4,keyasint,omitempty" json:"floor,omitempty"`
+	// Remote is true for slots outside the entry's own region. They can be used
+	// within the shift budget only, so that less is reserved for them.
+	Remote bool `cbor:"5,keyasint,omitempty" json:"remote,omitempty"`
 }
 
 // Grant is a leased part of a budget. TTLMs counts from when the holder sent
@@ -51,6 +54,9 @@
 	// Floor is the part that the holder may use without a lease.
 	Floor int64  `cbor:"3,keyasint" json:"floor"`
 	TTLMs Millis `cbor:"4,keyasint" json:"ttlMs"`
+	// MaxFloor is the largest floor that any holder has, if that is more than
+	// Floor. A holder that becomes leader reserves it for those it has not heard.
+	MaxFloor int64 `cbor:"5,keyasint,omitempty" json:"maxFloor,omitempty"`
 }
 
 // MaxDemands bounds the demands in one report.
--- a/control/allocator.go
+++ b/control/allocator.go
@@ -72,7 +72,7 @@
 func (a *Allocator) Inherit(grants []azurestair.Grant) {
 	a.inherited = map[azurestair.Resource]int64{}
 	for _, g := range grants {
-		a.inherited[g.Resource] = g.Floor
+		a.inherited[g.Resource] = max(g.Floor, g.MaxFloor)
 	}
 }
 
@@ -267,14 +267,14 @@
 
 // grant answers one demand.
 func (b *budget) grant(s *share, d azurestair.Demand, quiet bool, now time.Time) azurestair.Grant {
-	s.want, s.inUse, s.activeUntil = d.Want, d.InUse, now.Add(LeaseTTL)
+	s.want, s.inUse, s.remote, s.activeUntil = d.Want, d.InUse, d.Remote, now.Add(LeaseTTL)
 	s.noteFloor(d.Floor, now)
 	b.recount(s, now)
 	if b.isPlanDue(now) {
 		b.plan(now)
 	}
 	b.ramp.observe(b.use, b.limit.Interval, now)
-	floor := b.floor
+	floor := b.floorOf(s)
 	if quiet {
 		floor = min(floor, max(d.Floor, b.inherited))
 	}
@@ -286,7 +286,19 @@
 	s.add(amount, now)
 	b.recount(s, now)
 	b.lastGrant = now
-	return azurestair.Grant{Resource: d.Resource, Amount: amount, Floor: floor, TTLMs: azurestair.MillisOf(LeaseTTL)}
+	g := azurestair.Grant{Resource: d.Resource, Amount: amount, Floor: floor, TTLMs: azurestair.MillisOf(LeaseTTL)}
+	if most := max(b.floor, b.inherited); s.remote && most > floor {
+		g.MaxFloor = most
+	}
+	return g
+}
+
+// floorOf returns the floor that the holder of a share is given.
+func (b *budget) floorOf(s *share) int64 {
+	if s.remote {
+		return min(b.floor, b.limit.RemoteFloor)
+	}
+	return b.floor
 }
 
 // amount returns what a share may lease now. Above the pool, which happens
@@ -300,7 +312,7 @@
 	room := pool - (b.held - s.held)
 	renewal := min(s.held, pool-(b.recent-s.recent))
 	if b.limit.Interval > 0 {
-		renewal = min(renewal, s.inUse-b.floor)
+		renewal = min(renewal, s.inUse-b.floorOf(s))
 	}
 	return max(0, min(b.target(s), max(room, renewal)-s.former.liveAmount(now)))
 }
@@ -308,7 +320,10 @@
 // target returns what a share should lease: its fair part or, if that is
 // more, the part that keeps it warm. It falls by at most half at a time.
 func (b *budget) target(s *share) int64 {
-	fair := min(s.need(b.floor), s.level)
+	fair := min(s.need(b.floorOf(s)), s.level)
+	if s.remote {
+		return max(fair, min(s.last, s.held)/2)
+	}
 	return max(fair, b.warm, min(s.last, s.held)/2)
 }
 
@@ -329,6 +344,10 @@
 func (b *budget) reserveFor(floor int64) int64 {
 	sum := b.unknown() * max(floor, b.inherited)
 	for _, s := range b.order {
+		if s.remote {
+			sum += max(s.floor, min(floor, b.limit.RemoteFloor))
+			continue
+		}
 		sum += max(s.floor, floor)
 	}
 	return sum
@@ -361,7 +380,7 @@
 	b.use -= s.use
 	b.floors -= s.reserved
 	s.count(b.recentUntil, now)
-	s.reserved = max(s.floor, b.floor)
+	s.reserved = max(s.floor, b.floorOf(s))
 	b.held += s.held
 	b.recent += s.recent
 	b.use += s.use
@@ -387,17 +406,17 @@
 	b.planFloor(now)
 	// With the pool for the wanted floor, leases shrink until it has room.
 	pool := max(0, b.total()-b.reserveFor(b.limit.Floor))
-	needs := make([]int64, 0, len(b.order))
+	needs := make([]need, 0, len(b.order))
 	for _, s := range b.order {
 		if s.active(now) {
-			needs = append(needs, s.need(b.floor))
+			needs = append(needs, need{amount: s.need(b.floorOf(s)), remote: s.remote})
 		}
 	}
 	level, warm, rest := levels(needs, pool, int64(b.holders))
 	b.warm = warm
 	for _, s := range b.order {
 		s.level = level
-		if rest > 0 && s.active(now) && s.need(b.floor) > level {
+		if rest > 0 && s.active(now) && s.need(b.floorOf(s)) > level {
 			s.level++
 			rest--
 		}
@@ -416,20 +435,38 @@
 	}
 }
 
+// need is what a holder wants above its floor.
+type need struct {
+	amount int64
+	remote bool
+}
+
 // levels returns the max-min fair level of the needs, the amount up to which
 // the rest of the pool keeps each holder warm, which is an equal share at
-// most, and how many holders may have one more than level.
-func levels(needs []int64, pool, holders int64) (level, warm, rest int64) {
+// most, and how many holders may have one more than level. A remote holder is
+// not kept warm: it could use the amount within its shift budget only, and the
+// holders of the region would wait for a lease time to get it.
+func levels(needs []need, pool, holders int64) (level, warm, rest int64) {
 	if len(needs) == 0 || holders <= 0 {
 		return pool, 0, 0
 	}
 	filled := func(level, warm int64) int64 {
 		sum := int64(0)
 		for _, n := range needs {
-			sum += max(min(n, level), warm)
+			amount := min(n.amount, level)
+			if !n.remote {
+				amount = max(amount, warm)
+			}
+			sum += amount
 		}
 		return sum
 	}
+	for _, n := range needs {
+		if n.remote {
+			holders--
+		}
+	}
+	holders = max(1, holders)
 	level = highest(pool, func(level int64) bool { return filled(level, 0) <= pool })
 	warm = highest(pool/holders, func(warm int64) bool { return filled(level, warm) <= pool })
 	return level, warm, pool - filled(level, warm)
@@ -446,6 +483,8 @@
 	holder      azurestair.InstanceID
 	incarnation azurestair.Incarnation
 	want, inUse int64
+	// remote is true when the budget lies outside the holder's region.
+	remote bool
 	// activeUntil ends one lease time after the last report.
 	activeUntil time.Time
 	// leases holds the unexpired leases that no later and larger one covers:
--- a/control/holder.go
+++ b/control/holder.go
@@ -22,6 +22,7 @@
 	amount   int64
 	deadline time.Time
 	floor    int64
+	maxFloor int64
 }
 
 // Apply takes over the grants of a reply to a report that was sent at sentAt.
@@ -38,14 +39,14 @@
 		h.held = map[azurestair.Resource]holding{}
 	}
 	for _, g := range grants {
-		if g.Amount < 0 || g.Floor < 0 || g.TTLMs < 0 {
+		if g.Amount < 0 || g.Floor < 0 || g.TTLMs < 0 || g.MaxFloor < 0 {
 			continue
 		}
 		if _, ok := h.held[g.Resource]; !ok && len(h.held) >= MaxBudgets {
 			continue
 		}
 		ttl := min(g.TTLMs.Duration(), LeaseTTL)
-		h.held[g.Resource] = holding{amount: g.Amount, deadline: sentAt.Add(ttl - driftMargin), floor: g.Floor}
+		h.held[g.Resource] = holding{amount: g.Amount, deadline: sentAt.Add(ttl - driftMargin), floor: g.Floor, maxFloor: g.MaxFloor}
 	}
 }
 
--- a/control/leases.go
+++ b/control/leases.go
@@ -38,7 +38,7 @@
 func (h *Holder) Grants() []azurestair.Grant {
 	out := make([]azurestair.Grant, 0, len(h.held))
 	for r, g := range h.held {
-		out = append(out, azurestair.Grant{Resource: r, Amount: g.amount, Floor: g.floor})
+		out = append(out, azurestair.Grant{Resource: r, Amount: g.amount, Floor: g.floor, MaxFloor: g.maxFloor})
 	}
 	return out
 }
--- a/control/limits.go
+++ b/control/limits.go
@@ -17,6 +17,8 @@
 	Total int64
 	// Floor is the part of Total that each possible holder may use without a lease.
 	Floor int64
+	// RemoteFloor is the floor of a holder for which the budget is remote.
+	RemoteFloor int64
 	// Step bounds how far the sum of leases and floors may rise above the use
 	// within Interval. A zero Interval means no such bound.
 	Step     int64
@@ -43,7 +45,8 @@
 	for _, s := range cfg.Services {
 		for _, r := range cfg.Regions {
 			n := slots[place{s.Name, r.Name}]
-			out = append(out, slotsLimit(s.Name, r.Name, n, maxHolders), shiftLimit(cfg, s.Name, r.Name, n, maxHolders))
+			shift := shiftLimit(cfg, s.Name, r.Name, n, maxHolders)
+			out = append(out, slotsLimit(s.Name, r.Name, n, shift.Limit.Floor, maxHolders), shift)
 		}
 	}
 	for _, l := range cfg.Links {
@@ -55,10 +58,14 @@
 	return out
 }
 
-func slotsLimit(s azurestair.ServiceName, r azurestair.RegionName, n int64, maxHolders int) ResourceLimit {
+// slotsLimit gives a holder of another region no larger floor than it may
+// shift without a lease: it could not use more, and what is reserved for it is
+// lost to the holders of the region.
+func slotsLimit(s azurestair.ServiceName, r azurestair.RegionName, n, shiftFloor int64, maxHolders int) ResourceLimit {
+	floor := floorOf(n, maxHolders)
 	return ResourceLimit{
 		Resource: azurestair.Resource{Kind: azurestair.ResourceSlots, Service: s, Region: r},
-		Limit:    Limit{Total: n, Floor: floorOf(n, maxHolders)},
+		Limit:    Limit{Total: n, Floor: floor, RemoteFloor: min(floor, shiftFloor)},
 	}
 }
 
--- a/instance/entry.go
+++ b/instance/entry.go
@@ -143,9 +143,9 @@
 			if r.Name == e.self.Region {
 				continue
 			}
-			out = append(out, slotDemand(h, name, r.Name, use.inFlight[r.Name], overflow))
-			shift := azurestair.Resource{Kind: azurestair.ResourceShift, Service: name, Region: r.Name}
 			used := int64(use.inFlight[r.Name])
+			out = append(out, remoteDemand(h, name, r.Name, used, int64(overflow)))
+			shift := azurestair.Resource{Kind: azurestair.ResourceShift, Service: name, Region: r.Name}
 			out = append(out, h.Demand(shift, used, used+int64(overflow)))
 		}
 	}
@@ -165,6 +165,14 @@
 	return h.Demand(r, int64(used), want)
 }
 
+// remoteDemand asks for slots of another region without a margin: what an entry
+// holds there and does not use, the entries of that region have to shift away.
+func remoteDemand(h *control.Holder, s azurestair.ServiceName, region azurestair.RegionName, used, more int64) azurestair.Demand {
+	d := h.Demand(azurestair.Resource{Kind: azurestair.ResourceSlots, Service: s, Region: region}, used, used+more)
+	d.Remote = true
+	return d
+}
+
 // isPressed reports whether requests wait, so that more budget is worth a report.
 func (e *Entry) isPressed(time.Time) bool {
 	for _, g := range e.allGates() {
--- a/load/control.go
+++ b/load/control.go
@@ -139,8 +139,9 @@
 
 // claimRate is offered, somewhat above the target.
 const (
-	claimRate   Rate = 6_000
-	claimTarget      = 5_000
+	claimRate Rate = 6_000
+
+	claimTarget float64 = 5_000
 )
 
 // claimer proposes claims as entries do.
--- a/load/scenarios.go
+++ b/load/scenarios.go
@@ -71,7 +71,8 @@
 	through := r.requester(p.Service, azurestair.RankInteractive)
 	r.warm(ctx, half, through)
 	even := r.send(ctx, half, through)
-	slowTime := 4 * p.ServiceTime
+	const slowness = 10
+	slowTime := slowness * p.ServiceTime
 	stubs[0].SetServiceTime(slowTime)
 	defer stubs[0].SetServiceTime(p.ServiceTime)
 	first := r.warm(ctx, half, through)
