--- a/load/client.go
+++ b/load/client.go
@@ -37,8 +37,9 @@
 	rank    azurestair.Rank
 	// callers names the caller of request i; nil means the address.
 	callers func(i int) string
-	// prefix makes the keys of this requester unique.
+	// prefix makes the keys of this requester unique; sent numbers them.
 	prefix string
+	sent   atomic.Int64
 }
 
 // Send sends request i.
@@ -54,7 +55,7 @@
 		return Failed
 	}
 	if method == http.MethodPost {
-		q.Header.Set(caller.HeaderKey, r.prefix+"-"+strconv.Itoa(i))
+		q.Header.Set(caller.HeaderKey, r.prefix+"-"+strconv.FormatInt(r.sent.Add(1), 10))
 	}
 	if r.callers != nil {
 		q.Header.Set(caller.HeaderCaller, r.callers(i))
@@ -69,7 +70,7 @@
 	}
 	switch azurestair.Outcome(resp.Header.Get(caller.HeaderOutcome)) {
 	case azurestair.OutcomeDone:
-		return Done
+		return Answered
 	case azurestair.OutcomeRefused:
 		return Refused
 	}
@@ -97,7 +98,7 @@
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK {
 		return Failed
 	}
-	return Done
+	return Answered
 }
 
 // lookupClient repeats look-ups on one keep-alive connection without a pause.
--- a/load/control.go
+++ b/load/control.go
@@ -166,7 +166,7 @@
 	case err != nil:
 		return Failed
 	case res.Code == azurestair.ResultGranted:
-		return Done
+		return Answered
 	}
 	return Refused
 }
@@ -198,7 +198,7 @@
 	r.note("p99", millis(s.Quantile(99)), "ms")
 	for i, m := range r.fleet.members[:r.fleet.opts.Controls] {
 		cpu := after[i].usage.CPU - before[i].usage.CPU
-		r.note(fmt.Sprintf("%s %s processor for each claim", roleOf(m, leader), m.id), micros(cpu)/float64(max(1, s.Count(Done))), "µs")
+		r.note(fmt.Sprintf("%s %s processor for each claim", roleOf(m, leader), m.id), micros(cpu)/float64(max(1, s.Count(Answered))), "µs")
 	}
 	return nil
 }
@@ -214,13 +214,13 @@
 	for i := range numChanges {
 		started := time.Now()
 		via := r.fleet.members[i%len(r.fleet.members)]
-		v := Done
+		v := Answered
 		if err := r.fleet.apply(ctx, via, azurestair.ChangeID(fmt.Sprintf("load-change-%d", i))); err != nil {
 			v = Failed
 		}
 		s.add(v, time.Since(started))
 	}
-	r.check("in effect on all", float64(s.Count(Done)), "of 100", AtLeast, numChanges)
+	r.check("in effect on all", float64(s.Count(Answered)), "of 100", AtLeast, numChanges)
 	r.note("p50 until in effect on all", millis(s.Quantile(50)), "ms")
 	r.check("longest until in effect on all", millis(s.Quantile(100)), "ms", AtMost, 1_000)
 	return nil
@@ -245,7 +245,7 @@
 		}
 		longest = max(longest, took)
 		lost += s.Count(Refused) + s.Count(Failed)
-		sent += s.Count(Done) + s.Count(Refused) + s.Count(Failed)
+		sent += s.Count(Answered) + s.Count(Refused) + s.Count(Failed)
 		r.note(fmt.Sprintf("accepted again after kill %d", i+1), millis(took), "ms")
 	}
 	r.check("longest until accepted again", millis(longest), "ms", AtMost, 2_000)
--- a/load/fleet.go
+++ b/load/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -118,13 +119,25 @@
 	return nil
 }
 
+// Ports below those that systems give to outgoing connections, so that none
+// takes an address between its choice and the start of the instance.
+const (
+	firstPort = 10_000
+	numPorts  = 20_000
+	portTries = 100
+)
+
 // freeAddr returns a loopback address on which nothing listened just now.
 func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range portTries {
+		var l net.Listener
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(numPorts)) //nolint:gosec // not a secret
+		if l, err = net.Listen("tcp", addr); err == nil {
+			return addr, l.Close()
+		}
 	}
-	return l.Addr().String(), l.Close()
+	return "", err
 }
 
 func (f *Fleet) file(m *member, name string) string {
@@ -246,6 +259,9 @@
 		want += p.Workers
 	}
 	for _, m := range f.members {
+		if m.process.hasEnded() {
+			return fmt.Errorf("%w: %s has ended; its log is in %s", azurestair.ErrClosed, m.id, f.file(m, ".log"))
+		}
 		st, err := f.admin(m).Status(ctx)
 		if err != nil {
 			return err
--- a/load/process.go
+++ b/load/process.go
@@ -43,6 +43,15 @@
 	_ = log.Close()
 }
 
+func (p *process) hasEnded() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // stopGrace is how long a process may take to end after SIGTERM.
 const stopGrace = 4 * time.Second
 
--- a/load/report.go
+++ b/load/report.go
@@ -62,8 +62,8 @@
 	Error    string `json:"error"`
 }
 
-// Report is what a run measured.
-type Report struct {
+// Findings is what a run measured.
+type Findings struct {
 	Deployment string    `json:"deployment"`
 	Entries    int       `json:"entries"`
 	Controls   int       `json:"controls"`
@@ -73,7 +73,7 @@
 }
 
 // Write prints the report as a table.
-func (r Report) Write(w io.Writer) error {
+func (r Findings) Write(w io.Writer) error {
 	_, _ = fmt.Fprintf(w, "deployment %s, %d entries, %d of them also control, %d processors each\n",
 		r.Deployment, r.Entries, r.Controls, r.Procs)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
--- a/load/run.go
+++ b/load/run.go
@@ -38,7 +38,7 @@
 	fleet   *Fleet
 	http    *http.Client
 	wire    *wire
-	report  Report
+	report  Findings
 	current string
 }
 
@@ -73,25 +73,25 @@
 }
 
 // Run starts a fleet, measures the scenarios and stops the fleet.
-func Run(ctx context.Context, o Options) (Report, error) {
+func Run(ctx context.Context, o Options) (Findings, error) {
 	d, err := o.deployment()
 	if err != nil {
-		return Report{}, err
+		return Findings{}, err
 	}
 	dir, err := os.MkdirTemp("", "azurestair-load-")
 	if err != nil {
-		return Report{}, err
+		return Findings{}, err
 	}
 	defer os.RemoveAll(dir) //nolint:errcheck // nothing is left to do
 	f, err := StartFleet(ctx, FleetOptions{
 		Binary: o.Binary, Controls: o.Controls, Entries: o.Entries, Procs: o.Procs, Deployment: d, Dir: dir,
 	})
 	if err != nil {
-		return Report{}, err
+		return Findings{}, err
 	}
 	defer f.Stop()
 	w := newWire(o.Delay)
-	r := &run{opts: o, fleet: f, wire: w, http: newHTTP(w), report: Report{
+	r := &run{opts: o, fleet: f, wire: w, http: newHTTP(w), report: Findings{
 		Deployment: d.Name, Entries: o.Entries, Controls: o.Controls, Procs: o.Procs,
 	}}
 	r.all(ctx)
--- a/load/scenarios.go
+++ b/load/scenarios.go
@@ -57,18 +57,19 @@
 	r.note("rate", float64(half), "1/s")
 	r.note("direct p50", millis(base.Quantile(50)), "ms")
 	r.note("direct p99", millis(base.Quantile(99)), "ms")
-	r.check("done through entries", entry.Share(Done)*100, "%", AtLeast, 99.9)
+	r.check("done through entries", entry.Share(Answered)*100, "%", AtLeast, 99.9)
 	r.check("added p50", millis(entry.Quantile(50)-base.Quantile(50)), "ms", AtMost, 0.3)
 	r.check("added p99", millis(entry.Quantile(99)-base.Quantile(99)), "ms", AtMost, 1)
 	return nil
 }
 
-// slow makes one upstream in twelve ten times slower.
+// slow makes one upstream in twelve ten times slower. The service with twelve
+// is the urgent one in both deployments.
 func (r *run) slow(ctx context.Context) error {
 	p := r.pool(1)
 	stubs := r.fleet.stubs[p.Service]
 	half := p.Capacity() / 2
-	through := r.requester(p.Service, azurestair.RankInteractive)
+	through := r.requester(p.Service, azurestair.RankUrgent)
 	r.warm(ctx, half, through)
 	even := r.send(ctx, half, through)
 	const slowness = 10
@@ -82,7 +83,7 @@
 	r.note("p99 with none slow", base, "ms")
 	r.note("p99 ratio in the first 2 s", millis(first.Quantile(99))/base, "")
 	r.check("p99 ratio", millis(uneven.Quantile(99))/base, "", AtMost, 1.5)
-	r.note("done", uneven.Share(Done)*100, "%")
+	r.note("done", uneven.Share(Answered)*100, "%")
 	r.note("p99 ratio of direct round robin", millis(baseline.Quantile(99))/base, "")
 	return nil
 }
@@ -131,7 +132,7 @@
 
 func (r *run) deferredFlood(ctx context.Context) error {
 	flows := r.flood(ctx, urgentLoad, interactiveLoad, floodFactor)
-	r.check("urgent in time", flows[azurestair.RankUrgent].sample.Share(Done)*100, "%", AtLeast, 99.9)
+	r.check("urgent in time", flows[azurestair.RankUrgent].sample.Share(Answered)*100, "%", AtLeast, 99.9)
 	r.checkFloor(azurestair.RankInteractive, flows[azurestair.RankInteractive])
 	return nil
 }
@@ -170,7 +171,7 @@
 	r.note("others done beside", float64(beside.sample.Throughput()), "1/s")
 	r.note("greedy offered", float64(flood.rate), "1/s")
 	r.note("greedy done", float64(flood.sample.Throughput()), "1/s")
-	loss := 1 - float64(beside.sample.Count(Done))/float64(max(1, alone.Count(Done)))
+	loss := 1 - float64(beside.sample.Count(Answered))/float64(max(1, alone.Count(Answered)))
 	r.check("others lose", loss*100, "%", AtMost, 5)
 	return nil
 }
--- a/load/schedule.go
+++ b/load/schedule.go
@@ -34,8 +34,8 @@
 type Verdict uint8
 
 const (
-	// Done means a whole answer in time.
-	Done Verdict = iota
+	// Answered means a whole answer in time.
+	Answered Verdict = iota
 	// Refused means an honest refusal.
 	Refused
 	// Failed means anything else: an unknown outcome, an error, or an answer too late.
@@ -80,7 +80,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.verdicts[v]++
-	if v == Done {
+	if v == Answered {
 		_ = s.latency.RecordValue(min(maxLatency, max(minLatency, latency.Microseconds())))
 	}
 }
@@ -120,7 +120,7 @@
 func (s *Sample) Throughput() Rate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Rate(float64(s.verdicts[Done]) / max(s.took.Seconds(), 1e-9))
+	return Rate(float64(s.verdicts[Answered]) / max(s.took.Seconds(), 1e-9))
 }
 
 // Quantile returns a quantile of the latency of the requests done; q is in percent.
