--- a/control/allocator.go
+++ b/control/allocator.go
@@ -119,11 +119,12 @@
 }
 
 // Demand answers the demands of a holder. A report of an older incarnation, or
-// of one holder too many, gets no grants.
+// of one holder too many, gets no grants. A report without demands, such as
+// that of an instance without entry role, takes no place.
 func (a *Allocator) Demand(
 	holder azurestair.InstanceID, inc azurestair.Incarnation, demands []azurestair.Demand, now time.Time,
 ) []azurestair.Grant {
-	if !a.admit(holder, inc, now) {
+	if len(demands) == 0 || !a.admit(holder, inc, now) {
 		return nil
 	}
 	quiet := now.Before(a.quietUntil)
--- a/control/allocator_test.go
+++ b/control/allocator_test.go
@@ -132,6 +132,14 @@
 		Expect(a.Demand("0", 1, []azurestair.Demand{{Resource: slots, Want: 1}}, at(0))).To(BeNil())
 	})
 
+	// Guards against control instances, which need no budgets, that take the places of entries.
+	It("gives no place to a holder without demands", func() {
+		for i := range 4 {
+			Expect(a.Demand(azurestair.InstanceID(fmt.Sprint("control-", i)), 1, nil, at(0))).To(BeEmpty())
+		}
+		ask(a, "0", 10, 0)
+	})
+
 	// Guards against floors for more holders than they are reserved for.
 	It("refuses one holder too many until a place is free", func() {
 		_, ms := settleWants(a, 0, 1, 1, 1, 1)
