--- a/faults/traffic_test.go
+++ b/faults/traffic_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -291,8 +290,3 @@
 	Expect(100*done(results)).To(BeNumerically(">=", percent*len(results)),
 		"%d of %d done; not done: %v", done(results), len(results), failed)
 }
-
-// isTransport reports whether a try brought no whole answer.
-func (r reply) isTransport() bool {
-	return r.err != nil && !errors.Is(r.err, context.Canceled)
-}
