--- a/raft/progress.go
+++ b/raft/progress.go
@@ -111,20 +111,18 @@
 }
 
 // reject moves next back after a rejected append; it reports false for an
-// answer that is out of date.
+// answer that is out of date. A follower that rejects what it once
+// acknowledged has lost its log: it is asked again only with each heartbeat,
+// because an immediate retry would repeat at the speed of the network.
 func (p *progress) reject(rejected, hint azurestair.Index) bool {
-	switch p.state {
-	case ProgressReplicate:
-		if rejected <= p.match {
-			return false
-		}
+	switch {
+	case rejected <= p.match:
+		return false
+	case p.state == ProgressReplicate:
 		p.probe(p.match + 1)
 		return true
-	case ProgressProbe:
-		if p.next != rejected+1 {
-			return false
-		}
-		p.next = max(min(rejected, hint+1), p.match+1, 1)
+	case p.state == ProgressProbe && p.next == rejected+1:
+		p.next = max(min(rejected, hint+1), p.match+1)
 		p.paused = false
 		return true
 	default:
