--- a/raft/snapshot.go
+++ b/raft/snapshot.go
@@ -12,10 +12,9 @@
 	Data []byte
 }
 
-// incoming is a snapshot that arrives in pieces. Pieces of two senders are
-// never mixed, because their encodings of the same state may differ.
+// incoming is a snapshot that arrives in pieces. A new term drops it, because
+// two leaders may encode the same state differently.
 type incoming struct {
-	from  azurestair.InstanceID
 	meta  azurestair.SnapshotMeta
 	total azurestair.Bytes
 	data  []byte
@@ -74,9 +73,9 @@
 		return
 	}
 	in := &n.incoming
-	same := in.from == m.From && in.meta.Index == meta.Index && in.meta.Term == meta.Term && in.total == piece.Total
+	same := in.meta.Index == meta.Index && in.meta.Term == meta.Term && in.total == piece.Total
 	if !same {
-		n.incoming = incoming{from: m.From, meta: meta, total: piece.Total}
+		n.incoming = incoming{meta: meta, total: piece.Total}
 	}
 	if piece.Offset == azurestair.Bytes(len(in.data)) {
 		in.data = append(in.data, piece.Data...)
