--- a/instance/attempt.go
+++ b/instance/attempt.go
@@ -61,7 +61,7 @@
 // serve runs attempts one after the other, with at most one hedge beside the first.
 func (t *tries) serve(ctx context.Context) caller.Reply {
 	defer t.abandon()
-	if d, ok := t.begin(ctx); !ok {
+	if d, ok := t.start(ctx); !ok {
 		return t.finish(d)
 	}
 	hedge, stop := t.hedgeTimer()
@@ -89,6 +89,30 @@
 	}
 }
 
+// slotPoll is how often a request without a slot looks for one again.
+const slotPoll = 5 * time.Millisecond
+
+// start starts an attempt. A lease can shrink between the admission of a
+// request and its attempt, most of all when a new leader grants only floors;
+// then the request waits for a slot, since refusing admitted work would make a
+// planned change of the leader visible to callers.
+func (t *tries) start(ctx context.Context) (retry.Decision, bool) {
+	until := t.call.work.Deadline.Add(-answerReserve)
+	ticker := time.NewTicker(slotPoll)
+	defer ticker.Stop()
+	for {
+		d, ok := t.begin(ctx)
+		if ok || !t.call.gate.isOvercommitted() || !t.call.entry.clock.Now().Before(until) {
+			return d, ok
+		}
+		select {
+		case <-ctx.Done():
+			return d, false
+		case <-ticker.C:
+		}
+	}
+}
+
 // begin starts an attempt; without one it returns what the caller gets.
 func (t *tries) begin(ctx context.Context) (retry.Decision, bool) {
 	c := t.call
@@ -126,7 +150,7 @@
 		return t.req.Refuse(azurestair.ReasonDeadline), false
 	}
 	t.call.entry.metrics.retries.Inc(1)
-	return t.begin(ctx)
+	return t.start(ctx)
 }
 
 func (t *tries) hedgeTimer() (<-chan time.Time, func()) {
--- a/instance/gate.go
+++ b/instance/gate.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/control"
 	"azurestair.example/azurestair/retry"
 	"azurestair.example/azurestair/routing"
 )
@@ -28,6 +29,8 @@
 	rand     azurestair.Rand
 	// slots is what the leases allow; late attempts are taken off it.
 	slots azurestair.Slots
+	// shrunkAt is when the leases last allowed less than before.
+	shrunkAt time.Time
 	// late holds, in order of time, until when the slots of timed-out attempts
 	// count as busy: the upstream may still be working on them.
 	late     []lateSlot
@@ -193,6 +196,23 @@
 	return c, err
 }
 
+// shrinkGrace is how long admitted work waits for a slot after the leases
+// shrank. A new leader grants only floors for so long.
+const shrinkGrace = control.QuietTime
+
+// isOvercommitted reports whether admitted work may lack a slot only because
+// the leases shrank, and attempts are in flight whose end frees one.
+func (g *gate) isOvercommitted() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var n azurestair.Slots
+	for _, inFlight := range g.inFlight {
+		n += inFlight
+	}
+	shrank := g.clock.Now().Sub(g.shrunkAt) < shrinkGrace
+	return n > 0 && (n >= g.slots || shrank)
+}
+
 // done ends an attempt; the slot of one that timed out stays busy for a while.
 func (g *gate) done(c azurestair.Choice, r azurestair.AttemptResult, latency time.Duration) {
 	g.mu.Lock()
@@ -273,6 +293,9 @@
 	if n == g.slots {
 		return
 	}
+	if n < g.slots {
+		g.shrunkAt = g.clock.Now()
+	}
 	g.slots = n
 	g.resize(g.clock.Now())
 }
