--- a/instance/member.go
+++ b/instance/member.go
@@ -89,6 +89,11 @@
 	if m.entry != nil {
 		m.entry.confirm(a.Service, a.Upstream, a.State)
 	}
+	if !now.Before(m.controlDeadline) {
+		// The leader does not hear of the announcement through this instance,
+		// so that the upstream has to announce itself at another one.
+		return azurestair.ErrNoQuorum
+	}
 	return nil
 }
 
--- a/upstream/announce.go
+++ b/upstream/announce.go
@@ -61,7 +61,7 @@
 	}
 	reply, err := an.Announce(a)
 	switch {
-	case errors.Is(err, azurestair.ErrFull):
+	case errors.Is(err, azurestair.ErrFull), errors.Is(err, azurestair.ErrNoQuorum):
 		c.JSON(http.StatusServiceUnavailable, ErrorBody{Error: err.Error()})
 	case err != nil:
 		c.JSON(http.StatusConflict, ErrorBody{Error: err.Error()})
