--- a/faults/partition_test.go
+++ b/faults/partition_test.go
@@ -41,6 +41,7 @@
 			_, err := victim.admin().Apply(ctx, change(1, "cut-off"))
 			cancel()
 			Expect(err).To(HaveOccurred(), "a change was accepted without a quorum")
+			f.expectConfirmed(rest)
 			f.heal(victim)
 			f.expectCurrentOnly(victim, v)
 			Eventually(f.whole).Should(Succeed())
--- a/faults/shutdown_test.go
+++ b/faults/shutdown_test.go
@@ -64,10 +64,12 @@
 	})
 
 	// Guards against an entry that goes on to use an upstream after its end was
-	// announced, because the entry is cut off from control.
+	// announced, because the entry is cut off from control, and against the
+	// loss of the upstreams that announce themselves at such an entry.
 	It("of an upstream by itself while an entry is cut off from control", func() {
 		eachSeed(func(rng *rand.Rand) {
-			f := newFleet(fleetOptions{perDomain: 2})
+			// With so many upstreams some announce themselves at the entry.
+			f := newFleet(fleetOptions{perDomain: 4})
 			f.whileCutOff(rng, func(id string) drained {
 				f.upstream(id).Drain()
 				return drained{id: id, at: time.Now(), bound: cutOffBound}
