--- a/instance/gate.go
+++ b/instance/gate.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/admission"
 	"azurestair.example/azurestair/control"
+	"azurestair.example/azurestair/operator"
 	"azurestair.example/azurestair/retry"
 	"azurestair.example/azurestair/routing"
 )
@@ -46,8 +48,10 @@
 	region azurestair.RegionName
 }
 
-// lateFor is how long the slot of a timed-out attempt counts as busy.
-const lateFor = routing.DefaultLateSlot
+// lateFor is how long the slot of a cut-off attempt counts as busy. Each
+// attempt carries its deadline to the upstream; the time covers upstreams that
+// notice it late.
+const lateFor = 2 * time.Second
 
 func newGate(clock azurestair.Clock, a azurestair.Admitter, p azurestair.Picker, r azurestair.Rand) *gate {
 	return &gate{
@@ -190,10 +194,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c, err := g.picker.Pick(w, avoid, g.clock.Now())
-	if err == nil {
-		g.inFlight[c.Region]++
+	if err != nil {
+		g.budget.Saturated(g.clock.Now())
+		return c, err
 	}
-	return c, err
+	g.inFlight[c.Region]++
+	return c, nil
 }
 
 // shrinkGrace is how long admitted work waits for a slot after the leases
@@ -222,7 +228,26 @@
 	if r == azurestair.AttemptDone {
 		g.latency.Observe(latency)
 	}
-	if r != azurestair.AttemptTimeout {
+	g.free(c, r == azurestair.AttemptTimeout, now)
+}
+
+// abandon ends an attempt whose outcome says nothing about the upstream.
+func (g *gate) abandon(c azurestair.Choice, sent bool, elapsed time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	if p, ok := g.picker.(azurestair.Abandoner); ok {
+		p.Abandon(c, sent, elapsed, now)
+	} else {
+		g.picker.Done(c, azurestair.AttemptDone, elapsed, now)
+	}
+	g.free(c, sent, now)
+}
+
+// free ends the count of an attempt, at once or after the bound for one that
+// the upstream may still be working on. The caller holds mu.
+func (g *gate) free(c azurestair.Choice, late bool, now time.Time) {
+	if !late {
 		g.inFlight[c.Region]--
 		return
 	}
@@ -300,6 +325,15 @@
 	g.resize(g.clock.Now())
 }
 
+// setShare sets how many requests the leases allow into a region.
+func (g *gate) setShare(region azurestair.RegionName, n azurestair.Slots) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p, ok := g.picker.(azurestair.Sharer); ok {
+		p.SetShare(region, n, g.clock.Now())
+	}
+}
+
 // resize takes the late slots off what the leases allow. The caller holds mu.
 func (g *gate) resize(now time.Time) {
 	g.admitter.SetSlots(max(0, g.slots-azurestair.Slots(len(g.late))), now)
@@ -318,6 +352,49 @@
 	return usage{inFlight: maps.Clone(g.inFlight), waiting: azurestair.Slots(len(g.waiting))}
 }
 
+// counter is an admitter that counts its decisions.
+type counter interface{ Counts() admission.Counts }
+
+// lister is a picker that describes its workers.
+type lister interface {
+	Status(list []routing.Status, now time.Time) []routing.Status
+}
+
+// status describes the gate for operators.
+func (g *gate) status(name azurestair.ServiceName) operator.ServiceStatus {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	st := operator.ServiceStatus{Service: name}
+	if c, ok := g.admitter.(counter); ok {
+		counts := c.Counts()
+		st.Slots, st.Reserve = counts.Slots, counts.Reserve
+		for r, n := range counts.Ranks {
+			st.Ranks = append(st.Ranks, rankStatus(azurestair.Rank(r), n)) //nolint:gosec // within NumRanks
+		}
+	}
+	if p, ok := g.picker.(lister); ok {
+		for _, w := range p.Status(nil, g.clock.Now()) {
+			st.Workers = append(st.Workers, operator.WorkerStatus{
+				Upstream: w.Upstream, Standing: string(w.Standing), InFlight: w.InFlight, Late: w.Late,
+				LatencyMicros: w.Latency.Microseconds(), Ejections: w.Ejections,
+			})
+		}
+	}
+	return st
+}
+
+func rankStatus(r azurestair.Rank, n admission.RankCounts) operator.RankStatus {
+	return operator.RankStatus{
+		Rank: r.String(), Floor: n.Floor, InProgress: n.InProgress, Waiting: n.Waiting,
+		Offered: n.Offered, Admitted: n.Admitted, Cancelled: n.Cancelled,
+		Refused: map[azurestair.Reason]uint64{
+			azurestair.ReasonDeadline:    n.RefusedDeadline,
+			azurestair.ReasonQueueFull:   n.RefusedQueueFull,
+			azurestair.ReasonCallerShare: n.RefusedCallerShare,
+		},
+	}
+}
+
 func (g *gate) update(s *azurestair.Snapshot) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -330,6 +407,14 @@
 	g.budget.Percent = d.RetryPercent
 }
 
+// heard tells the picker that control has answered. An unchanged snapshot
+// still confirms the upstreams that it lists as confirmed.
+func (g *gate) heard(s *azurestair.Snapshot) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.picker.Update(s, g.clock.Now())
+}
+
 func (g *gate) poke() {
 	select {
 	case g.wake <- struct{}{}:
--- a/instance/process.go
+++ b/instance/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -33,6 +34,9 @@
 	Clock azurestair.Clock
 	// LogOutput receives the log lines; nil discards them.
 	LogOutput io.Writer
+	// Reload delivers changed settings; their tokens and log level take effect
+	// without a restart.
+	Reload <-chan settings.Settings
 	// Listen opens a listener.
 	Listen func(network, addr string) (net.Listener, error)
 	// DialPeer and DialUpstream open connections.
@@ -72,8 +76,11 @@
 		fx.WithLogger(func(log *slog.Logger) fxevent.Logger {
 			l := &fxevent.SlogLogger{Logger: log}
 			l.UseLogLevel(slog.LevelDebug)
+			// Start and Stop return the same errors.
+			l.UseErrorLevel(slog.LevelDebug)
 			return l
 		}),
+		fx.Supply(&slog.LevelVar{}),
 		fx.Provide(newLogger, newConns, newClient, newEntryOf, newProcess, newMeters),
 		fx.Invoke(func(lc fx.Lifecycle, p *Process) {
 			lc.Append(fx.Hook{OnStart: p.start, OnStop: p.stop})
@@ -81,8 +88,7 @@
 	)
 }
 
-func newLogger(s settings.Settings, o Options) (*slog.Logger, error) {
-	var level slog.Level
+func newLogger(s settings.Settings, o Options, level *slog.LevelVar) (*slog.Logger, error) {
 	if err := level.UnmarshalText([]byte(s.Log.Level)); err != nil {
 		return nil, fmt.Errorf("%w: log.level: %w", azurestair.ErrInvalid, err)
 	}
@@ -145,7 +151,7 @@
 	}
 	p := routing.NewWeighted(routing.Options{
 		Service: s, Region: e.self.Region, FailureDomain: e.self.FailureDomain,
-		Home: home, Shift: shift, Entries: control.DefaultMaxHolders,
+		Home: home, Shift: shift, LateSlot: lateFor, Entries: control.DefaultMaxHolders,
 	})
 	seed := rand.NewPCG(rand.Uint64(), rand.Uint64())
 	return newGate(e.clock, admission.New(admission.Options{Rand: seed}), p, seed)
@@ -162,6 +168,8 @@
 	entry    *Entry
 	metrics  *meters
 	down     fx.Shutdowner
+	level    *slog.LevelVar
+	access   access
 
 	self       azurestair.InstanceInfo
 	controller *Controller
@@ -181,12 +189,13 @@
 }
 
 func newProcess(s settings.Settings, o Options, log *slog.Logger, conns *peer.Conns, client *peer.Client, entry *Entry,
-	m *meters, down fx.Shutdowner,
+	m *meters, down fx.Shutdowner, level *slog.LevelVar,
 ) *Process {
 	p := &Process{
 		settings: s, options: o, log: log, conns: conns, client: client, entry: entry, metrics: m, down: down,
-		self: selfOf(s, o.Clock.Now()),
+		self: selfOf(s, o.Clock.Now()), level: level,
 	}
+	p.access.set(s.Tokens)
 	if entry != nil {
 		p.self = entry.self
 	}
@@ -220,11 +229,28 @@
 		p.wg.Go(func() { p.notifier.run(ctx) })
 	}
 	p.wg.Go(func() { p.reporter.run(ctx) })
+	p.wg.Go(func() { p.run(ctx) })
 	p.wg.Go(func() { p.runController(ctx) })
 	p.log.Info("started", "callers", p.self.CallerAddr, "peers", p.self.PeerAddr, "roles", p.settings.Instance.Roles)
 	return nil
 }
 
+// run takes over changed settings until ctx ends.
+func (p *Process) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-p.options.Reload:
+			p.access.set(s.Tokens)
+			if err := p.level.UnmarshalText([]byte(s.Log.Level)); err != nil {
+				p.log.Error("log level not changed", "err", err)
+			}
+			p.log.Info("settings reloaded", "operators", len(s.Tokens.Operators), "upstreams", len(s.Tokens.Upstreams))
+		}
+	}
+}
+
 // runController runs the control goroutine; the process ends when it fails.
 func (p *Process) runController(ctx context.Context) {
 	p.controller.run(ctx)
@@ -251,10 +277,19 @@
 		return nil
 	}
 	store, state, err := disk.Open(p.settings.Instance.DataDir, p.settings.Instance.ID)
+	if errors.Is(err, azurestair.ErrNoIdentity) {
+		return fmt.Errorf("data folder %s: %w; run 'azurestair init' for a new instance, "+
+			"and see \"A lost disk\" in docs/OPERATING.md for one that has voted", p.settings.Instance.DataDir, err)
+	}
 	if err != nil {
 		return fmt.Errorf("data folder %s: %w", p.settings.Instance.DataDir, err)
 	}
-	opts := raft.Options{ID: p.settings.Instance.ID, Joining: p.settings.Control.Learner}
+	joining, err := store.Joining()
+	if err != nil {
+		_ = store.Close()
+		return err
+	}
+	opts := raft.Options{ID: p.settings.Instance.ID, Joining: joining}
 	if !p.settings.Control.Learner {
 		for _, v := range p.settings.Control.Voters {
 			opts.Membership.Voters = append(opts.Membership.Voters, v.ID)
@@ -265,6 +300,7 @@
 		_ = store.Close()
 		return err
 	}
+	r.joining, r.peers = joining, p.transport
 	p.store = store
 	p.writer = &logWriter{store: store, transport: p.transport, jobs: make(chan *storeJob, storeDepth), post: p.post}
 	p.imager = &imager{jobs: make(chan control.Image, 1), post: p.post}
@@ -302,14 +338,14 @@
 	}
 	p.peers = peer.NewServer(p.controller, tlsCfg)
 	p.wg.Go(func() { _ = p.peers.Serve(l) })
-	admin := operator.NewHandler(&backend{p}, operatorAuth(p.settings.Tokens.Operators), p.options.Clock, p.metrics)
+	admin := operator.NewHandler(&backend{p}, p.access.operator, p.options.Clock, p.metrics)
 	if err := p.serveHTTP("operators", p.settings.Listen.Operators, admin); err != nil {
 		return err
 	}
 	if p.entry == nil {
 		return nil
 	}
-	announce := upstream.NewAnnounceHandler(&announcer{p}, upstreamAuth(p.settings.Tokens.Upstreams))
+	announce := upstream.NewAnnounceHandler(&announcer{p}, p.access.upstream)
 	if err := p.serveHTTP("upstreams", p.settings.Listen.Upstreams, announce); err != nil {
 		return err
 	}
@@ -351,6 +387,7 @@
 			_ = s.Close()
 		}
 	}
+	p.sayGone(grace)
 	p.handOver(grace)
 	p.cancel()
 	<-p.controller.stopped
@@ -375,6 +412,17 @@
 	leaveNotice = 300 * time.Millisecond
 )
 
+// goneTimeout bounds the wait for the answer to the last report.
+const goneTimeout = 500 * time.Millisecond
+
+// sayGone sends the last report, by which the leader takes back the leases.
+func (p *Process) sayGone(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, goneTimeout)
+	defer cancel()
+	done := make(chan struct{})
+	_, _ = ask(ctx, p.controller, goneEvent{done: done}, done)
+}
+
 // handOverPoll is how often a leaving leader looks whether another has taken over.
 const handOverPoll = 20 * time.Millisecond
 
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -146,6 +146,16 @@
 		Expect(b.pick("x-0").Upstream).To(BeEquivalentTo("x-0"))
 	})
 
+	// Guards against an old report that keeps work away from a worker for good.
+	It("uses a load report only while it is fresh", func() {
+		b, list := newBench(routing.Options{}, upstreams("x", 2, 9)...), upstreams("x", 2, 9)
+		list[0].Announcement.Sequence, list[0].Announcement.Load.Queued = 2, 1000
+		b.set(list...)
+		Expect(b.run(500, done)).NotTo(HaveKey(azurestair.UpstreamID("x-0")))
+		b.pass(2 * time.Second)
+		Expect(b.run(500, done)["x-0"]).To(BeNumerically("~", 250, 100))
+	})
+
 	// Guards against a crash or a wrong answer before the first snapshot.
 	It("is refused without upstreams", func() {
 		expectRefused(newBench(routing.Options{}), azurestair.ReasonNoUpstream)
@@ -164,6 +174,15 @@
 		expectRefused(b, azurestair.ReasonShiftCap)
 	})
 
+	// Guards against a lease that a busy entry cannot use, because its part of
+	// each worker stays that of an idle one.
+	It("uses of each worker the part that it has leased of the region", func() {
+		b := newBench(routing.Options{Region: "y", Entries: 9}, both...)
+		Expect(b.fill()).To(HaveLen(4 * (1 + 1)))
+		b.SetShare("y", 24, b.now)
+		Expect(b.fill()).To(HaveLen(4 * (6 + 1 - 2)))
+	})
+
 	// Guards R1: late slots and attempts together stay under the cap.
 	It("waits for local saturation and stays under the budget", func() {
 		b := newBench(routing.Options{Region: "x", Shift: underFive}, both...)
@@ -190,7 +209,8 @@
 	It("keep their slots until the late bound or the answer", func() {
 		b := newBench(routing.Options{Without: routing.Mechanisms{Ejection: true}}, upstreams("x", 1, 3)...)
 		all := b.fill()
-		for _, c := range all {
+		b.Abandon(all[0], true, latency, b.now)
+		for _, c := range all[1:] {
 			b.Done(c, azurestair.AttemptTimeout, latency, b.now)
 		}
 		b.pass(routing.DefaultLateSlot - time.Second)
@@ -208,11 +228,9 @@
 	b.set(b.snap.Upstreams...)
 }
 
-func drain(t azurestair.Target) func(*bench) {
-	return func(b *bench) {
-		b.snap.Drains = []azurestair.Drain{{Target: t}}
-		b.set(b.snap.Upstreams...)
-	}
+func (b *bench) drain(t azurestair.Target) {
+	b.snap.Drains = []azurestair.Drain{{Target: t}}
+	b.set(b.snap.Upstreams...)
 }
 
 var (
@@ -242,8 +260,8 @@
 			b.pass(time.Minute)
 			b.Confirm("x-1", azurestair.StateServing, b.now)
 		}),
-		Entry("operator's drain", routing.StandingDrained, drain(worker1)),
-		Entry("drain of the failure domain", routing.StandingDrained, drain(domainB)),
+		Entry("operator's drain", routing.StandingDrained, func(b *bench) { b.drain(worker1) }),
+		Entry("drain of the failure domain", routing.StandingDrained, func(b *bench) { b.drain(domainB) }),
 		Entry("weight of zero", routing.StandingExcluded, func(b *bench) {
 			b.configure(azurestair.Exception{Target: worker1, Setting: azurestair.SettingWeight})
 		}),
@@ -399,13 +417,9 @@
 	return list
 }
 
-func (b *bench) serving() (ids []azurestair.UpstreamID) {
-	for _, u := range b.snap.Upstreams {
-		if u.Announcement.State == azurestair.StateServing {
-			ids = append(ids, u.Announcement.Upstream)
-		}
-	}
-	return ids
+func (b *bench) find(id azurestair.UpstreamID) azurestair.Announcement {
+	is := func(u azurestair.UpstreamInfo) bool { return u.Announcement.Upstream == id }
+	return b.snap.Upstreams[slices.IndexFunc(b.snap.Upstreams, is)].Announcement
 }
 
 func (b *bench) expectInvariants() {
@@ -432,7 +446,7 @@
 					b.set(randomChange(r, b.snap.Upstreams)...)
 				} else if c, err := b.Pick(reading, nil, b.now); action < 5 && err == nil {
 					open = append(open, c)
-					Expect(b.serving()).To(ContainElement(c.Upstream))
+					Expect(b.find(c.Upstream).State).To(Equal(azurestair.StateServing))
 				} else if err == nil {
 					b.Abandon(c, false, 0, b.now)
 				}
@@ -458,8 +472,7 @@
 	for _, n := range []int{12, 100, 1000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			p := routing.NewWeighted(routing.Options{Region: "x", FailureDomain: "x-a", Entries: 7, Rand: rand.NewPCG(1, 1)})
-			s := &azurestair.Snapshot{Upstreams: upstreams("x", n, 9)}
-			now := start
+			s, now := &azurestair.Snapshot{Upstreams: upstreams("x", n, 9)}, start
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				if i%1000 == 0 {
