--- a/instance/attempt.go
+++ b/instance/attempt.go
@@ -6,8 +6,10 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"azurestair.example/azurestair"
@@ -33,6 +35,10 @@
 	// free is true once the request has had its retry outside the budget.
 	free bool
 	next int
+
+	mu sync.Mutex
+	// over is true once nobody waits for further attempts.
+	over bool
 }
 
 // try is one attempt.
@@ -189,6 +195,31 @@
 	for _, e := range t.open {
 		e.cancel()
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.over = true
+	for len(t.ended) > 0 {
+		(<-t.ended).drop()
+	}
+}
+
+// report hands over an attempt that has ended.
+func (t *tries) report(e *try) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.over {
+		e.drop()
+		return
+	}
+	t.ended <- e
+}
+
+// drop discards the answer of an attempt that is not needed any more.
+func (e *try) drop() {
+	if e.answer.Result == azurestair.AttemptDone && e.answer.Body != nil {
+		_ = e.answer.Body.Close()
+		e.settle(azurestair.AttemptDone)
+	}
 }
 
 // run sends the attempt and reports its end to the tries and to the gate.
@@ -211,12 +242,13 @@
 	if e.answer.Result != azurestair.AttemptDone || e.answer.Body == nil {
 		e.settle(e.answer.Result)
 	}
-	e.tries.ended <- e
+	e.tries.report(e)
 }
 
 // readWhole reads a short answer, so that one that breaks off can be retried.
 func (e *try) readWhole() {
-	if e.answer.Length > wholeLimit {
+	isHead := e.attempt.Method == http.MethodHead
+	if e.answer.Length > wholeLimit && !isHead {
 		return
 	}
 	data, err := io.ReadAll(io.LimitReader(e.answer.Body, wholeLimit+1))
@@ -225,6 +257,9 @@
 		_ = e.answer.Body.Close()
 		e.err = err
 		e.answer.Result, e.answer.Reason = azurestair.AttemptBroken, azurestair.ReasonBroken
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			e.answer.Result, e.answer.Reason = azurestair.AttemptTimeout, azurestair.ReasonTimeout
+		}
 	case len(data) > wholeLimit:
 		e.answer.Body = struct {
 			io.Reader
@@ -232,16 +267,20 @@
 		}{io.MultiReader(bytes.NewReader(data), e.answer.Body), e.answer.Body}
 	default:
 		_ = e.answer.Body.Close()
-		e.answer.Body, e.answer.Length = nil, int64(len(data))
-		e.answer.Whole = data
+		e.answer.Body, e.answer.Whole = nil, data
+		if !isHead {
+			e.answer.Length = int64(len(data))
+		}
 	}
 }
 
 // settle tells the gate how the attempt ended. An attempt that this entry cut
-// off itself, or that waited on a silent connection, says nothing against the upstream.
+// off itself, whose caller broke off the request, or that waited on a silent
+// connection says nothing against the upstream.
 func (e *try) settle(r azurestair.AttemptResult) {
 	took := e.tries.call.entry.clock.Now().Sub(e.sent)
-	if r != azurestair.AttemptDone && r != azurestair.AttemptNotRun && (e.ctx.Err() != nil || e.answer.Silent) {
+	excused := e.ctx.Err() != nil || e.answer.Silent || errors.Is(e.err, upstream.ErrRequestBody)
+	if r != azurestair.AttemptDone && r != azurestair.AttemptNotRun && excused {
 		r = azurestair.AttemptDone
 	}
 	e.tries.call.gate.done(e.choice, r, took)
@@ -257,13 +296,35 @@
 		r.Body = io.NopCloser(bytes.NewReader(e.answer.Whole))
 		return r
 	}
-	if e.tries.call.req.Method == http.MethodHead {
-		r.Length = -1
-	}
 	r.Streamed, r.Deadline = true, e.tries.call.work.Deadline
-	r.Body = &closer{ReadCloser: e.answer.Body, done: func() {
-		e.settle(azurestair.AttemptDone)
+	body := &streamed{ReadCloser: e.answer.Body}
+	r.Body = &closer{ReadCloser: body, done: func() {
+		e.settle(body.result())
 		e.cancel()
 	}}
 	return r
 }
+
+// streamed notes how the body of an answer ends.
+type streamed struct {
+	io.ReadCloser
+	err error
+}
+
+// Read reads the body.
+func (s *streamed) Read(p []byte) (int, error) {
+	n, err := s.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		s.err = err
+	}
+	return n, err
+}
+
+// result counts an answer that broke off against the upstream. One that ran
+// into its deadline may have had a slow reader.
+func (s *streamed) result() azurestair.AttemptResult {
+	if s.err == nil || errors.Is(s.err, os.ErrDeadlineExceeded) {
+		return azurestair.AttemptDone
+	}
+	return azurestair.AttemptBroken
+}
--- a/instance/claim.go
+++ b/instance/claim.go
@@ -37,7 +37,11 @@
 	if reason := c.gate.admit(ctx, c.work); reason != azurestair.ReasonNone {
 		return c.refuseKeyed(ctx, reason)
 	}
-	defer c.gate.release(c.work)
+	return releaseOnClose(c.claimAndSend(ctx), func() { c.gate.release(c.work) })
+}
+
+// claimAndSend claims an admitted request and sends it if the claim is granted.
+func (c *call) claimAndSend(ctx context.Context) caller.Reply {
 	claim := c.claim()
 	claimCtx, cancel := context.WithDeadline(ctx, c.work.Deadline.Add(-answerReserve))
 	defer cancel()
@@ -54,12 +58,17 @@
 	return c.sendClaimed(ctx, claim)
 }
 
-func (c *call) claim() azurestair.Claim {
+// fingerprint tells requests under the same key apart.
+func (c *call) fingerprint() []byte {
 	h := sha256.New()
 	_, _ = io.WriteString(h, c.req.Method+" "+c.req.Path+"\n"+c.req.Header.Get("Content-Type")+"\n")
 	_, _ = h.Write(c.body)
+	return h.Sum(nil)
+}
+
+func (c *call) claim() azurestair.Claim {
 	return azurestair.Claim{
-		Service: c.work.Service, Operation: c.work.Operation, Key: c.req.Key, Fingerprint: h.Sum(nil),
+		Service: c.work.Service, Operation: c.work.Operation, Key: c.req.Key, Fingerprint: c.fingerprint(),
 		Instance: c.entry.self.ID, Incarnation: c.entry.self.Incarnation, Attempt: c.entry.attempts.Add(1),
 		Deadline: azurestair.UnixMillisOf(c.work.Deadline),
 	}
@@ -76,6 +85,8 @@
 		return unknown(azurestair.ReasonLedgerUnreachable)
 	case st.Record == nil || st.Record.State == azurestair.ClaimNotRun:
 		return refused(reason)
+	case st.Record.Claim.Operation != c.work.Operation || !bytes.Equal(st.Record.Claim.Fingerprint, c.fingerprint()):
+		return caller.Reply{Outcome: azurestair.OutcomeInvalid, Reason: azurestair.ReasonKeyReused}
 	}
 	return recorded(*st.Record)
 }
@@ -162,7 +173,10 @@
 	if len(data) <= bufferLimit {
 		_ = rest.Close()
 		reply.Streamed = false
-		reply.Body, reply.Length = io.NopCloser(bytes.NewReader(data)), int64(len(data))
+		reply.Body = io.NopCloser(bytes.NewReader(data))
+		if c.req.Method != http.MethodHead {
+			reply.Length = int64(len(data))
+		}
 		return reply
 	}
 	reply.Body = struct {
--- a/instance/serve.go
+++ b/instance/serve.go
@@ -56,7 +56,7 @@
 	op, ok := v.snapshot.Config.Operation(r.Service, r.Operation)
 	g := e.allGates()[r.Service]
 	if !ok || g == nil {
-		return invalid(azurestair.ReasonUnknownOperation)
+		return withoutProof(r, invalid(azurestair.ReasonUnknownOperation))
 	}
 	c := &call{entry: e, gate: g, req: r, op: op, config: v.snapshot.Config, work: azurestair.Work{
 		Service: r.Service, Operation: r.Operation, Rank: op.Rank, Idempotent: op.Idempotent, Caller: r.Caller,
@@ -64,7 +64,7 @@
 	}}
 	ctx, cancel := context.WithDeadline(ctx, c.work.Deadline)
 	if op.Idempotent {
-		return releaseOnClose(c.serveIdempotent(ctx), cancel)
+		return releaseOnClose(withoutProof(r, c.serveIdempotent(ctx)), cancel)
 	}
 	return releaseOnClose(c.serveOnce(ctx), cancel)
 }
@@ -102,6 +102,19 @@
 	return refused(reason)
 }
 
+// withoutProof takes back "not run" from a reply to a request with a key that
+// the ledger was not asked about: it may have run before, under its key.
+func withoutProof(r *caller.Request, reply caller.Reply) caller.Reply {
+	if r.Key == "" || !reply.NotRun {
+		return reply
+	}
+	reply.NotRun = false
+	if reply.Outcome == azurestair.OutcomeRefused {
+		reply.Outcome = azurestair.OutcomeUnknown
+	}
+	return reply
+}
+
 // releaseOnClose runs done when the body of the reply is closed, or now without one.
 func releaseOnClose(r caller.Reply, done func()) caller.Reply {
 	if r.Body == nil {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -25,6 +25,8 @@
 	// written counts the bytes of the attempt; a write in progress counts as
 	// complete, so that zero after Close proves that nothing was sent.
 	written atomic.Int64
+	// writing is true during a write.
+	writing atomic.Bool
 	// writeFailed is true once a write has failed; it belongs to the writing goroutine.
 	writeFailed bool
 	// readErr is the last read error. The parser of heads reports a head that
@@ -65,6 +67,8 @@
 
 // Write counts what the operating system accepted.
 func (c *conn) Write(p []byte) (int, error) {
+	c.writing.Store(true)
+	defer c.writing.Store(false)
 	c.written.Add(int64(len(p)))
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n - len(p)))
--- a/upstream/upload.go
+++ b/upstream/upload.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// ErrRequestBody reports that the caller's body broke off, which says nothing
-// about the upstream.
+// ErrRequestBody reports that the caller's body broke off or stalled, which
+// says nothing about the upstream.
 var ErrRequestBody = errors.New("request body could not be read")
 
 // longBody is the size beyond which a body may not fit into the socket
@@ -58,10 +58,15 @@
 		if err == nil && u.err != nil {
 			resp.Close = true
 		}
+		return resp, err
 	default:
-		if err == nil {
-			resp.Close = true
-		}
+	}
+	switch {
+	case err == nil:
+		resp.Close = true
+	case isTimeout(err) && !c.writing.Load():
+		// The upstream was not waited for: the caller's body has stalled.
+		return nil, fmt.Errorf("%w: %w", ErrRequestBody, err)
 	}
 	return resp, err
 }
