--- a/caller/handler.go
+++ b/caller/handler.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -48,8 +49,8 @@
 	e.UseRawPath = true
 	e.UnescapePathValues = false
 	e.GET("/v1/lookup", h.lookup)
-	e.Any("/v1/request/:service/:operation/*path", h.request)
-	e.Any("/v1/request/:service/:operation", h.request)
+	e.Any(requestPath+":service/:operation/*path", h.request)
+	e.Any(requestPath+":service/:operation", h.request)
 	e.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	e.GET("/readyz", h.ready)
 	return e
@@ -66,7 +67,7 @@
 func (h *handler) lookup(c *gin.Context) {
 	addr, err := lookupAddr(c)
 	if err != nil {
-		writeInvalid(c, azurestair.ReasonBadRequest)
+		writeInvalid(c, true)
 		return
 	}
 	answer := h.server.Lookup(addr)
@@ -89,7 +90,8 @@
 func (h *handler) request(c *gin.Context) {
 	r, err := h.parse(c)
 	if err != nil {
-		writeInvalid(c, azurestair.ReasonBadRequest)
+		// The request may have run before, under the same key.
+		writeInvalid(c, len(c.Request.Header.Values(HeaderKey)) == 0)
 		return
 	}
 	rc := http.NewResponseController(c.Writer)
@@ -129,7 +131,7 @@
 		Service:   azurestair.ServiceName(c.Param("service")),
 		Operation: azurestair.OperationName(c.Param("operation")),
 		Method:    q.Method,
-		Path:      upstreamPath(c),
+		Path:      upstreamPath(q.URL),
 		Header:    forwardedHeader(q.Header),
 		Body:      q.Body,
 		BodyLen:   q.ContentLength,
@@ -174,13 +176,17 @@
 	return nil
 }
 
-// upstreamPath is the path at the upstream: operation, rest of the path and query.
-func upstreamPath(c *gin.Context) string {
-	p := "/" + c.Param("operation") + c.Param("path")
-	if c.Request.URL.RawQuery != "" {
-		p += "?" + c.Request.URL.RawQuery
+// requestPath is the path below which requests are taken.
+const requestPath = "/v1/request/"
+
+// upstreamPath is the path at the upstream: operation, rest of the path and
+// query, in the caller's own encoding.
+func upstreamPath(u *url.URL) string {
+	_, p, _ := strings.Cut(strings.TrimPrefix(u.EscapedPath(), requestPath), "/")
+	if u.RawQuery != "" || u.ForceQuery {
+		p += "?" + strings.ReplaceAll(u.RawQuery, "#", "%23")
 	}
-	return p
+	return "/" + p
 }
 
 func forwardedHeader(h http.Header) http.Header {
@@ -201,10 +207,10 @@
 	return out
 }
 
-func writeInvalid(c *gin.Context, reason azurestair.Reason) {
+func writeInvalid(c *gin.Context, notRun bool) {
 	c.Header(HeaderOutcome, string(azurestair.OutcomeInvalid))
-	c.Header(HeaderReason, string(reason))
-	c.JSON(http.StatusBadRequest, ErrorBody{Outcome: azurestair.OutcomeInvalid, Reason: reason, NotRun: true})
+	c.Header(HeaderReason, string(azurestair.ReasonBadRequest))
+	c.JSON(http.StatusBadRequest, ErrorBody{Outcome: azurestair.OutcomeInvalid, Reason: azurestair.ReasonBadRequest, NotRun: notRun})
 }
 
 // statusOf maps a reply without an upstream's answer to its HTTP status.
