--- a/control/query.go
+++ b/control/query.go
@@ -19,7 +19,9 @@
 // Validate checks the query.
 func (q Query) Validate() error {
 	if q.Claim != nil {
-		return q.Claim.Validate()
+		if err := q.Claim.Validate(); err != nil {
+			return err
+		}
 	}
 	if q.Audit != nil && (q.Audit.Limit < 0 || q.Audit.Limit > MaxAudit) {
 		return fmt.Errorf("%w: audit limit %d; allowed 0 to %d", azurestair.ErrInvalid, q.Audit.Limit, MaxAudit)
--- a/peer/client.go
+++ b/peer/client.go
@@ -144,13 +144,18 @@
 }
 
 func (c *Client) call(ctx context.Context, to Address, method string, q, a any) error {
-	cc, err := c.conns.get(to.ID, to.Addr)
+	cn, err := c.conns.get(to.ID, to.Addr)
 	if err != nil {
 		return err
 	}
-	err = cc.Invoke(ctx, method, q, a, grpc.WaitForReady(false))
-	if status.Code(err) == codes.DeadlineExceeded {
-		c.conns.drop(to.ID, cc)
+	before := cn.answers.Load()
+	err = cn.cc.Invoke(ctx, method, q, a, grpc.WaitForReady(false))
+	switch code := status.Code(err); {
+	case code == codes.OK || code == codes.FailedPrecondition:
+		cn.answers.Add(1)
+	case code == codes.DeadlineExceeded && cn.answers.Load() == before:
+		// Nothing came back meanwhile; otherwise only this call was slow.
+		c.conns.drop(to.ID, cn)
 	}
 	return fromStatus(err)
 }
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -36,8 +37,16 @@
 // Marshal encodes v.
 func (Codec) Marshal(v any) ([]byte, error) { return cbor.Marshal(v) }
 
+// raw is an encoded message. A server decodes it itself: gRPC answers an error
+// of the codec with a status that does not tell its kind.
+type raw []byte
+
 // Unmarshal decodes data into v and checks it.
 func (Codec) Unmarshal(data []byte, v any) error {
+	if r, ok := v.(*raw); ok {
+		*r = slices.Clone(data)
+		return nil
+	}
 	if err := decMode.Unmarshal(data, v); err != nil {
 		return fmt.Errorf("%w: %w", azurestair.ErrInvalid, err)
 	}
--- a/peer/conns.go
+++ b/peer/conns.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -32,6 +33,8 @@
 type conn struct {
 	addr string
 	cc   *grpc.ClientConn
+	// answers counts the calls that were answered.
+	answers atomic.Int64
 }
 
 // NewConns returns a set of connections; dial and tlsCfg may be nil.
@@ -46,12 +49,12 @@
 }
 
 // get returns the connection to an instance at addr.
-func (c *Conns) get(id azurestair.InstanceID, addr string) (*grpc.ClientConn, error) {
+func (c *Conns) get(id azurestair.InstanceID, addr string) (*conn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if old, ok := c.conns[id]; ok {
 		if old.addr == addr {
-			return old.cc, nil
+			return old, nil
 		}
 		_ = old.cc.Close()
 		delete(c.conns, id)
@@ -60,8 +63,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", id, err)
 	}
-	c.conns[id] = &conn{addr: addr, cc: cc}
-	return cc, nil
+	cn := &conn{addr: addr, cc: cc}
+	c.conns[id] = cn
+	return cn, nil
 }
 
 func (c *Conns) options() []grpc.DialOption {
@@ -83,14 +87,14 @@
 	}
 }
 
-// drop closes the connection to an instance if it is still cc, so that the
+// drop closes the connection to an instance if it is still cn, so that the
 // next call opens a fresh one. A connection can go silent for good while new
 // ones work.
-func (c *Conns) drop(id azurestair.InstanceID, cc *grpc.ClientConn) {
+func (c *Conns) drop(id azurestair.InstanceID, cn *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if old, ok := c.conns[id]; ok && old.cc == cc {
-		_ = cc.Close()
+	if old, ok := c.conns[id]; ok && old == cn {
+		_ = cn.cc.Close()
 		delete(c.conns, id)
 	}
 }
--- a/peer/errors.go
+++ b/peer/errors.go
@@ -22,6 +22,11 @@
 	{codes.Unavailable, azurestair.ErrNoQuorum},
 	{codes.DeadlineExceeded, azurestair.ErrDeadline},
 	{codes.Unauthenticated, azurestair.ErrUnauthorized},
+	{codes.Aborted, azurestair.ErrConflict},
+	{codes.NotFound, azurestair.ErrNotFound},
+	{codes.OutOfRange, azurestair.ErrTooLarge},
+	// A NotLeaderError has this code too, and a message with its prefix.
+	{codes.FailedPrecondition, azurestair.ErrClosed},
 }
 
 // toStatus turns an error of a Handler into a gRPC status.
@@ -33,6 +38,9 @@
 	if errors.As(err, &notLeader) {
 		return status.Error(codes.FailedPrecondition, notLeaderPrefix+string(notLeader.Leader))
 	}
+	if errors.Is(err, azurestair.ErrNotLeader) {
+		return status.Error(codes.FailedPrecondition, notLeaderPrefix)
+	}
 	for _, c := range codeErrors {
 		if errors.Is(err, c.err) {
 			return status.Error(c.code, err.Error())
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,477 @@
+package peer_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"math"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/control"
+	"azurestair.example/azurestair/peer"
+)
+
+func TestPeer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "peer")
+}
+
+var (
+	instance = azurestair.InstanceInfo{ID: "e1", Region: "kigali", FailureDomain: "kigali-a", PeerAddr: "127.0.0.1:1"}
+	worker   = azurestair.Announcement{
+		Upstream: "u1", Service: "shop", Addr: "127.0.0.1:80", Region: "kigali", FailureDomain: "kigali-a", Slots: 9, MaxConns: 330,
+		State: azurestair.StateServing,
+	}
+	claim  = azurestair.Claim{Service: "shop", Operation: "pay", Key: "k", Instance: "e1", Deadline: 1}
+	member = azurestair.Membership{Voters: []azurestair.InstanceID{"c1"}}
+)
+
+// valid holds one value of each message; bad holds values that must be rejected.
+var valid = []any{
+	&azurestair.Report{Instance: instance, Announcements: []azurestair.Announcement{worker}, Demands: []azurestair.Demand{{Want: 3}}},
+	&azurestair.ReportReply{Term: 1, Delta: &azurestair.Delta{Base: 1, Revision: 2, Upstreams: []azurestair.UpstreamInfo{{Announcement: worker}}}},
+	&azurestair.Command{Claim: &claim},
+	&azurestair.RaftMessage{Kind: azurestair.RaftAppend, From: "c1", To: "c2", Entries: []azurestair.LogEntry{{Index: 1, Term: 1, Data: []byte("x")}}},
+	&control.Query{Claim: &azurestair.ClaimQuery{Service: "shop", Key: "k"}},
+}
+
+func changed[T any](v T, change func(*T)) T {
+	change(&v)
+	return v
+}
+
+var bad = map[string]any{
+	"report without instance": &azurestair.Report{},
+	"report with NaN": &azurestair.Report{Instance: instance, Announcements: []azurestair.Announcement{
+		changed(worker, func(a *azurestair.Announcement) { a.Load.CPU = math.NaN() }),
+	}},
+	"report with negative demand": &azurestair.Report{Instance: instance, Demands: []azurestair.Demand{{Want: -1}}},
+	"report with many upstreams":  &azurestair.Report{Instance: instance, Alive: make([]azurestair.UpstreamID, azurestair.MaxReportUpstreams+1)},
+	"reply with two updates":      &azurestair.ReportReply{Snapshot: &azurestair.Snapshot{}, Delta: &azurestair.Delta{Revision: 1}},
+	"reply with backward delta":   &azurestair.ReportReply{Delta: &azurestair.Delta{Base: 2, Revision: 2}},
+	"empty command":               &azurestair.Command{},
+	"command with two parts":      &azurestair.Command{Claim: &claim, Drain: &azurestair.DrainChange{}},
+	"claim without deadline":      &azurestair.Command{Claim: new(changed(claim, func(c *azurestair.Claim) { c.Deadline = 0 }))},
+	"done without answer": &azurestair.Command{Finish: &azurestair.ClaimFinish{
+		Service: "shop", Key: "k", Instance: "e1", State: azurestair.ClaimDone,
+	}},
+	"unknown raft kind":   &azurestair.RaftMessage{Kind: 99, From: "c1"},
+	"gap between entries": &azurestair.RaftMessage{Kind: azurestair.RaftAppend, From: "c1", Entries: []azurestair.LogEntry{{Index: 5, Term: 1}}},
+	"piece outside its snapshot": &azurestair.RaftMessage{
+		Kind: azurestair.RaftSnapshot, From: "c1", Snapshot: &azurestair.SnapshotMeta{Membership: member},
+		Piece: &azurestair.SnapshotPiece{Offset: math.MaxInt64, Total: 1, Data: []byte("x")},
+	},
+	"query with bad key":   &control.Query{Claim: &azurestair.ClaimQuery{Service: "shop", Key: "a b"}},
+	"query with bad limit": &control.Query{Claim: &azurestair.ClaimQuery{Service: "shop", Key: "k"}, Audit: &control.AuditQuery{Limit: -1}},
+}
+
+func fresh(v any) any {
+	switch v.(type) {
+	case *azurestair.Report:
+		return &azurestair.Report{}
+	case *azurestair.ReportReply:
+		return &azurestair.ReportReply{}
+	case *azurestair.Command:
+		return &azurestair.Command{}
+	case *azurestair.RaftMessage:
+		return &azurestair.RaftMessage{}
+	default:
+		return &control.Query{}
+	}
+}
+
+var _ = Describe("the codec", func() {
+	var codec peer.Codec
+
+	It("keeps each message as it is", func() {
+		for _, v := range valid {
+			data, err := codec.Marshal(v)
+			Expect(err).NotTo(HaveOccurred())
+			out := fresh(v)
+			Expect(codec.Unmarshal(data, out)).To(Succeed())
+			Expect(out).To(Equal(v))
+		}
+	})
+
+	// Guards against values from the wire that the decision packages do not expect.
+	It("rejects values that do not check", func() {
+		for name, v := range bad {
+			data, err := codec.Marshal(v)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(codec.Unmarshal(data, fresh(v))).To(MatchError(azurestair.ErrInvalid), name)
+		}
+	})
+
+	// Guards against input that exhausts memory or the stack, or that two readers read differently.
+	DescribeTable("rejects malformed input",
+		func(data string) {
+			for _, v := range valid {
+				Expect(codec.Unmarshal([]byte(data), fresh(v))).To(MatchError(azurestair.ErrInvalid))
+			}
+		},
+		Entry("empty", ""), Entry("cut", "\xa1\x01"), Entry("trailing bytes", "\xa0\xa0"), Entry("wrong type", "\x63abc"),
+		Entry("key twice", "\xa2\x01\x01\x01\x01"), Entry("huge array", "\xa1\x02\x9b\x7f\xff\xff\xff\xff\xff\xff\xff"),
+		Entry("deep nesting", "\xa1\x18\x63"+string(nested(64))+"\x00"),
+	)
+})
+
+func nested(n int) []byte {
+	out := make([]byte, n)
+	for i := range out {
+		out[i] = 0x81
+	}
+	return out
+}
+
+func fuzz[T azurestair.Validator](f *testing.F) {
+	var codec peer.Codec
+	for _, v := range valid {
+		data, err := codec.Marshal(v)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+		f.Add(data[:len(data)/2])
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var v T
+		if codec.Unmarshal(data, &v) != nil {
+			return
+		}
+		// What was accepted is valid and survives another round.
+		again, err := codec.Marshal(&v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var w T
+		if err := codec.Unmarshal(again, &w); err != nil {
+			t.Fatalf("accepted once, then rejected: %v", err)
+		}
+	})
+}
+
+// The fuzz targets guard against panics of the decoders and their checks.
+func FuzzReport(f *testing.F)      { fuzz[azurestair.Report](f) }
+func FuzzReportReply(f *testing.F) { fuzz[azurestair.ReportReply](f) }
+func FuzzCommand(f *testing.F)     { fuzz[azurestair.Command](f) }
+func FuzzRaftMessage(f *testing.F) { fuzz[azurestair.RaftMessage](f) }
+func FuzzQuery(f *testing.F)       { fuzz[control.Query](f) }
+
+// fakeHandler answers every call with err; block makes calls wait for their end.
+type fakeHandler struct {
+	err   error
+	block atomic.Bool
+	calls atomic.Int64
+	mu    sync.Mutex
+	steps []azurestair.RaftMessage
+}
+
+func (h *fakeHandler) wait(ctx context.Context) error {
+	h.calls.Add(1)
+	if h.block.Load() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return h.err
+}
+
+func (h *fakeHandler) Propose(ctx context.Context, _ azurestair.Command) (azurestair.Result, error) {
+	return azurestair.Result{Code: azurestair.ResultAccepted}, h.wait(ctx)
+}
+
+func (h *fakeHandler) Report(ctx context.Context, _ azurestair.Report) (azurestair.ReportReply, error) {
+	return azurestair.ReportReply{Term: 7}, h.wait(ctx)
+}
+
+func (h *fakeHandler) Query(ctx context.Context, _ control.Query) (control.QueryResult, error) {
+	return control.QueryResult{}, h.wait(ctx)
+}
+
+func (h *fakeHandler) Step(_ context.Context, m azurestair.RaftMessage) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.steps = append(h.steps, m)
+	return nil
+}
+
+func (h *fakeHandler) stepped() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.steps)
+}
+
+func (h *fakeHandler) Notify(ctx context.Context) { _ = h.wait(ctx) }
+
+// listen counts the connections that it accepts.
+type listen struct {
+	net.Listener
+	accepted atomic.Int64
+}
+
+func (l *listen) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted.Add(1)
+	}
+	return c, err
+}
+
+func serve(h peer.Handler, cfg *tls.Config) *listen {
+	GinkgoHelper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s := peer.NewServer(h, cfg)
+	counted := &listen{Listener: l}
+	go func() { _ = s.Serve(counted) }()
+	DeferCleanup(s.Stop)
+	return counted
+}
+
+func conns(cfg *tls.Config) *peer.Conns {
+	c := peer.NewConns(nil, cfg)
+	DeferCleanup(c.Close)
+	return c
+}
+
+func addressOf(id azurestair.InstanceID, l net.Listener) peer.Address {
+	return peer.Address{ID: id, Addr: l.Addr().String()}
+}
+
+func within(d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	DeferCleanup(cancel)
+	return ctx
+}
+
+const (
+	long  = 15 * time.Second
+	short = 100 * time.Millisecond
+)
+
+var _ = Describe("calls", func() {
+	// Guards against decisions on the text of an error from another process.
+	DescribeTable("bring back errors as sentinels",
+		func(err error) {
+			c := peer.NewClient(conns(nil), []peer.Address{addressOf("c1", serve(&fakeHandler{err: err}, nil))})
+			_, got := c.Propose(within(short), azurestair.Command{Claim: &claim})
+			Expect(got).To(MatchError(err), "%v", got)
+		},
+		Entry(nil, azurestair.ErrInvalid), Entry(nil, azurestair.ErrFull), Entry(nil, azurestair.ErrNoQuorum),
+		Entry(nil, azurestair.ErrDeadline), Entry(nil, azurestair.ErrUnauthorized), Entry(nil, azurestair.ErrNotLeader),
+		Entry(nil, azurestair.ErrConflict), Entry(nil, azurestair.ErrNotFound), Entry(nil, azurestair.ErrClosed), Entry(nil, azurestair.ErrTooLarge),
+	)
+
+	// Guards against a message that can never succeed being repeated until the deadline.
+	It("with an invalid message fail at once", func() {
+		h := &fakeHandler{}
+		c := peer.NewClient(conns(nil), []peer.Address{addressOf("c1", serve(h, nil))})
+		_, err := c.Propose(within(long), azurestair.Command{})
+		Expect(err).To(MatchError(azurestair.ErrInvalid))
+		Expect(h.calls.Load()).To(BeZero())
+	})
+
+	It("follow the hint to the leader", func() {
+		first, second, leader := &fakeHandler{err: azurestair.NotLeaderError{Leader: "c3"}}, &fakeHandler{}, &fakeHandler{}
+		c := peer.NewClient(conns(nil), []peer.Address{
+			addressOf("c1", serve(first, nil)), addressOf("c2", serve(second, nil)), addressOf("c3", serve(leader, nil)),
+		})
+		for range 2 {
+			reply, err := c.Report(within(long), azurestair.Report{Instance: instance})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(reply.Term).To(BeEquivalentTo(7))
+		}
+		Expect([]int64{first.calls.Load(), second.calls.Load(), leader.calls.Load()}).To(Equal([]int64{1, 0, 2}))
+	})
+
+	It("go on to the next instance without a hint", func() {
+		c := peer.NewClient(conns(nil), []peer.Address{
+			addressOf("c1", serve(&fakeHandler{err: azurestair.NotLeaderError{}}, nil)), addressOf("c2", serve(&fakeHandler{}, nil)),
+		})
+		_, err := c.Report(within(long), azurestair.Report{Instance: instance})
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("without control instances fail", func() {
+		_, err := peer.NewClient(conns(nil), nil).Report(within(long), azurestair.Report{Instance: instance})
+		Expect(err).To(MatchError(azurestair.ErrNotLeader))
+	})
+
+	// Guards against a connection that has gone silent for good while new ones work.
+	It("replace the connection to a silent server", func() {
+		h := &fakeHandler{}
+		h.block.Store(true)
+		l := serve(h, nil)
+		c := peer.NewClient(conns(nil), []peer.Address{addressOf("c1", l)})
+		_, err := c.Report(within(short), azurestair.Report{Instance: instance})
+		Expect(err).To(MatchError(azurestair.ErrDeadline))
+		h.block.Store(false)
+		_, err = c.Report(within(long), azurestair.Report{Instance: instance})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(l.accepted.Load()).To(BeEquivalentTo(2))
+	})
+
+	// Guards against one slow call that cuts all others on its connection.
+	It("keep a connection that answered other calls meanwhile", func() {
+		h := &fakeHandler{}
+		l := serve(h, nil)
+		c := peer.NewClient(conns(nil), []peer.Address{addressOf("c1", l)})
+		h.block.Store(true)
+		slow := make(chan error)
+		go func() {
+			_, err := c.Report(within(short), azurestair.Report{Instance: instance})
+			slow <- err
+		}()
+		Eventually(h.calls.Load).Should(BeEquivalentTo(1))
+		h.block.Store(false)
+		_, err := c.Report(within(long), azurestair.Report{Instance: instance})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(<-slow).To(MatchError(azurestair.ErrDeadline))
+		_, err = c.Report(within(long), azurestair.Report{Instance: instance})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(l.accepted.Load()).To(BeEquivalentTo(1))
+	})
+})
+
+type fakeClock struct{ at atomic.Int64 }
+
+func (c *fakeClock) Now() time.Time { return time.Unix(0, c.at.Load()) }
+
+var _ = Describe("the transport", func() {
+	message := azurestair.RaftMessage{Kind: azurestair.RaftHeartbeat, From: "c2", To: "c1", Term: 1}
+
+	// Guards against a stream that stays silent while the peer can be reached.
+	It("replaces the stream to a peer that sends nothing back", func() {
+		h, clk := &fakeHandler{}, &fakeClock{}
+		l := serve(h, nil)
+		t := peer.NewTransport(conns(nil), clk, []peer.Address{addressOf("c1", l)})
+		DeferCleanup(t.Close)
+		send := func(n int) {
+			GinkgoHelper()
+			t.Send(message)
+			Eventually(h.stepped).Should(Equal(n))
+		}
+		send(1)
+		clk.at.Add(int64(2 * time.Second))
+		t.Heard("c1")
+		send(2)
+		Expect(l.accepted.Load()).To(BeEquivalentTo(1))
+		clk.at.Add(int64(2 * time.Second))
+		t.Send(message)
+		Eventually(func() int64 { t.Send(message); return l.accepted.Load() }).Should(BeEquivalentTo(2))
+	})
+
+	It("drops messages for unknown peers", func() {
+		t := peer.NewTransport(conns(nil), &fakeClock{}, nil)
+		t.Send(message)
+		t.Close()
+	})
+})
+
+// authority writes certificates for tests.
+type authority struct {
+	dir  string
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func writePEM(path, kind string, data []byte) string {
+	GinkgoHelper()
+	Expect(os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}), 0o600)).To(Succeed())
+	return path
+}
+
+func newAuthority() *authority {
+	GinkgoHelper()
+	a := &authority{dir: GinkgoT().TempDir()}
+	a.cert = &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	a.key = a.issue("ca", a.cert)
+	return a
+}
+
+// issue writes a certificate and its key; the first one is the authority's own.
+func (a *authority) issue(name string, c *x509.Certificate) *ecdsa.PrivateKey {
+	GinkgoHelper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	Expect(err).NotTo(HaveOccurred())
+	signer := a.key
+	if signer == nil {
+		signer = key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, c, a.cert, &key.PublicKey, signer)
+	Expect(err).NotTo(HaveOccurred())
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	Expect(err).NotTo(HaveOccurred())
+	writePEM(filepath.Join(a.dir, name+".pem"), "CERTIFICATE", der)
+	writePEM(filepath.Join(a.dir, name+".key"), "EC PRIVATE KEY", keyDER)
+	return key
+}
+
+func (a *authority) config(trusted *authority, notAfter time.Time) *tls.Config {
+	GinkgoHelper()
+	a.issue("leaf", &x509.Certificate{
+		SerialNumber: big.NewInt(2), NotAfter: notAfter, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	})
+	cfg, err := peer.LoadTLS(filepath.Join(a.dir, "leaf.pem"), filepath.Join(a.dir, "leaf.key"), filepath.Join(trusted.dir, "ca.pem"))
+	Expect(err).NotTo(HaveOccurred())
+	return cfg
+}
+
+var _ = Describe("mutual TLS", func() {
+	// Guards against a process that can claim, vote or lease without a certificate of the authority.
+	DescribeTable("lets in only certificates of the authority",
+		func(client func(own, other *authority) *tls.Config, ok bool) {
+			own, other := newAuthority(), newAuthority()
+			h := &fakeHandler{}
+			l := serve(h, own.config(own, time.Now().Add(time.Hour)))
+			c := peer.NewClient(conns(client(own, other)), []peer.Address{addressOf("c1", l)})
+			d := long
+			if !ok {
+				d = 2 * short
+			}
+			_, err := c.Report(within(d), azurestair.Report{Instance: instance})
+			Expect(err == nil).To(Equal(ok), "%v", err)
+			Expect(h.calls.Load() > 0).To(Equal(ok))
+		},
+		Entry("own", func(own, _ *authority) *tls.Config { return own.config(own, time.Now().Add(time.Hour)) }, true),
+		Entry("plain TCP", func(_, _ *authority) *tls.Config { return nil }, false),
+		Entry("client of another authority", func(own, other *authority) *tls.Config {
+			return other.config(own, time.Now().Add(time.Hour))
+		}, false),
+		Entry("client that trusts another authority", func(own, other *authority) *tls.Config {
+			return own.config(other, time.Now().Add(time.Hour))
+		}, false),
+		Entry("expired", func(own, _ *authority) *tls.Config { return own.config(own, time.Now().Add(-time.Hour)) }, false),
+	)
+
+	It("rejects missing and malformed files", func() {
+		cfg, err := peer.LoadTLS("", "", "")
+		Expect([]any{cfg == nil, err}).To(Equal([]any{true, nil}))
+		a := newAuthority()
+		ca := filepath.Join(a.dir, "ca.pem")
+		for _, files := range [][3]string{{"none", "none", ca}, {ca, filepath.Join(a.dir, "ca.key"), filepath.Join(a.dir, "ca.key")}} {
+			_, err := peer.LoadTLS(files[0], files[1], files[2])
+			Expect(errors.Is(err, azurestair.ErrInvalid)).To(BeTrue(), "%v", err)
+		}
+	})
+})
--- a/peer/server.go
+++ b/peer/server.go
@@ -95,8 +95,12 @@
 // unary adapts a method of Handler to gRPC's form.
 func unary[Q, A any](call func(Handler, context.Context, Q) (A, error)) grpc.MethodHandler {
 	return func(srv any, ctx context.Context, dec func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+		var data raw
+		if err := dec(&data); err != nil {
+			return nil, err
+		}
 		q := new(Q)
-		if err := dec(q); err != nil {
+		if err := (Codec{}).Unmarshal(data, q); err != nil {
 			return nil, toStatus(err)
 		}
 		a, err := call(srv.(Handler), ctx, *q)
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -114,12 +114,12 @@
 	if !ok {
 		return
 	}
-	cc, err := l.conns.get(l.to.ID, l.to.Addr)
+	cn, err := l.conns.get(l.to.ID, l.to.Addr)
 	if err != nil {
 		return
 	}
 	desc := &grpc.StreamDesc{StreamName: "Step", ClientStreams: true}
-	s, err := cc.NewStream(ctx, desc, methodStep)
+	s, err := cn.cc.NewStream(ctx, desc, methodStep)
 	if err != nil {
 		return
 	}
@@ -129,7 +129,7 @@
 			return
 		}
 		if unanswered = l.unansweredSince(unanswered); l.clock.Now().Sub(unanswered) > silentAfter {
-			l.conns.drop(l.to.ID, cc)
+			l.conns.drop(l.to.ID, cn)
 			return
 		}
 		m, ok = l.next(ctx)
--- a/raftlog.go
+++ b/raftlog.go
@@ -200,7 +200,7 @@
 		return nil
 	}
 	n := Bytes(len(p.Data))
-	if n > MaxPieceBytes || p.Offset < 0 || p.Total < 0 || p.Offset+n > p.Total {
+	if n > MaxPieceBytes || p.Offset < 0 || p.Total < n || p.Offset > p.Total-n {
 		return fmt.Errorf("%w: snapshot piece lies outside its snapshot", ErrInvalid)
 	}
 	return m.Snapshot.Membership.Validate()
