--- a/operator/client.go
+++ b/operator/client.go
@@ -127,6 +127,10 @@
 		kind = azurestair.ErrUnauthorized
 	case http.StatusNotFound:
 		kind = azurestair.ErrNotFound
+	case http.StatusRequestEntityTooLarge:
+		kind = azurestair.ErrTooLarge
+	case http.StatusInsufficientStorage:
+		kind = azurestair.ErrFull
 	case http.StatusServiceUnavailable:
 		kind = azurestair.ErrNoQuorum
 	default:
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -109,8 +110,10 @@
 		status = http.StatusNotFound
 	case errors.Is(err, azurestair.ErrTooLarge):
 		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, azurestair.ErrFull):
+		status = http.StatusInsufficientStorage
 	case errors.Is(err, azurestair.ErrNotLeader), errors.Is(err, azurestair.ErrNoQuorum),
-		errors.Is(err, azurestair.ErrDeadline), errors.Is(err, context.DeadlineExceeded):
+		errors.Is(err, azurestair.ErrDeadline), errors.Is(err, azurestair.ErrClosed), errors.Is(err, context.DeadlineExceeded):
 		status = http.StatusServiceUnavailable
 	}
 	c.JSON(status, ErrorBody{Error: err.Error()})
@@ -127,6 +130,9 @@
 		}
 		return fmt.Errorf("%w: body: %w", azurestair.ErrInvalid, err)
 	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return fmt.Errorf("%w: body: text after the JSON value", azurestair.ErrInvalid)
+	}
 	return v.Validate()
 }
 
--- /dev/null
+++ b/operator/handler_test.go
@@ -0,0 +1,266 @@
+package operator_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/control"
+	"azurestair.example/azurestair/operator"
+)
+
+func TestOperator(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "operator")
+}
+
+type clock struct{}
+
+func (clock) Now() time.Time { return time.Now() }
+
+// fakeBackend applies commands to a control.State without replication.
+type fakeBackend struct {
+	state     control.State
+	index     azurestair.Index
+	err       error
+	result    *azurestair.Result
+	instances []azurestair.InstanceInfo
+}
+
+func (b *fakeBackend) Propose(_ context.Context, c azurestair.Command) (azurestair.Result, error) {
+	if b.err != nil {
+		return azurestair.Result{}, b.err
+	}
+	if b.result != nil {
+		return *b.result, nil
+	}
+	b.index++
+	c.At = 1000
+	return b.state.Apply(b.index, c), nil
+}
+
+func (b *fakeBackend) Query(_ context.Context, q control.Query) (control.QueryResult, error) {
+	res := b.state.Query(q)
+	res.Instances = b.instances
+	return res, b.err
+}
+
+func (b *fakeBackend) Status(context.Context) operator.Status {
+	return operator.Status{
+		Self: azurestair.InstanceInfo{ID: "e1"}, Leader: "c1", Term: 4, ConfigVersion: b.state.Config().Version,
+		Refusals: map[azurestair.Reason]int64{azurestair.ReasonShed: 2},
+	}
+}
+
+func (b *fakeBackend) Ready() error { return b.err }
+
+const config = `{"version":0,"defaults":{},"services":[],"regions":[{"name":"kigali","failureDomains":["kigali-a"]}]}`
+
+// change is the body of a PUT /v1/config.
+func change(id string, base int, cfg string) string {
+	return fmt.Sprintf(`{"changeId":%q,"reason":"test","baseVersion":%d,"config":%s}`, id, base, cfg)
+}
+
+const drain = `{"changeId":"d1","reason":"disk","target":{"kind":"upstream","name":"u1"}}`
+
+var _ = Describe("the administration API", func() {
+	var (
+		b      *fakeBackend
+		server *httptest.Server
+		client *operator.Client
+		ctx    = context.Background()
+	)
+	BeforeEach(func() {
+		b = &fakeBackend{instances: []azurestair.InstanceInfo{{ID: "e1", InForce: 100}}}
+		auth := func(token string) (azurestair.OperatorName, error) {
+			if token != "secret" {
+				return "", azurestair.ErrUnauthorized
+			}
+			return "alice", nil
+		}
+		server = httptest.NewServer(operator.NewHandler(b, auth, clock{}, http.NotFoundHandler()))
+		DeferCleanup(server.Close)
+		client = &operator.Client{Addr: strings.TrimPrefix(server.URL, "http://"), Token: "secret"}
+	})
+	call := func(method, path, token, body string) (int, string) {
+		GinkgoHelper()
+		r, err := http.NewRequest(method, server.URL+path, strings.NewReader(body))
+		Expect(err).NotTo(HaveOccurred())
+		if token != "" {
+			r.Header.Set("Authorization", token)
+		}
+		resp, err := http.DefaultClient.Do(r)
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		data, err := io.ReadAll(resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		return resp.StatusCode, string(data)
+	}
+	const token = "Bearer secret"
+
+	// Guards against changes, and against any view of the fleet, without a token.
+	It("needs a token on every path but health, readiness and metrics", func() {
+		for _, t := range []string{"", "secret", "Bearer", "Bearer ", "Bearer wrong", "bearer secret", "Basic secret", "Bearer secret2"} {
+			for path, method := range map[string]string{
+				"/v1/config": "PUT", "/v1/config/history": "GET", "/v1/drain": "POST", "/v1/undrain": "POST", "/v1/status": "GET", "/v1/audit": "GET",
+			} {
+				status, body := call(method, path, t, change("c1", 0, config))
+				Expect([]any{status, body}).To(Equal([]any{401, `{"error":"unauthorized"}`}), t+path)
+			}
+		}
+		Expect(b.index).To(BeZero())
+		for path, want := range map[string]int{"/healthz": 200, "/readyz": 200, "/metrics": 404} {
+			status, _ := call("GET", path, "", "")
+			Expect(status).To(Equal(want), path)
+		}
+	})
+
+	// Guards against a change that an operator did not mean, such as one with a misspelt field.
+	DescribeTable("refuses bad input and proposes nothing",
+		func(method, path, body string, want int) {
+			status, data := call(method, path, token, body)
+			Expect(status).To(Equal(want), data)
+			var e operator.ErrorBody
+			Expect(json.Unmarshal([]byte(data), &e)).To(Succeed())
+			Expect(e.Error).NotTo(BeEmpty())
+			Expect(b.index).To(BeZero())
+		},
+		Entry(nil, "PUT", "/v1/config", "", 400), Entry(nil, "PUT", "/v1/config", "{", 400), Entry(nil, "PUT", "/v1/config", "[]", 400),
+		Entry("unknown field", "PUT", "/v1/config", `{"baseVerison":1}`, 400),
+		Entry("unknown field of the configuration", "PUT", "/v1/config", change("c1", 0, `{"version":0,"default":{}}`), 400),
+		Entry("two values", "PUT", "/v1/config", change("c1", 0, config)+change("c2", 0, config), 400),
+		Entry("trailing text", "PUT", "/v1/config", change("c1", 0, config)+"x", 400),
+		Entry("oversized", "PUT", "/v1/config", change("c1", 0, strings.Repeat(" ", 1<<20)+config), 413),
+		Entry("no id", "PUT", "/v1/config", change("", 0, config), 400),
+		Entry("no reason", "PUT", "/v1/config", `{"changeId":"c1","config":`+config+`}`, 400),
+		Entry("negative base", "PUT", "/v1/config", change("c1", -1, config), 400),
+		Entry("long wait", "PUT", "/v1/config", `{"waitMs":30001,`+change("c1", 0, config)[1:], 400),
+		Entry("bad value", "PUT", "/v1/config", change("c1", 0, `{"defaults":{"retryPercent":51}}`), 400),
+		Entry("drain without target", "POST", "/v1/drain", `{"changeId":"d1","reason":"x"}`, 400),
+		Entry("drain of a bad kind", "POST", "/v1/undrain", strings.Replace(drain, "upstream", "service", 1), 400),
+		Entry("drain without reason", "POST", "/v1/drain", strings.Replace(drain, "disk", " ", 1), 400),
+		Entry("audit limit", "GET", "/v1/audit?limit=-1", "", 400), Entry("audit time", "GET", "/v1/audit?from=yesterday", "", 400),
+		Entry("audit overflow", "GET", "/v1/audit?to=9223372036854775808", "", 400),
+	)
+
+	It("changes the configuration, answers a resend with the first result and a conflict with the diff", func() {
+		apply := func(id string, base int) (operator.ChangeAnswer, error) {
+			var q operator.ConfigRequest
+			Expect(json.Unmarshal([]byte(change(id, base, config)), &q)).To(Succeed())
+			return client.Apply(ctx, q)
+		}
+		first, err := apply("c1", 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(first).To(Equal(operator.ChangeAnswer{Code: azurestair.ResultAccepted, Version: 1, InForce: []azurestair.InstanceID{"e1"}}))
+		// Guards against a second version after a lost answer.
+		again, err := apply("c1", 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect([]any{again.Code, again.Version}).To(Equal([]any{first.Code, first.Version}))
+		// Guards against a change that overwrites one its operator has not seen.
+		conflict, err := apply("c2", 0)
+		Expect(err).To(MatchError(azurestair.ErrConflict))
+		Expect(conflict.Code).To(Equal(azurestair.ResultConflict))
+		Expect(conflict.Diff).To(ContainElement(ContainSubstring("kigali")))
+		cfg, err := client.Config(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect([]any{cfg.Version, cfg.Config.Regions[0].Name}).To(Equal([]any{azurestair.ConfigVersion(1), azurestair.RegionName("kigali")}))
+		history, err := client.History(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(history.Versions[len(history.Versions)-1].Config.Version).To(BeEquivalentTo(1))
+	})
+
+	// Guards against an answer that reports a change as in effect where it is not.
+	It("lists the instances that have not applied the change", func() {
+		b.instances = append(b.instances, azurestair.InstanceInfo{ID: "e2"})
+		var q operator.ConfigRequest
+		Expect(json.Unmarshal([]byte(change("c1", 0, config)), &q)).To(Succeed())
+		q.WaitMs = 1
+		a, err := client.Apply(ctx, q)
+		Expect(err).NotTo(HaveOccurred())
+		Expect([]any{a.InForce, a.NotInForce}).To(Equal([]any{[]azurestair.InstanceID{"e1"}, []azurestair.InstanceID{"e2"}}))
+	})
+
+	It("drains, ends the drain, and writes both to the audit trail", func() {
+		var q operator.DrainRequest
+		Expect(json.Unmarshal([]byte(drain), &q)).To(Succeed())
+		_, err := client.Drain(ctx, q)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(b.state.Drains()).To(HaveLen(1))
+		q.ChangeID = "d2"
+		_, err = client.Undrain(ctx, q)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(b.state.Drains()).To(BeEmpty())
+		audit, err := client.Audit(ctx, control.AuditQuery{Operator: "alice", Limit: 1, From: 1000, To: 1001})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(audit.Records).To(HaveLen(1))
+		r := audit.Records[0]
+		Expect([]any{r.ChangeID, r.Operator, r.Reason, r.Result, r.At}).To(Equal([]any{
+			azurestair.ChangeID("d2"), azurestair.OperatorName("alice"), "disk", azurestair.ResultAccepted, azurestair.UnixMillis(1000),
+		}))
+		audit, err = client.Audit(ctx, control.AuditQuery{Operator: "bob"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(audit.Records).To(BeEmpty())
+	})
+
+	It("shows the status", func() {
+		st, err := client.Status(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(st).To(Equal(b.Status(ctx)))
+		_, data := call("GET", "/v1/status", token, "")
+		var shape map[string]any
+		Expect(json.Unmarshal([]byte(data), &shape)).To(Succeed())
+		for _, name := range []string{
+			"self", "leader", "term", "commit", "configVersion", "current", "instances", "upstreams", "drains", "budgets", "refusals", "outcomes",
+		} {
+			Expect(shape).To(HaveKey(name))
+		}
+	})
+
+	// Guards against a failure that the client takes for another one, or for success.
+	DescribeTable("each error has its status, and its sentinel at the client",
+		func(err error, status int, want error) {
+			b.err = err
+			got, _ := call("GET", "/v1/config", token, "")
+			Expect(got).To(Equal(status))
+			var q operator.DrainRequest
+			Expect(json.Unmarshal([]byte(drain), &q)).To(Succeed())
+			_, failed := client.Drain(ctx, q)
+			Expect(failed).To(MatchError(want))
+			_, failed = client.History(ctx)
+			Expect(failed).To(MatchError(want))
+		},
+		Entry(nil, azurestair.ErrInvalid, 400, azurestair.ErrInvalid), Entry(nil, azurestair.ErrNotFound, 404, azurestair.ErrNotFound),
+		Entry(nil, azurestair.ErrTooLarge, 413, azurestair.ErrTooLarge), Entry(nil, azurestair.ErrFull, 507, azurestair.ErrFull),
+		Entry(nil, azurestair.NotLeaderError{}, 503, azurestair.ErrNoQuorum), Entry(nil, azurestair.ErrNoQuorum, 503, azurestair.ErrNoQuorum),
+		Entry(nil, azurestair.ErrDeadline, 503, azurestair.ErrNoQuorum), Entry(nil, context.DeadlineExceeded, 503, azurestair.ErrNoQuorum),
+		Entry(nil, azurestair.ErrClosed, 503, azurestair.ErrNoQuorum),
+	)
+
+	DescribeTable("each result of a change has its sentinel at the client",
+		func(code azurestair.ResultCode, want error) {
+			b.result = &azurestair.Result{Code: code, Detail: "why"}
+			var q operator.DrainRequest
+			Expect(json.Unmarshal([]byte(drain), &q)).To(Succeed())
+			_, err := client.Drain(ctx, q)
+			Expect(err).To(MatchError(want))
+		},
+		Entry(nil, azurestair.ResultConflict, azurestair.ErrConflict), Entry(nil, azurestair.ResultInvalid, azurestair.ErrInvalid),
+		Entry(nil, azurestair.ResultNotFound, azurestair.ErrNotFound), Entry(nil, azurestair.ResultFull, azurestair.ErrFull),
+	)
+
+	It("a wrong token is unauthorized at the client", func() {
+		client.Token = "wrong"
+		_, err := client.Status(ctx)
+		Expect(err).To(MatchError(azurestair.ErrUnauthorized))
+	})
+})
--- a/upstream/announce.go
+++ b/upstream/announce.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -55,16 +56,20 @@
 		c.JSON(http.StatusBadRequest, ErrorBody{Error: "announcement: " + err.Error()})
 		return
 	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		c.JSON(http.StatusBadRequest, ErrorBody{Error: "announcement: text after the JSON value"})
+		return
+	}
 	if err := a.Validate(); err != nil {
 		c.JSON(http.StatusBadRequest, ErrorBody{Error: "announcement: " + err.Error()})
 		return
 	}
 	reply, err := an.Announce(a)
 	switch {
-	case errors.Is(err, azurestair.ErrFull):
-		c.JSON(http.StatusServiceUnavailable, ErrorBody{Error: err.Error()})
-	case err != nil:
+	case errors.Is(err, azurestair.ErrConflict):
 		c.JSON(http.StatusConflict, ErrorBody{Error: err.Error()})
+	case err != nil:
+		c.JSON(http.StatusServiceUnavailable, ErrorBody{Error: err.Error()})
 	default:
 		c.JSON(http.StatusOK, reply)
 	}
