--- a/instance/member.go
+++ b/instance/member.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"fmt"
 	"log/slog"
 	"time"
 
@@ -27,7 +28,9 @@
 	entry    *Entry
 	reporter *reporter
 
-	snapshot        *azurestair.Snapshot
+	snapshot *azurestair.Snapshot
+	// term is the newest term of a leader whose reply was taken over.
+	term            azurestair.Term
 	controlDeadline time.Time
 	holder          control.Holder
 	table           *lookup.Table
@@ -94,7 +97,8 @@
 
 // isNews reports whether an announcement should reach the leader at once.
 func isNews(old, a azurestair.Announcement) bool {
-	return old.Incarnation != a.Incarnation || old.State != a.State || old.Addr != a.Addr || old.Slots != a.Slots
+	a.Sequence, a.Load = old.Sequence, old.Load
+	return a != old
 }
 
 // settle sends a report when one is due and keeps the published view up to date.
@@ -233,6 +237,9 @@
 // adopt takes over the snapshot or delta of a reply. An older configuration
 // than the one in force is never taken over.
 func (m *Member) adopt(reply azurestair.ReportReply) error {
+	if reply.Term < m.term {
+		return fmt.Errorf("%w: reply of term %d after one of term %d", azurestair.ErrConflict, reply.Term, m.term)
+	}
 	next := reply.Snapshot
 	if reply.Delta != nil {
 		if m.snapshot == nil || m.snapshot.Term != reply.Term {
@@ -246,13 +253,16 @@
 		}
 		next = s
 	}
-	if next == nil {
+	switch {
+	case next == nil:
+		m.term = reply.Term
 		return nil
-	}
-	if next.ConfigVersion() < m.snapshot.ConfigVersion() || (m.snapshot != nil && next.Term < m.snapshot.Term) {
+	case next.Config == nil:
+		return fmt.Errorf("%w: snapshot without configuration", azurestair.ErrInvalid)
+	case next.ConfigVersion() < m.snapshot.ConfigVersion() || next.Term < m.term:
 		return azurestair.ErrConflict
 	}
-	m.snapshot = next
+	m.snapshot, m.term = next, reply.Term
 	return nil
 }
 
--- /dev/null
+++ b/instance/member_test.go
@@ -0,0 +1,241 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/control"
+	"azurestair.example/azurestair/raft"
+)
+
+var errStore = errors.New("sync failed")
+
+// memberRig drives a Member as the control goroutine does.
+type memberRig struct {
+	*Member
+	rig   *rig
+	clock *fakeClock
+}
+
+func newMemberRig() *memberRig {
+	clk := newFakeClock()
+	r := newRig(clk, &fakeLedger{}, newWorker())
+	r.view.Store(nil)
+	rep := newReporter(nil, clk)
+	return &memberRig{Member: newMember(r.self, r.Entry, rep, slog.New(slog.DiscardHandler)), rig: r, clock: clk}
+}
+
+// report has the member send its next report and returns it.
+func (m *memberRig) report() azurestair.Report {
+	ginkgo.GinkgoHelper()
+	m.clock.advance(reportSpacing)
+	m.reportSoon()
+	m.settle(m.clock.Now())
+	var q azurestair.Report
+	Expect(m.reporter.jobs).To(Receive(&q))
+	return q
+}
+
+// exchange sends a report and takes over the reply.
+func (m *memberRig) exchange(reply azurestair.ReportReply) azurestair.Report {
+	ginkgo.GinkgoHelper()
+	q := m.report()
+	m.reported(reportedEvent{sent: m.clock.Now(), reply: reply}, m.clock.Now())
+	return q
+}
+
+func whole(term azurestair.Term, rev azurestair.Revision, cfg azurestair.ConfigVersion) azurestair.ReportReply {
+	s := snapshotOf(cfg)
+	s.Term, s.Revision = term, rev
+	return azurestair.ReportReply{Term: term, ControlTTLMs: controlTTL, Snapshot: s}
+}
+
+func delta(term azurestair.Term, base azurestair.Revision, cfg azurestair.ConfigVersion) azurestair.ReportReply {
+	return azurestair.ReportReply{Term: term, ControlTTLMs: controlTTL, Delta: &azurestair.Delta{
+		Term: term, Base: base, Revision: base + 1, Config: snapshotOf(cfg).Config,
+	}}
+}
+
+func upstreamOf(seq azurestair.Sequence) azurestair.Announcement {
+	return azurestair.Announcement{
+		Upstream: "u1", Service: "shop", Addr: "127.0.0.1:80", Region: "kigali", FailureDomain: "kigali-a", Slots: 9, MaxConns: 330,
+		State: azurestair.StateServing, Incarnation: 1, Sequence: seq,
+	}
+}
+
+var _ = ginkgo.Describe("a member", func() {
+	var m *memberRig
+	ginkgo.BeforeEach(func() {
+		m = newMemberRig()
+		m.exchange(whole(5, 10, 7))
+	})
+	inEffect := func() []any {
+		v := m.rig.view.Load()
+		return []any{v.snapshot.ConfigVersion(), v.snapshot.Term}
+	}
+	held := func(q azurestair.Report) []any { return []any{q.HeldTerm, q.HeldRevision} }
+	at57 := []any{azurestair.ConfigVersion(7), azurestair.Term(5)}
+
+	ginkgo.It("takes over a snapshot and the delta that follows it", func() {
+		Expect(inEffect()).To(Equal(at57))
+		m.exchange(delta(5, 10, 8))
+		Expect(inEffect()[0]).To(BeEquivalentTo(8))
+		q := m.report()
+		Expect(held(q)).To(Equal([]any{azurestair.Term(5), azurestair.Revision(11)}))
+		Expect([]any{q.Instance.Ready, q.Instance.InForce}).To(Equal([]any{true, azurestair.ConfigVersion(8)}))
+	})
+
+	// Guards against a configuration that goes back, and against a former
+	// leader that extends the trust in what it sent.
+	ginkgo.DescribeTable("never takes over what is older",
+		func(replies ...azurestair.ReportReply) {
+			for _, r := range replies {
+				m.clock.advance(time.Second)
+				m.exchange(r)
+				Expect(inEffect()).To(Equal(at57))
+			}
+			m.clock.advance(controlTTL.Duration() - time.Second)
+			Expect(m.rig.Ready()).To(MatchError(azurestair.ErrNoQuorum))
+		},
+		ginkgo.Entry("configuration", whole(5, 11, 6)), ginkgo.Entry("configuration of a newer term", whole(6, 1, 6)),
+		ginkgo.Entry("configuration in a delta", delta(5, 10, 6)), ginkgo.Entry("term", whole(4, 99, 8)),
+		ginkgo.Entry("term without an update", azurestair.ReportReply{Term: 4, ControlTTLMs: controlTTL}),
+		ginkgo.Entry("term after a wrong delta", delta(5, 3, 8), whole(4, 99, 8)),
+		ginkgo.Entry("no configuration", azurestair.ReportReply{Term: 6, Snapshot: &azurestair.Snapshot{Term: 6, Revision: 1}}),
+	)
+
+	// Guards against a member that stays at a snapshot to which no delta fits.
+	ginkgo.It("asks for a whole snapshot after a delta that does not fit", func() {
+		for _, wrong := range []azurestair.ReportReply{delta(5, 3, 8), delta(6, 10, 8)} {
+			m.exchange(wrong)
+			Expect(inEffect()).To(Equal(at57))
+			Expect(held(m.exchange(whole(5, 10, 7)))).To(Equal([]any{azurestair.Term(0), azurestair.Revision(0)}))
+		}
+	})
+
+	// Guards against look-ups that name an instance with an old configuration.
+	ginkgo.It("is not ready once the control deadline has passed, and again after a reply", func() {
+		Expect(m.rig.Ready()).To(Succeed())
+		m.clock.advance(controlTTL.Duration())
+		Expect(m.rig.Ready()).To(MatchError(azurestair.ErrNoQuorum))
+		Expect(m.exchange(azurestair.ReportReply{Term: 5, ControlTTLMs: controlTTL}).Instance.Ready).To(BeFalse())
+		Expect(m.rig.Ready()).To(Succeed())
+	})
+
+	ginkgo.It("is not ready once it leaves, and says so last", func() {
+		m.leave(m.clock.Now())
+		Expect(m.rig.Ready()).To(MatchError(azurestair.ErrClosed))
+		m.rig.inFlight.Add(1)
+		q := m.exchange(azurestair.ReportReply{Term: 5})
+		Expect([]bool{q.Instance.Ready, q.Leaving}).To(Equal([]bool{false, false}))
+		m.rig.inFlight.Add(-1)
+		Expect(m.report().Leaving).To(BeTrue())
+	})
+
+	// Guards against a delayed announcement that puts a leaving upstream back to work.
+	ginkgo.It("refuses announcements that are not newer than the known one", func() {
+		now := m.clock.Now()
+		Expect(m.announce(upstreamOf(5), now)).To(Succeed())
+		Expect(m.announce(upstreamOf(5), now)).To(MatchError(azurestair.ErrConflict))
+		Expect(m.announce(upstreamOf(4), now)).To(MatchError(azurestair.ErrConflict))
+		next := upstreamOf(1)
+		next.Incarnation = 2
+		Expect(m.announce(next, now)).To(Succeed())
+	})
+
+	// Guards against upstreams that stay unlisted, or listed with old values.
+	ginkgo.It("repeats in full what the leader does not know, what was lost and what has changed", func() {
+		full := func(q azurestair.Report) []int { return []int{len(q.Announcements), len(q.Alive)} }
+		Expect(m.announce(upstreamOf(1), m.clock.Now())).To(Succeed())
+		Expect(full(m.exchange(azurestair.ReportReply{Term: 5}))).To(Equal([]int{1, 0}))
+		Expect(full(m.exchange(azurestair.ReportReply{Term: 5, Unknown: []azurestair.UpstreamID{"u1", "u2"}}))).To(Equal([]int{0, 1}))
+		Expect(full(m.report())).To(Equal([]int{1, 0}))
+		m.reported(reportedEvent{sent: m.clock.Now(), err: errDown}, m.clock.Now())
+		Expect(full(m.exchange(azurestair.ReportReply{Term: 5}))).To(Equal([]int{1, 0}))
+		Expect(m.announce(upstreamOf(2), m.clock.Now())).To(Succeed())
+		Expect(full(m.exchange(azurestair.ReportReply{Term: 5}))).To(Equal([]int{0, 1}))
+		more := upstreamOf(3)
+		more.MaxConns = 100
+		Expect(m.announce(more, m.clock.Now())).To(Succeed())
+		Expect(full(m.exchange(azurestair.ReportReply{Term: 5}))).To(Equal([]int{1, 0}))
+	})
+})
+
+// fakeStore has each append wait for the result that the test sends.
+type fakeStore struct{ gate chan stored }
+
+type stored struct{ err error }
+
+func (s *fakeStore) Append(azurestair.HardState, []azurestair.LogEntry) error { return (<-s.gate).err }
+
+func (s *fakeStore) SaveSnapshot(azurestair.SnapshotMeta, []byte) error { return nil }
+
+func (s *fakeStore) Close() error { return nil }
+
+type noTransport struct{}
+
+func (noTransport) Send(azurestair.RaftMessage) {}
+
+var _ = ginkgo.Describe("a replica", func() {
+	// Guards against a promise that a restart does not keep: an acknowledged
+	// change that was never synced.
+	ginkgo.It("answers nothing that was not stored, and ends the process when the store fails", func() {
+		store := &fakeStore{gate: make(chan stored)}
+		clk := SystemClock{}
+		log := slog.New(slog.DiscardHandler)
+		replica, err := newReplica(raft.Options{
+			ID: "c1", Membership: azurestair.Membership{Voters: []azurestair.InstanceID{"c1"}},
+		}, azurestair.LogState{}, clk.Now(), log)
+		Expect(err).NotTo(HaveOccurred())
+		rep := newReporter(nil, clk)
+		c := newController(clk, log, newMember(azurestair.InstanceInfo{ID: "c1"}, nil, rep, log), nil)
+		post := func(e event) { _ = c.post(context.Background(), e) }
+		replica.transport, replica.notifier = noTransport{}, newNotifier(nil, "c1")
+		replica.writer = &logWriter{store: store, transport: noTransport{}, jobs: make(chan *storeJob, storeDepth), post: post}
+		replica.imager = &imager{jobs: make(chan control.Image, 1), post: post}
+		c.replica = replica
+		go replica.writer.run()
+		go c.run(context.Background())
+		ginkgo.DeferCleanup(func() { close(replica.writer.jobs) })
+
+		// The store takes all that the election writes.
+		propose := func(key azurestair.RequestKey) <-chan error {
+			done := make(chan error, 1)
+			claim := azurestair.Claim{Service: "shop", Operation: "pay", Key: key, Instance: "e1", Deadline: 1}
+			go func() {
+				_, err := c.Propose(context.Background(), azurestair.Command{Claim: &claim})
+				done <- err
+			}()
+			return done
+		}
+		Eventually(func() bool {
+			select {
+			case store.gate <- stored{}:
+			default:
+			}
+			_, err := c.Query(context.Background(), control.Query{})
+			return err == nil
+		}, "10s").Should(BeTrue())
+		first := propose("k1")
+		Eventually(store.gate).Should(BeSent(stored{}))
+		Eventually(func() int {
+			select {
+			case store.gate <- stored{}:
+			default:
+			}
+			return len(first)
+		}).Should(Equal(1))
+		Expect(<-first).To(Succeed())
+		lost := propose("k2")
+		Eventually(store.gate).Should(BeSent(stored{errStore}))
+		Eventually(lost).Should(Receive(MatchError(azurestair.ErrClosed)))
+		Eventually(c.stopped).Should(BeClosed())
+		Expect(c.err).To(MatchError(errStore))
+	})
+})
