--- a/cmd/azurestair/local.go
+++ b/cmd/azurestair/local.go
@@ -8,6 +8,9 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"go.uber.org/fx"
@@ -20,16 +23,50 @@
 
 func serveCommand() *ffcli.Command {
 	fs := flag.NewFlagSet("serve", flag.ContinueOnError)
-	path := fs.String("settings", "", "settings file (required)")
-	return command("serve --settings FILE", "run the parts that the settings name", fs, func(ctx context.Context, _ []string) error {
+	path := fs.String("settings", "", "settings file of this instance in TOML (required)")
+	return command("serve --settings FILE", "run an instance until SIGTERM; SIGHUP reloads tokens and the log level", fs, func(ctx context.Context) error {
+		if err := required(fs, "settings"); err != nil {
+			return err
+		}
 		s, err := settings.Load(*path)
 		if err != nil {
 			return err
 		}
-		return serve(ctx, instance.New(s, instance.Options{LogOutput: os.Stderr}))
+		r := &reloader{path: *path, out: make(chan settings.Settings)}
+		go r.run(ctx)
+		return serve(ctx, instance.New(s, instance.Options{LogOutput: os.Stderr, Reload: r.out}))
 	})
 }
 
+// reloader reads the settings file again on SIGHUP.
+type reloader struct {
+	path string
+	out  chan settings.Settings
+}
+
+func (r *reloader) run(ctx context.Context) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		s, err := settings.Load(r.path)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "azurestair: settings not reloaded:", err)
+			continue
+		}
+		select {
+		case r.out <- s:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 var errFailed = errors.New("the instance has failed; see its log")
 
 // serve runs the application until a signal or its own failure ends it.
@@ -61,7 +98,7 @@
 	asJSON := fs.Bool("json", false, "print the report as JSON")
 	verbose := fs.Bool("verbose", false, "print the log of the instances")
 	return command("try [--json] [--verbose]", "run the whole path in one process and check the promises", fs,
-		func(ctx context.Context, _ []string) error {
+		func(ctx context.Context) error {
 			log := io.Discard
 			if *verbose {
 				log = os.Stderr
@@ -88,11 +125,11 @@
 
 func checkCommand() *ffcli.Command {
 	fs := flag.NewFlagSet("check", flag.ContinueOnError)
-	path := fs.String("settings", "", "settings file")
-	fleet := fs.String("fleet", "", "fleet configuration file")
-	return command("check [--settings FILE] [--fleet FILE]", "check files without starting", fs, func(context.Context, []string) error {
+	path := fs.String("settings", "", "settings file of an instance in TOML")
+	fleet := fs.String("fleet", "", "fleet configuration file in TOML")
+	return command("check [--settings FILE] [--fleet FILE]", "check files without starting; prints file, line, key and what is allowed", fs, func(context.Context) error {
 		if *path == "" && *fleet == "" {
-			return flag.ErrHelp
+			return usageError("check: give --settings FILE, --fleet FILE or both")
 		}
 		var errs []error
 		if *path != "" {
@@ -109,13 +146,16 @@
 
 func initCommand() *ffcli.Command {
 	fs := flag.NewFlagSet("init", flag.ContinueOnError)
-	path := fs.String("settings", "", "settings file (required)")
-	return command("init --settings FILE", "prepare the data folder of a new control instance", fs, func(context.Context, []string) error {
+	path := fs.String("settings", "", "settings file of this instance in TOML (required)")
+	return command("init --settings FILE", "prepare the data directory of a new control instance, once", fs, func(ctx context.Context) error {
+		if err := required(fs, "settings"); err != nil {
+			return err
+		}
 		s, err := settings.Load(*path)
 		if err != nil {
 			return err
 		}
-		if err := disk.Init(s.Instance.DataDir, s.Instance.ID); err != nil {
+		if err := initFolder(ctx, s); err != nil {
 			return err
 		}
 		_, err = fmt.Printf("data folder %s now belongs to %s\n", s.Instance.DataDir, s.Instance.ID)
@@ -123,6 +163,30 @@
 	})
 }
 
+var errFleetExists = errors.New("the fleet has a configuration already, so this instance may have voted in it before; " +
+	"to replace its data, remove the instance with 'azurestair members', set control.learner = true and run init again")
+
+// fleetTimeout bounds the question whether the fleet exists.
+const fleetTimeout = 2 * time.Second
+
+// initFolder refuses to make a first voter of a fleet that is running: an empty
+// data folder there is a lost disk, and with it lost votes.
+func initFolder(ctx context.Context, s settings.Settings) error {
+	if s.Control.Learner {
+		return disk.InitJoining(s.Instance.DataDir, s.Instance.ID)
+	}
+	ctx, cancel := context.WithTimeout(ctx, fleetTimeout)
+	defer cancel()
+	exists, err := instance.FleetExists(ctx, s)
+	if err != nil {
+		return err
+	}
+	if exists {
+		return errFleetExists
+	}
+	return disk.Init(s.Instance.DataDir, s.Instance.ID)
+}
+
 func printJSON(v any) error {
 	enc := json.NewEncoder(os.Stdout)
 	enc.SetIndent("", "  ")
--- a/control/limits.go
+++ b/control/limits.go
@@ -17,6 +17,8 @@
 	Total int64
 	// Floor is the part of Total that each possible holder may use without a lease.
 	Floor int64
+	// RemoteFloor is the floor of a holder for which the budget is remote.
+	RemoteFloor int64
 	// Step bounds how far the sum of leases and floors may rise above the use
 	// within Interval. A zero Interval means no such bound.
 	Step     int64
@@ -42,8 +44,9 @@
 	var out []ResourceLimit
 	for _, s := range cfg.Services {
 		for _, r := range cfg.Regions {
-			n := slots[place{s.Name, r.Name}]
-			out = append(out, slotsLimit(s.Name, r.Name, n, maxHolders), shiftLimit(cfg, s.Name, r.Name, n, maxHolders))
+			n := slots[servicePlace{s.Name, r.Name}]
+			shift := shiftLimit(cfg, s.Name, r.Name, n, maxHolders)
+			out = append(out, slotsLimit(s.Name, r.Name, n, shift.Limit.Floor, maxHolders), shift)
 		}
 	}
 	for _, l := range cfg.Links {
@@ -55,10 +58,14 @@
 	return out
 }
 
-func slotsLimit(s azurestair.ServiceName, r azurestair.RegionName, n int64, maxHolders int) ResourceLimit {
+// slotsLimit gives a holder of another region no larger floor than it may
+// shift without a lease: it could not use more, and what is reserved for it is
+// lost to the holders of the region.
+func slotsLimit(s azurestair.ServiceName, r azurestair.RegionName, n, shiftFloor int64, maxHolders int) ResourceLimit {
+	floor := floorOf(n, maxHolders)
 	return ResourceLimit{
 		Resource: azurestair.Resource{Kind: azurestair.ResourceSlots, Service: s, Region: r},
-		Limit:    Limit{Total: n, Floor: floorOf(n, maxHolders)},
+		Limit:    Limit{Total: n, Floor: floor, RemoteFloor: min(floor, shiftFloor)},
 	}
 }
 
@@ -85,25 +92,25 @@
 	return floor
 }
 
-// place is a service in a region.
-type place struct {
+// servicePlace is a service in a region.
+type servicePlace struct {
 	service azurestair.ServiceName
 	region  azurestair.RegionName
 }
 
 // regionSlots adds up the slots that may be used in each region.
-func regionSlots(cfg *azurestair.Config, drains []azurestair.Drain, upstreams []azurestair.UpstreamInfo) map[place]int64 {
+func regionSlots(cfg *azurestair.Config, drains []azurestair.Drain, upstreams []azurestair.UpstreamInfo) map[servicePlace]int64 {
 	drained := map[azurestair.Target]bool{}
 	for _, d := range drains {
 		drained[d.Target] = true
 	}
-	sum := map[place]int64{}
+	sum := map[servicePlace]int64{}
 	for _, u := range upstreams {
 		a := u.Announcement
 		if a.State != azurestair.StateServing || drained[upstreamTarget(a)] || drained[domainTarget(a)] {
 			continue
 		}
-		sum[place{a.Service, a.Region}] += EffectiveSlots(cfg, a)
+		sum[servicePlace{a.Service, a.Region}] += EffectiveSlots(cfg, a)
 	}
 	return sum
 }
--- a/instance/entry.go
+++ b/instance/entry.go
@@ -71,6 +71,13 @@
 	e.limitConns(s)
 }
 
+// heard takes over a reply of control that brought no new snapshot.
+func (e *Entry) heard(s *azurestair.Snapshot) {
+	for _, g := range e.allGates() {
+		g.heard(s)
+	}
+}
+
 // limitConns shares each upstream's connection limit among the entries.
 func (e *Entry) limitConns(s *azurestair.Snapshot) {
 	keep := map[string]bool{}
@@ -95,11 +102,14 @@
 		return
 	}
 	for name, g := range e.allGates() {
-		n := v.slots(name, e.self.Region, now)
+		var n azurestair.Slots
 		for _, r := range v.snapshot.Config.Regions {
+			usable := v.slots(name, r.Name, now)
 			if r.Name != e.self.Region {
-				n += v.shift(name, r.Name, now)
+				usable = v.shift(name, r.Name, now)
 			}
+			g.setShare(r.Name, usable)
+			n += usable
 		}
 		g.setSlots(n)
 	}
@@ -136,9 +146,9 @@
 			if r.Name == e.self.Region {
 				continue
 			}
-			out = append(out, slotDemand(h, name, r.Name, use.inFlight[r.Name], overflow))
-			shift := azurestair.Resource{Kind: azurestair.ResourceShift, Service: name, Region: r.Name}
 			used := int64(use.inFlight[r.Name])
+			out = append(out, remoteDemand(h, name, r.Name, used, int64(overflow)))
+			shift := azurestair.Resource{Kind: azurestair.ResourceShift, Service: name, Region: r.Name}
 			out = append(out, h.Demand(shift, used, used+int64(overflow)))
 		}
 	}
@@ -158,6 +168,14 @@
 	return h.Demand(r, int64(used), want)
 }
 
+// remoteDemand asks for slots of another region without a margin: what an entry
+// holds there and does not use, the entries of that region have to shift away.
+func remoteDemand(h *control.Holder, s azurestair.ServiceName, region azurestair.RegionName, used, more int64) azurestair.Demand {
+	d := h.Demand(azurestair.Resource{Kind: azurestair.ResourceSlots, Service: s, Region: region}, used, used+more)
+	d.Remote = true
+	return d
+}
+
 // isPressed reports whether requests wait, so that more budget is worth a report.
 func (e *Entry) isPressed(time.Time) bool {
 	for _, g := range e.allGates() {
@@ -204,8 +222,12 @@
 		ConfigVersion: v.snapshot.ConfigVersion(),
 		Entries:       make([]caller.Entry, 0, found.Len()),
 	}
+	current := v.isCurrent(e.clock.Now())
 	for i := range found.Len() {
 		info := found.At(i)
+		if info.ID == e.self.ID && !current && found.Len() > 1 {
+			continue
+		}
 		a.Entries = append(a.Entries, caller.Entry{
 			Instance: info.ID, Addr: info.CallerAddr, Region: info.Region, FailureDomain: info.FailureDomain,
 		})
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -381,6 +381,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		_, _ = ans.Body.Read(make([]byte, 1))
 		ans.Body.Close()
+		Eventually(f.open).Should(BeZero())
 		expectDone(send(ctx, c, f.addr(), attempt(long)))
 		Expect(f.accepted.Load()).To(BeEquivalentTo(2))
 	})
--- a/upstream/upload.go
+++ b/upstream/upload.go
@@ -64,7 +64,7 @@
 	switch {
 	case err == nil:
 		resp.Close = true
-	case isTimeout(err) && !c.writing.Load():
+	case IsTimeout(err) && !c.writing.Load():
 		// The upstream was not waited for: the caller's body has stalled.
 		return nil, fmt.Errorf("%w: %w", ErrRequestBody, err)
 	}
