--- a/instance/attempt.go
+++ b/instance/attempt.go
@@ -332,7 +332,8 @@
 
 // readWhole reads a short answer, so that one that breaks off can be retried.
 func (e *try) readWhole() {
-	if e.answer.Length > wholeLimit {
+	isHead := e.attempt.Method == http.MethodHead
+	if e.answer.Length > wholeLimit && !isHead {
 		return
 	}
 	data, err := io.ReadAll(io.LimitReader(e.answer.Body, wholeLimit+1))
@@ -351,21 +352,23 @@
 		}{io.MultiReader(bytes.NewReader(data), e.answer.Body), e.answer.Body}
 	default:
 		_ = e.answer.Body.Close()
-		e.answer.Body, e.answer.Length = nil, int64(len(data))
-		e.answer.Whole = data
+		e.answer.Body, e.answer.Whole = nil, data
+		if !isHead {
+			e.answer.Length = int64(len(data))
+		}
 	}
 }
 
 // settle tells the gate how the attempt ended. One that this entry cut off or
-// did not send, or that waited on a silent connection, says nothing against
-// the upstream.
+// did not send, whose caller broke off the request, or that waited on a silent
+// connection says nothing against the upstream.
 func (e *try) settle(r azurestair.AttemptResult) {
 	g := e.tries.call.gate
 	took := e.tries.call.entry.clock.Now().Sub(e.sent)
 	switch {
 	case r == azurestair.AttemptDone:
 		g.done(e.choice, r, took)
-	case errors.Is(e.err, azurestair.ErrDeadline), e.answer.Silent:
+	case errors.Is(e.err, azurestair.ErrDeadline), errors.Is(e.err, upstream.ErrRequestBody), e.answer.Silent:
 		g.abandon(e.choice, false, took)
 	case e.ctx.Err() != nil:
 		g.abandon(e.choice, r != azurestair.AttemptNotRun, took)
@@ -383,13 +386,35 @@
 		r.Body = io.NopCloser(bytes.NewReader(e.answer.Whole))
 		return r
 	}
-	if e.tries.call.req.Method == http.MethodHead {
-		r.Length = -1
-	}
 	r.Streamed, r.Deadline = true, e.tries.call.work.Deadline
-	r.Body = &closer{ReadCloser: e.answer.Body, done: func() {
-		e.settle(azurestair.AttemptDone)
+	body := &streamed{ReadCloser: e.answer.Body}
+	r.Body = &closer{ReadCloser: body, done: func() {
+		e.settle(body.result())
 		e.cancel()
 	}}
 	return r
 }
+
+// streamed notes how the body of an answer ends.
+type streamed struct {
+	io.ReadCloser
+	err error
+}
+
+// Read reads the body.
+func (s *streamed) Read(p []byte) (int, error) {
+	n, err := s.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		s.err = err
+	}
+	return n, err
+}
+
+// result counts an answer that broke off against the upstream. One that ran
+// into its deadline may have had a slow reader.
+func (s *streamed) result() azurestair.AttemptResult {
+	if s.err == nil || upstream.IsTimeout(s.err) {
+		return azurestair.AttemptDone
+	}
+	return azurestair.AttemptBroken
+}
