--- a/control/query.go
+++ b/control/query.go
@@ -14,6 +14,9 @@
 	// Instances asks for what the leader knows of the instances; it is newer
 	// than the published snapshots, which collect small changes.
 	Instances bool `cbor:"4,keyasint,omitempty"`
+	// Local asks the replica that gets the query for what it has applied, which
+	// may be behind. It answers also while there is no leader.
+	Local bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Validate checks the query.
--- a/instance/controller.go
+++ b/instance/controller.go
@@ -120,7 +120,7 @@
 		e.reply <- queryReply{err: azurestair.NotLeaderError{}}
 		return
 	}
-	if err := c.replica.readable(now); err != nil {
+	if err := c.replica.readable(now); err != nil && !e.query.Local {
 		e.reply <- queryReply{err: err}
 		return
 	}
--- a/instance/fleet.go
+++ b/instance/fleet.go
@@ -8,8 +8,10 @@
 	"azurestair.example/azurestair/settings"
 )
 
-// FleetExists reports whether the other voters of the settings have a leader
-// with a configuration. Without an answer before ctx ends it reports false.
+// FleetExists reports whether another voter of the settings has a
+// configuration. It asks each of them, because there may be no leader: while
+// the majority is lost, an empty data folder is as likely a lost disk. Voters
+// that do not answer before ctx ends count as without.
 func FleetExists(ctx context.Context, s settings.Settings) (bool, error) {
 	others := otherVoters(s)
 	if len(others) == 0 {
@@ -20,6 +22,12 @@
 		return false, err
 	}
 	defer conns.Close()
-	res, err := peer.NewClient(conns, others).Query(ctx, control.Query{History: true})
-	return err == nil && len(res.History) > 0, nil
+	client := peer.NewClient(conns, others)
+	for _, to := range others {
+		res, err := client.QueryAt(ctx, to, control.Query{History: true})
+		if err == nil && len(res.History) > 0 {
+			return true, nil
+		}
+	}
+	return false, nil
 }
--- /dev/null
+++ b/instance/query_test.go
@@ -0,0 +1,41 @@
+package instance
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/control"
+	"azurestair.example/azurestair/raft"
+)
+
+// Guards against 'azurestair init' that makes a first voter of a fleet whose
+// majority is lost, because the voter that is left answers no query.
+var _ = ginkgo.It("a replica without a leader answers local queries only", func() {
+	now := time.Unix(1_700_000_000, 0)
+	voters := []azurestair.InstanceID{"entry-1", "entry-2", "entry-3"}
+	r, err := newReplica(raft.Options{ID: "entry-1", Membership: azurestair.Membership{Voters: voters}},
+		azurestair.LogState{}, now, slog.New(slog.DiscardHandler))
+	Expect(err).NotTo(HaveOccurred())
+	r.peers = noPeers{}
+	r.state.ApplyBatch(1, []azurestair.Command{{Config: &azurestair.ConfigChange{
+		Change: azurestair.Change{ID: "c1", Operator: "o", Reason: "first"},
+	}}})
+	ask := func(q control.Query) queryReply {
+		reply := make(chan queryReply, 1)
+		queryEvent{query: q, reply: reply}.handle(&Controller{replica: r}, now)
+		return <-reply
+	}
+	Expect(ask(control.Query{History: true}).err).To(MatchError(azurestair.ErrNotLeader))
+	local := ask(control.Query{History: true, Local: true})
+	Expect(local.err).NotTo(HaveOccurred())
+	Expect(local.result.History).To(HaveLen(1))
+})
+
+// noPeers knows no addresses.
+type noPeers struct{ peerList }
+
+func (noPeers) Addr(azurestair.InstanceID) string { return "" }
--- a/peer/client.go
+++ b/peer/client.go
@@ -63,6 +63,14 @@
 	return res, err
 }
 
+// QueryAt reads what one instance has applied, whether or not it leads.
+func (c *Client) QueryAt(ctx context.Context, to Address, q control.Query) (control.QueryResult, error) {
+	var res control.QueryResult
+	q.Local = true
+	err := c.tryOnce(ctx, to, methodQuery, &q, &res)
+	return res, err
+}
+
 // QueryClaim reads the ledger at the leader.
 func (c *Client) QueryClaim(ctx context.Context, q azurestair.ClaimQuery) (azurestair.ClaimStatus, error) {
 	res, err := c.Query(ctx, control.Query{Claim: &q})
