--- a/caller/handler.go
+++ b/caller/handler.go
@@ -255,6 +255,7 @@
 	}
 	h.Set(HeaderOutcome, string(azurestair.OutcomeDone))
 	if r.Reason != azurestair.ReasonNone {
+		// A done request whose answer is no longer kept has an empty one.
 		h.Set(HeaderReason, string(r.Reason))
 	}
 	if r.Replayed {
