--- a/instance/member.go
+++ b/instance/member.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"fmt"
 	"log/slog"
 	"time"
 
@@ -250,6 +251,12 @@
 // adopt takes over the snapshot or delta of a reply. An older configuration
 // than the one in force is never taken over.
 func (m *Member) adopt(reply azurestair.ReportReply) error {
+	if m.snapshot != nil && reply.Term < m.snapshot.Term {
+		// A leader of a fleet that was started anew has nothing that this instance
+		// could take over, and must not make it count as up to date.
+		return fmt.Errorf("%w: the leader's term %d is older than %d of the snapshot in use",
+			azurestair.ErrConflict, reply.Term, m.snapshot.Term)
+	}
 	next := reply.Snapshot
 	if reply.Delta != nil {
 		if m.snapshot == nil || m.snapshot.Term != reply.Term {
--- a/instance/suite_test.go
+++ b/instance/suite_test.go
@@ -61,4 +61,13 @@
 		m.reported(reportedEvent{sent: now, err: azurestair.ErrNoQuorum}, now)
 		Expect(p.updates).To(BeZero())
 	})
+
+	// Guards against an entry that runs on while its fleet is started anew and
+	// counts as ready with the configuration of the old one.
+	ginkgo.It("does not trust a leader of an older term", func() {
+		m, p := memberWithPicker(now)
+		m.reported(reportedEvent{sent: now, reply: azurestair.ReportReply{Term: 1, ControlTTLMs: 3000}}, now)
+		Expect(p.updates).To(BeZero())
+		Expect(m.isCurrent(now)).To(BeFalse())
+	})
 })
