--- a/instance/entry.go
+++ b/instance/entry.go
@@ -71,10 +71,11 @@
 	e.limitConns(s)
 }
 
-// heard takes over a reply of control that brought no new snapshot.
-func (e *Entry) heard(s *azurestair.Snapshot) {
+// contact tells the pickers that control stands by the snapshot that they
+// have, by which its upstreams stay confirmed.
+func (e *Entry) contact(s *azurestair.Snapshot) {
 	for _, g := range e.allGates() {
-		g.heard(s)
+		g.update(s)
 	}
 }
 
@@ -102,11 +103,14 @@
 		return
 	}
 	for name, g := range e.allGates() {
-		n := v.slots(name, e.self.Region, now)
+		var n azurestair.Slots
 		for _, r := range v.snapshot.Config.Regions {
+			usable := v.slots(name, r.Name, now)
 			if r.Name != e.self.Region {
-				n += v.shift(name, r.Name, now)
+				usable = v.shift(name, r.Name, now)
 			}
+			g.setShare(r.Name, usable)
+			n += usable
 		}
 		g.setSlots(n)
 	}
@@ -219,8 +223,12 @@
 		ConfigVersion: v.snapshot.ConfigVersion(),
 		Entries:       make([]caller.Entry, 0, found.Len()),
 	}
+	current := v.isCurrent(e.clock.Now())
 	for i := range found.Len() {
 		info := found.At(i)
+		if info.ID == e.self.ID && !current && found.Len() > 1 {
+			continue
+		}
 		a.Entries = append(a.Entries, caller.Entry{
 			Instance: info.ID, Addr: info.CallerAddr, Region: info.Region, FailureDomain: info.FailureDomain,
 		})
--- a/routing/worker.go
+++ b/routing/worker.go
@@ -34,6 +34,7 @@
 	listed       bool
 	drained      bool
 	weight       float64
+	slots        azurestair.Slots
 	shareOfSlots float64
 	share        int
 	queue        int
@@ -110,10 +111,10 @@
 	return max(part, rampStart)
 }
 
-// setShare divides the worker's slots among the entries. Shares are rounded
-// up, so that every entry can reach every worker.
-func (w *worker) setShare(slots azurestair.Slots, entries int) {
-	w.shareOfSlots = max(float64(slots), 0) / float64(entries)
+// setShare gives the entry its part of the worker's slots; entries share the
+// connections. Shares are rounded up, so that every entry can reach every worker.
+func (w *worker) setShare(slots azurestair.Slots, part float64, entries int) {
+	w.shareOfSlots = max(float64(slots), 0) * part
 	w.share = int(math.Ceil(w.shareOfSlots))
 	w.queue = max(1, w.share/queueShare)
 	conns := max(1, int(w.info.MaxConns)/entries)
@@ -207,7 +208,7 @@
 func acceptance(weight float64) float64 { return weight * (1 + weight) / 2 }
 
 // nextChange returns when the worker's standing may next change by itself;
-// zero if it may not.
+// zero if it may not. It lies after now, so that advance comes to an end.
 func (p *Weighted) nextChange(w *worker, now time.Time) time.Time {
 	var next time.Time
 	earlier := func(t time.Time) {
@@ -225,7 +226,10 @@
 		earlier(w.health.until)
 	}
 	if !w.rampFrom.IsZero() {
-		earlier(now.Add(max(p.defaults.SlowStartMs.Duration()/rampSteps, time.Millisecond)))
+		earlier(now.Add(p.defaults.SlowStartMs.Duration() / rampSteps))
+	}
+	if !next.IsZero() && !next.After(now) {
+		return now.Add(time.Millisecond)
 	}
 	return next
 }
--- a/stub/upstream.go
+++ b/stub/upstream.go
@@ -29,6 +29,11 @@
 	Entries []string
 	Token   string
 	Listen  string
+	// Advertise is the address that the stub announces; empty means its own.
+	Advertise string
+	// Intercept, if set, may answer a request in place of the stub, for
+	// instance wrongly. It returns false for a request that the stub answers.
+	Intercept func(w http.ResponseWriter, r *http.Request) bool
 	// Dial opens the connections for announcements; nil means a plain dialer.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
@@ -71,6 +76,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", opts.Listen, err)
 	}
+	if opts.Advertise == "" {
+		opts.Advertise = l.Addr().String()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	u := &Upstream{
 		opts: opts, addr: l.Addr().String(), slots: make(chan struct{}, opts.Slots), cancel: cancel,
@@ -90,6 +98,9 @@
 // ID returns the name of the stub.
 func (u *Upstream) ID() azurestair.UpstreamID { return u.opts.ID }
 
+// Service returns the service that the stub belongs to.
+func (u *Upstream) Service() azurestair.ServiceName { return u.opts.Service }
+
 // Runs returns how often the request with the given value of Stub-Request ran.
 func (u *Upstream) Runs(id string) int {
 	u.mu.Lock()
@@ -211,6 +222,9 @@
 	}
 	defer func() { <-u.slots }()
 	u.work(ctx, r.Header.Get(HeaderTestID))
+	if u.opts.Intercept != nil && u.opts.Intercept(w, r) {
+		return
+	}
 	if r.Method == http.MethodGet {
 		_, _ = fmt.Fprintf(w, "%s %s\n", u.opts.ID, r.URL.RequestURI())
 		return
