--- a/budget.go
+++ b/budget.go
@@ -64,7 +64,7 @@
 
 // Report is what an instance tells the leader at each interval.
 type Report struct {
-	Instance      InstanceInfo   `cbor:"1,keyasint" json:"instance"`
+	Instance      InstanceInfo   `cbor:"1,keyasint,omitzero" json:"instance"`
 	Announcements []Announcement `cbor:"2,keyasint,omitempty" json:"announcements,omitempty"`
 	// Alive lists upstreams whose announcements have not changed.
 	Alive   []UpstreamID `cbor:"3,keyasint,omitempty" json:"alive,omitempty"`
@@ -74,6 +74,22 @@
 	HeldRevision Revision `cbor:"6,keyasint,omitempty" json:"heldRevision,omitempty"`
 	// Leaving is true for the last report before the instance exits.
 	Leaving bool `cbor:"7,keyasint,omitempty" json:"leaving,omitempty"`
+	// Number counts the reports of the instance, and Answered is the last one
+	// whose reply it has taken over.
+	Number   ReportNumber `cbor:"8,keyasint,omitempty" json:"number,omitempty"`
+	Answered ReportNumber `cbor:"9,keyasint,omitempty" json:"answered,omitempty"`
+	// Repeat stands for Instance, Alive and Demands of an earlier report.
+	Repeat *Repeat `cbor:"10,keyasint,omitempty" json:"repeat,omitempty"`
+}
+
+// ReportNumber counts the reports of an instance, starting at 1.
+type ReportNumber uint64
+
+// Repeat names an earlier report of the same instance.
+type Repeat struct {
+	Instance    InstanceID   `cbor:"1,keyasint" json:"instance"`
+	Incarnation Incarnation  `cbor:"2,keyasint" json:"incarnation"`
+	Base        ReportNumber `cbor:"3,keyasint" json:"base"`
 }
 
 // MaxReportUpstreams bounds the announcements in one report.
@@ -94,6 +110,12 @@
 			return fmt.Errorf("%w: demand for %s is negative", ErrInvalid, d.Resource)
 		}
 	}
+	if r.Repeat != nil {
+		if r.Leaving || len(r.Alive) > 0 || len(r.Demands) > 0 {
+			return fmt.Errorf("%w: report repeats another one and differs from it", ErrInvalid)
+		}
+		return CheckName("instance id", string(r.Repeat.Instance))
+	}
 	return r.Instance.Validate()
 }
 
@@ -110,6 +132,11 @@
 	// Unknown lists Alive upstreams that the leader does not know; the
 	// instance repeats their announcements in full.
 	Unknown []UpstreamID `cbor:"6,keyasint,omitempty" json:"unknown,omitempty"`
+	// SameGrants stands for the grants of the reply that the report names as Answered.
+	SameGrants bool `cbor:"7,keyasint,omitempty" json:"sameGrants,omitempty"`
+	// Resend asks for a whole report, because the repeated one is not known.
+	// The reply holds nothing else.
+	Resend bool `cbor:"8,keyasint,omitempty" json:"resend,omitempty"`
 }
 
 // Validate checks the reply.
--- /dev/null
+++ b/control/repeat_test.go
@@ -0,0 +1,85 @@
+package control_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/control"
+)
+
+var _ = Describe("repeated reports", func() {
+	var (
+		sender   control.ReportSender
+		receiver control.ReportReceiver
+		report   azurestair.Report
+		grants   []azurestair.Grant
+	)
+
+	BeforeEach(func() {
+		sender, receiver = control.ReportSender{}, control.ReportReceiver{}
+		report = azurestair.Report{
+			Instance: azurestair.InstanceInfo{ID: "entry-1", Incarnation: 7, Region: "kigali", FailureDomain: "kigali-a"},
+			Alive:    []azurestair.UpstreamID{"u1"}, Demands: []azurestair.Demand{{Want: 3}},
+		}
+		grants = []azurestair.Grant{{Amount: 3}}
+	})
+
+	// exchange sends the report; lost drops the reply.
+	exchange := func(lost bool) (sent azurestair.Report, reply azurestair.ReportReply) {
+		GinkgoHelper()
+		sent = sender.Prepare(report)
+		got, ok := receiver.Expand(sent)
+		if !ok {
+			reply.Resend = true
+		} else {
+			Expect([]any{got.Instance, got.Alive, got.Demands}).To(Equal([]any{report.Instance, report.Alive, report.Demands}))
+			receiver.Shorten(got, grants, &reply)
+		}
+		if !lost {
+			taken, ok := sender.Take(reply)
+			Expect(ok).To(Equal(!reply.Resend))
+			if ok {
+				Expect(taken).To(Equal(grants))
+			}
+		}
+		return sent, reply
+	}
+
+	It("leaves out what has not changed, in both directions", func() {
+		exchange(false)
+		sent, reply := exchange(false)
+		Expect(sent.Repeat).NotTo(BeNil())
+		Expect(sent.Demands).To(BeEmpty())
+		Expect(reply.SameGrants).To(BeTrue())
+		report.Alive = nil
+		sent, _ = exchange(false)
+		Expect(sent.Repeat).To(BeNil())
+	})
+
+	// Guards against an instance that goes on with grants that it never got.
+	It("sends grants again after a lost reply", func() {
+		exchange(false)
+		grants = []azurestair.Grant{{Amount: 9}}
+		exchange(true)
+		_, reply := exchange(false)
+		Expect(reply.SameGrants).To(BeFalse())
+	})
+
+	// Guards against a leader that takes a report for a repeat of another one.
+	It("asks for a whole report when it has not the repeated one", func() {
+		exchange(false)
+		receiver = control.ReportReceiver{}
+		_, reply := exchange(false)
+		Expect(reply.Resend).To(BeTrue())
+		sent, _ := exchange(false)
+		Expect(sent.Repeat).To(BeNil())
+		other := sender
+		report.Demands = []azurestair.Demand{{Want: 5}}
+		exchange(false)
+		sender = other
+		report.Demands = []azurestair.Demand{{Want: 3}}
+		_, reply = exchange(false)
+		Expect(reply.Resend).To(BeTrue())
+	})
+})
--- a/instance/member.go
+++ b/instance/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"azurestair.example/azurestair"
@@ -30,6 +31,7 @@
 	snapshot        *azurestair.Snapshot
 	controlDeadline time.Time
 	holder          control.Holder
+	reports         control.ReportSender
 	table           *lookup.Table
 	tableDone       bool
 	announced       map[azurestair.UpstreamID]*announced
@@ -185,11 +187,12 @@
 		}
 		r.Alive = append(r.Alive, id)
 	}
+	slices.Sort(r.Alive)
 	if m.entry != nil && m.snapshot != nil {
 		r.Demands = m.entry.demands(m.snapshot, &m.holder, now)
 	}
 	m.due, m.reporting, m.sentAt = false, true, now
-	m.reporter.jobs <- r
+	m.reporter.jobs <- m.reports.Prepare(r)
 }
 
 // reported takes over the leader's reply to the last report.
@@ -207,6 +210,11 @@
 		m.connected = true
 		m.log.Info("control reached", "term", e.reply.Term)
 	}
+	grants, ok := m.reports.Take(e.reply)
+	if !ok {
+		m.reportSoon()
+		return
+	}
 	before := m.snapshot
 	if err := m.adopt(e.reply); err != nil {
 		m.log.Warn("snapshot rejected", "err", err)
@@ -215,7 +223,7 @@
 	if d := e.sent.Add(e.reply.ControlTTLMs.Duration()); d.After(m.controlDeadline) {
 		m.controlDeadline = d
 	}
-	m.holder.Apply(e.reply.Grants, e.sent, now)
+	m.holder.Apply(grants, e.sent, now)
 	m.resend(e.reply.Unknown)
 	if m.snapshot != before {
 		m.changed(before, now)
--- a/instance/replica.go
+++ b/instance/replica.go
@@ -79,6 +79,7 @@
 	registry  *control.Registry
 	publisher *control.Publisher
 	allocator *control.Allocator
+	reports   *control.ReportReceiver
 	// limited is the snapshot from which the budgets' limits were derived.
 	limited *azurestair.Snapshot
 }
@@ -360,6 +361,7 @@
 		r.registry = &control.Registry{}
 		r.publisher = &control.Publisher{}
 		r.allocator = &control.Allocator{}
+		r.reports = &control.ReportReceiver{}
 		if r.state.Config().Version == 0 {
 			// Without a configuration no predecessor can have listed or leased anything.
 			held = &azurestair.Snapshot{}
@@ -430,6 +432,10 @@
 	if r.leading != r.node.Status().Term {
 		return reply, fmt.Errorf("%w: the leader is starting", azurestair.ErrNoQuorum)
 	}
+	q, known := r.reports.Expand(q)
+	if !known {
+		return azurestair.ReportReply{Term: r.leading, Resend: true}, nil
+	}
 	if q.Leaving {
 		r.registry.InstanceLeaving(q.Instance.ID, now)
 		r.allocator.Leave(q.Instance.ID)
@@ -443,7 +449,7 @@
 	}
 	reply.Unknown = r.registry.Alive(q.Alive, now)
 	r.publish(now)
-	reply.Grants = r.allocator.Demand(q.Instance.ID, q.Instance.Incarnation, q.Demands, now)
+	r.reports.Shorten(q, r.allocator.Demand(q.Instance.ID, q.Instance.Incarnation, q.Demands, now), &reply)
 	reply.Term = r.leading
 	reply.ControlTTLMs = controlTTL
 	reply.Delta, reply.Snapshot = r.publisher.Delta(q.HeldTerm, q.HeldRevision)
--- a/peer/conns.go
+++ b/peer/conns.go
@@ -64,6 +64,11 @@
 	return cc, nil
 }
 
+// windowBytes is the fixed flow-control window of a stream and a connection.
+// With a fixed one, gRPC does not probe for a larger one with pings beside the
+// messages, which an idle instance would pay for.
+const windowBytes = 1 << 20
+
 func (c *Conns) options() []grpc.DialOption {
 	creds := insecure.NewCredentials()
 	if c.tls != nil {
@@ -73,6 +78,8 @@
 		grpc.WithTransportCredentials(creds),
 		grpc.WithContextDialer(c.dial),
 		grpc.WithDisableServiceConfig(),
+		grpc.WithInitialWindowSize(windowBytes),
+		grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithNoProxy(),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
--- a/peer/server.go
+++ b/peer/server.go
@@ -50,6 +50,8 @@
 		grpc.ForceServerCodec(Codec{}),
 		grpc.MaxRecvMsgSize(MaxMessageBytes),
 		grpc.MaxConcurrentStreams(4096),
+		grpc.InitialWindowSize(windowBytes),
+		grpc.InitialConnWindowSize(windowBytes),
 		grpc.ConnectionTimeout(5 * time.Second),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 20 * time.Second, Timeout: 5 * time.Second}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}),
