--- a/instance/entry.go
+++ b/instance/entry.go
@@ -148,8 +148,9 @@
 				continue
 			}
 			used := int64(use.inFlight[r.Name])
-			out = append(out, remoteDemand(h, name, r.Name, used, int64(overflow)))
 			shift := azurestair.Resource{Kind: azurestair.ResourceShift, Service: name, Region: r.Name}
+			mayShift := v.leases.Limit(shift, now)
+			out = append(out, remoteDemand(h, name, r.Name, used, min(int64(overflow), max(0, mayShift-used))))
 			out = append(out, h.Demand(shift, used, used+int64(overflow)))
 		}
 	}
@@ -169,8 +170,9 @@
 	return h.Demand(r, int64(used), want)
 }
 
-// remoteDemand asks for slots of another region without a margin: what an entry
-// holds there and does not use, the entries of that region have to shift away.
+// remoteDemand asks for slots of another region without a margin, and the
+// caller asks for no more than it may shift: what an entry holds there and
+// does not use is lost to the entries of that region.
 func remoteDemand(h *control.Holder, s azurestair.ServiceName, region azurestair.RegionName, used, more int64) azurestair.Demand {
 	d := h.Demand(azurestair.Resource{Kind: azurestair.ResourceSlots, Service: s, Region: region}, used, used+more)
 	d.Remote = true
--- a/instance/process.go
+++ b/instance/process.go
@@ -216,6 +216,9 @@
 	}
 	p.controller = newController(p.options.Clock, p.log, member, p.transport)
 	p.reporter.post = p.post
+	if p.transport != nil {
+		p.reporter.leader = localFirst{local: p.controller, remote: p.client}
+	}
 	if err := p.startReplica(); err != nil {
 		cancel()
 		return err
--- a/instance/reporter.go
+++ b/instance/reporter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"azurestair.example/azurestair"
@@ -34,6 +35,21 @@
 	}
 }
 
+// localFirst reports to this instance while it is the leader, and otherwise
+// over the network.
+type localFirst struct {
+	local, remote azurestair.Reporter
+}
+
+// Report exchanges a report for the leader's reply.
+func (l localFirst) Report(ctx context.Context, q azurestair.Report) (azurestair.ReportReply, error) {
+	reply, err := l.local.Report(ctx, q)
+	if errors.Is(err, azurestair.ErrNotLeader) {
+		return l.remote.Report(ctx, q)
+	}
+	return reply, err
+}
+
 func (r *reporter) exchange(ctx context.Context, q azurestair.Report) reportedEvent {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
--- a/load/client.go
+++ b/load/client.go
@@ -10,6 +10,7 @@
 	"net/textproto"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +41,19 @@
 	// prefix makes the keys of this requester unique; sent numbers them.
 	prefix string
 	sent   atomic.Int64
+
+	mu sync.Mutex
+	// reasons counts what was not done by its reason.
+	reasons map[azurestair.Reason]int
+}
+
+func (r *requester) count(reason azurestair.Reason) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.reasons == nil {
+		r.reasons = map[azurestair.Reason]int{}
+	}
+	r.reasons[reason]++
 }
 
 // Send sends request i.
@@ -62,12 +76,17 @@
 	}
 	resp, err := r.http.Do(q)
 	if err != nil {
+		r.count("transport")
 		return Failed
 	}
 	defer resp.Body.Close() //nolint:errcheck // the body was read
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		r.count("transport")
 		return Failed
 	}
+	if reason := resp.Header.Get(caller.HeaderReason); reason != "" {
+		r.count(azurestair.Reason(reason))
+	}
 	switch azurestair.Outcome(resp.Header.Get(caller.HeaderOutcome)) {
 	case azurestair.OutcomeDone:
 		return Answered
--- a/load/control.go
+++ b/load/control.go
@@ -280,6 +280,7 @@
 	err = r.acceptedAgain(ctx, via, trial)
 	took := time.Since(started)
 	<-ended
+	r.noteReasons(fmt.Sprintf("idempotent, kill %d", trial+1), steady)
 	if err != nil {
 		return took, sample, err
 	}
--- a/load/run.go
+++ b/load/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"slices"
@@ -139,6 +140,17 @@
 	})
 }
 
+// noteReasons records why requests of a sender were not done.
+func (r *run) noteReasons(name string, to Sender) {
+	q, ok := to.(*requester)
+	if !ok {
+		return
+	}
+	for _, reason := range slices.Sorted(maps.Keys(q.reasons)) {
+		r.note(name+" not done: "+string(reason), float64(q.reasons[reason]), "")
+	}
+}
+
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 func micros(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
--- a/load/scenarios.go
+++ b/load/scenarios.go
@@ -120,6 +120,7 @@
 		r.note(name+" done", float64(f.sample.Throughput()), "1/s")
 		r.note(name+" failed or unknown", f.sample.Share(Failed)*100, "%")
 		r.note(name+" not sent", float64(f.sample.Skipped()), "")
+		r.noteReasons(name, f.to)
 	}
 	return flows
 }
@@ -169,6 +170,7 @@
 	r.together(ctx, beside, flood)
 	r.note("others done alone", float64(alone.Throughput()), "1/s")
 	r.note("others done beside", float64(beside.sample.Throughput()), "1/s")
+	r.noteReasons("others", modest)
 	r.note("greedy offered", float64(flood.rate), "1/s")
 	r.note("greedy done", float64(flood.sample.Throughput()), "1/s")
 	loss := 1 - float64(beside.sample.Count(Answered))/float64(max(1, alone.Count(Answered)))
--- a/load/schedule.go
+++ b/load/schedule.go
@@ -66,8 +66,10 @@
 	mu       sync.Mutex
 	verdicts [numVerdicts]int
 	skipped  int
+	// inWindow counts the answers that came before the schedule ended, and window is its length.
+	inWindow int
+	window   time.Duration
 	latency  *hdrhistogram.Histogram
-	took     time.Duration
 }
 
 // NewSample returns an empty sample.
@@ -116,11 +118,19 @@
 	return float64(s.verdicts[v]) / float64(max(1, total))
 }
 
-// Throughput returns the requests done in a second.
+// Throughput returns the requests answered in a second while the schedule
+// lasted. Answers that came from a queue after its end do not count.
 func (s *Sample) Throughput() Rate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Rate(float64(s.verdicts[Answered]) / max(s.took.Seconds(), 1e-9))
+	return Rate(float64(s.inWindow) / max(s.window.Seconds(), 1e-9))
+}
+
+// answerInWindow counts an answer that came while the schedule lasted.
+func (s *Sample) answerInWindow() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inWindow++
 }
 
 // Quantile returns a quantile of the latency of the requests done; q is in percent.
@@ -139,6 +149,9 @@
 	var wg sync.WaitGroup
 	open := make(chan struct{}, maxOpen)
 	start := time.Now()
+	into.mu.Lock()
+	into.window = s.Duration
+	into.mu.Unlock()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for i := range s.Count() {
@@ -159,12 +172,9 @@
 			into.skip()
 			continue
 		}
-		a := arrival{to: to, index: i, due: due, into: into, open: open}
+		a := arrival{to: to, index: i, due: due, end: start.Add(s.Duration), into: into, open: open}
 		wg.Go(func() { a.run(ctx) })
 	}
-	into.mu.Lock()
-	into.took = time.Since(start)
-	into.mu.Unlock()
 	wg.Wait()
 }
 
@@ -173,12 +183,17 @@
 	to    Sender
 	index int
 	due   time.Time
+	end   time.Time
 	into  *Sample
 	open  <-chan struct{}
 }
 
 func (a arrival) run(ctx context.Context) {
 	v := a.to.Send(ctx, a.index)
-	a.into.add(v, time.Since(a.due))
+	now := time.Now()
+	a.into.add(v, now.Sub(a.due))
+	if v == Answered && now.Before(a.end) {
+		a.into.answerInWindow()
+	}
 	<-a.open
 }
