--- /dev/null
+++ b/caller/caller_test.go
@@ -0,0 +1,31 @@
+package caller
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"azurestair.example/azurestair"
+)
+
+func TestCaller(t *testing.T) {
+	RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "caller")
+}
+
+// Guards against a caller that gets the shares of many by using many addresses of its block.
+var _ = ginkgo.DescribeTable("a request without a caller's name counts for its client block",
+	func(remote, name string, want azurestair.CallerID) {
+		q := httptest.NewRequest("GET", "/v1/request/a/b", nil)
+		q.RemoteAddr = remote
+		r := &Request{Caller: azurestair.CallerID(name)}
+		Expect((&handler{}).parseCaller(q, r)).To(Succeed())
+		Expect(r.Caller).To(Equal(want))
+	},
+	ginkgo.Entry("IPv4", "10.1.2.3:4", "", azurestair.CallerID("10.1.2.0/24")),
+	ginkgo.Entry("IPv4 in IPv6", "[::ffff:10.1.2.9]:4", "", azurestair.CallerID("10.1.2.0/24")),
+	ginkgo.Entry("IPv6", "[2001:db8:1:2::3]:4", "", azurestair.CallerID("2001:db8:1::/48")),
+	ginkgo.Entry("name", "10.1.2.3:4", "shop", azurestair.CallerID("shop")),
+)
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -159,7 +159,8 @@
 	if err != nil {
 		return fmt.Errorf("%w: remote address %q", azurestair.ErrInvalid, q.RemoteAddr)
 	}
-	r.Caller = azurestair.CallerID(ap.Addr().Unmap().String())
+	// A block, since one IPv6 caller has more addresses than it needs to look like many.
+	r.Caller = azurestair.CallerID(azurestair.BlockOf(ap.Addr()).String())
 	return nil
 }
 
--- a/instance/reason_test.go
+++ b/instance/reason_test.go
@@ -13,7 +13,9 @@
 
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/caller"
+	"azurestair.example/azurestair/control"
 	"azurestair.example/azurestair/operator"
+	"azurestair.example/azurestair/routing"
 )
 
 // expectEverywhere sends a request to an entry with a view and expects the same
@@ -52,3 +54,29 @@
 	ginkgo.Entry("unknown operation", &view{snapshot: &azurestair.Snapshot{Config: &azurestair.Config{Version: 1}}},
 		"/v1/request/a/b", nil, azurestair.ReasonUnknownOperation),
 )
+
+// Guards against a lack of link bandwidth that reads as a shift cap, and the reverse.
+var _ = ginkgo.DescribeTable("a refused shift names the budget that is used up",
+	func(used, link int64, want azurestair.Reason) {
+		clock := &fixedClock{now: time.Unix(1_700_000_000, 0)}
+		v := &view{snapshot: &azurestair.Snapshot{Config: &azurestair.Config{
+			Regions: []azurestair.Region{{Name: "kigali"}, {Name: "huye"}},
+			Links:   []azurestair.Link{{From: "kigali", To: "huye", LimitBs: 10}},
+		}}, leases: control.Leases{
+			{Kind: azurestair.ResourceSlots, Service: "catalogue", Region: "huye"}: {Floor: 5},
+			{Kind: azurestair.ResourceShift, Service: "catalogue", Region: "huye"}: {Floor: 5},
+			linkOf("kigali", "huye"): {Floor: link},
+		}}
+		e := &Entry{clock: clock, self: azurestair.InstanceInfo{Region: "kigali"}}
+		e.links = &links{entry: e}
+		e.view.Store(v)
+		g := newGate(clock, nil, nil, nil)
+		g.inFlight["huye"] = azurestair.Slots(used)
+		c := &call{entry: e, gate: g, work: azurestair.Work{Service: "catalogue"}}
+		Expect(c.pickReason(&routing.PickError{Reason: azurestair.ReasonShiftCap})).To(Equal(want))
+		Expect(c.pickReason(&routing.PickError{Reason: azurestair.ReasonNoUpstream})).To(Equal(azurestair.ReasonNoUpstream))
+	},
+	ginkgo.Entry("no link budget", int64(0), int64(0), azurestair.ReasonLinkBudget),
+	ginkgo.Entry("link budget left", int64(0), int64(10), azurestair.ReasonShiftCap),
+	ginkgo.Entry("at the cap", int64(5), int64(0), azurestair.ReasonShiftCap),
+)
