--- a/instance/suite_test.go
+++ b/instance/suite_test.go
@@ -38,6 +38,7 @@
 	e.gates.Store(&gates)
 	m := newMember(azurestair.InstanceInfo{ID: "entry-1"}, e, nil, slog.New(slog.DiscardHandler))
 	m.snapshot = &azurestair.Snapshot{Term: 2, Revision: 1, Config: &azurestair.Config{Version: 1}}
+	m.term = m.snapshot.Term
 	return m, p
 }
 
