--- a/try/run.go
+++ b/try/run.go
@@ -148,19 +148,18 @@
 	return nil
 }
 
-// areLeased reports whether the entry may use slots of every service and region.
+// areLeased reports whether the entry may use slots of every service. Slots of
+// another region are leased only when they are wanted.
 func areLeased(budgets []operator.Budget) bool {
-	n := 0
+	leased := map[azurestair.ServiceName]bool{}
 	for _, b := range budgets {
-		if !strings.HasPrefix(b.Resource, string(azurestair.ResourceSlots)+":") {
-			continue
+		name, ok := strings.CutPrefix(b.Resource, string(azurestair.ResourceSlots)+":")
+		service, _, _ := strings.Cut(name, "@")
+		if ok && b.Leased && b.Usable > 0 {
+			leased[azurestair.ServiceName(service)] = true
 		}
-		if !b.Leased || b.Usable == 0 {
-			return false
-		}
-		n++
 	}
-	return n > 0
+	return leased[serviceCatalogue] && leased[servicePayment]
 }
 
 // pollEvery is how often a condition is looked at again.
