--- a/faults/fleet_test.go
+++ b/faults/fleet_test.go
@@ -94,11 +94,19 @@
 			}
 		}
 		n.writeSettings(f.voters())
-		if n.control {
-			n.init()
-		}
-		n.start()
 	}
+	// Each waits for syncs of its own, which take long on a busy disk.
+	var wg sync.WaitGroup
+	for _, n := range f.nodes {
+		wg.Go(func() {
+			defer GinkgoRecover()
+			if n.control {
+				n.init()
+			}
+			n.start()
+		})
+	}
+	wg.Wait()
 }
 
 // relay starts a relay that ends with the fleet.
