--- a/instance/member.go
+++ b/instance/member.go
@@ -1,7 +1,9 @@
 package instance
 
 import (
+	"fmt"
 	"log/slog"
+	"slices"
 	"time"
 
 	"azurestair.example/azurestair"
@@ -27,9 +29,12 @@
 	entry    *Entry
 	reporter *reporter
 
-	snapshot        *azurestair.Snapshot
+	snapshot *azurestair.Snapshot
+	// term is the newest term of a leader whose reply was taken over.
+	term            azurestair.Term
 	controlDeadline time.Time
 	holder          control.Holder
+	reports         control.ReportSender
 	table           *lookup.Table
 	tableDone       bool
 	announced       map[azurestair.UpstreamID]*announced
@@ -108,7 +113,8 @@
 
 // isNews reports whether an announcement should reach the leader at once.
 func isNews(old, a azurestair.Announcement) bool {
-	return old.Incarnation != a.Incarnation || old.State != a.State || old.Addr != a.Addr || old.Slots != a.Slots
+	a.Sequence, a.Load = old.Sequence, old.Load
+	return a != old
 }
 
 // settle sends a report when one is due and keeps the published view up to date.
@@ -190,11 +196,12 @@
 		}
 		r.Alive = append(r.Alive, id)
 	}
+	slices.Sort(r.Alive)
 	if m.entry != nil && m.snapshot != nil {
 		r.Demands = m.entry.demands(m.snapshot, &m.holder, now)
 	}
 	m.due, m.reporting, m.sentAt = false, true, now
-	m.reporter.jobs <- r
+	m.reporter.jobs <- m.reports.Prepare(r)
 }
 
 // reported takes over the leader's reply to the last report.
@@ -212,6 +219,11 @@
 		m.connected = true
 		m.log.Info("control reached", "term", e.reply.Term)
 	}
+	grants, ok := m.reports.Take(e.reply)
+	if !ok {
+		m.reportSoon()
+		return
+	}
 	before := m.snapshot
 	if err := m.adopt(e.reply); err != nil {
 		m.log.Warn("snapshot rejected", "err", err)
@@ -220,13 +232,12 @@
 	if d := e.sent.Add(e.reply.ControlTTLMs.Duration()); d.After(m.controlDeadline) {
 		m.controlDeadline = d
 	}
-	m.holder.Apply(e.reply.Grants, e.sent, now)
+	m.holder.Apply(grants, e.sent, now)
 	m.resend(e.reply.Unknown)
-	switch {
-	case m.snapshot != before:
+	if m.snapshot != before {
 		m.changed(before, now)
-	case m.entry != nil && m.snapshot != nil:
-		m.entry.heard(m.snapshot)
+	} else if m.entry != nil && m.snapshot != nil {
+		m.entry.contact(m.snapshot)
 	}
 	m.publish(now)
 }
@@ -255,6 +266,9 @@
 // adopt takes over the snapshot or delta of a reply. An older configuration
 // than the one in force is never taken over.
 func (m *Member) adopt(reply azurestair.ReportReply) error {
+	if reply.Term < m.term {
+		return fmt.Errorf("%w: reply of term %d after one of term %d", azurestair.ErrConflict, reply.Term, m.term)
+	}
 	next := reply.Snapshot
 	if reply.Delta != nil {
 		if m.snapshot == nil || m.snapshot.Term != reply.Term {
@@ -268,13 +282,16 @@
 		}
 		next = s
 	}
-	if next == nil {
+	switch {
+	case next == nil:
+		m.term = reply.Term
 		return nil
-	}
-	if next.ConfigVersion() < m.snapshot.ConfigVersion() || (m.snapshot != nil && next.Term < m.snapshot.Term) {
+	case next.Config == nil:
+		return fmt.Errorf("%w: snapshot without configuration", azurestair.ErrInvalid)
+	case next.ConfigVersion() < m.snapshot.ConfigVersion() || next.Term < m.term:
 		return azurestair.ErrConflict
 	}
-	m.snapshot = next
+	m.snapshot, m.term = next, reply.Term
 	return nil
 }
 
--- a/peer/client.go
+++ b/peer/client.go
@@ -63,6 +63,14 @@
 	return res, err
 }
 
+// QueryAt reads what one instance has applied, whether or not it leads.
+func (c *Client) QueryAt(ctx context.Context, to Address, q control.Query) (control.QueryResult, error) {
+	var res control.QueryResult
+	q.Local = true
+	err := c.tryOnce(ctx, to, methodQuery, &q, &res)
+	return res, err
+}
+
 // QueryClaim reads the ledger at the leader.
 func (c *Client) QueryClaim(ctx context.Context, q azurestair.ClaimQuery) (azurestair.ClaimStatus, error) {
 	res, err := c.Query(ctx, control.Query{Claim: &q})
@@ -159,13 +167,18 @@
 }
 
 func (c *Client) call(ctx context.Context, to Address, method string, q, a any) error {
-	cc, err := c.conns.get(to.ID, to.Addr)
+	cn, err := c.conns.get(to.ID, to.Addr)
 	if err != nil {
 		return err
 	}
-	err = cc.Invoke(ctx, method, q, a, grpc.WaitForReady(false))
-	if status.Code(err) == codes.DeadlineExceeded {
-		c.conns.drop(to.ID, cc)
+	before := cn.answers.Load()
+	err = cn.cc.Invoke(ctx, method, q, a, grpc.WaitForReady(false))
+	switch code := status.Code(err); {
+	case code == codes.OK || code == codes.FailedPrecondition:
+		cn.answers.Add(1)
+	case code == codes.DeadlineExceeded && cn.answers.Load() == before:
+		// Nothing came back meanwhile; otherwise only this call was slow.
+		c.conns.drop(to.ID, cn)
 	}
 	return fromStatus(err)
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -50,6 +50,8 @@
 		grpc.ForceServerCodec(Codec{}),
 		grpc.MaxRecvMsgSize(MaxMessageBytes),
 		grpc.MaxConcurrentStreams(4096),
+		grpc.InitialWindowSize(windowBytes),
+		grpc.InitialConnWindowSize(windowBytes),
 		grpc.ConnectionTimeout(5 * time.Second),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 20 * time.Second, Timeout: 5 * time.Second}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}),
@@ -95,8 +97,12 @@
 // unary adapts a method of Handler to gRPC's form.
 func unary[Q, A any](call func(Handler, context.Context, Q) (A, error)) grpc.MethodHandler {
 	return func(srv any, ctx context.Context, dec func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+		var data raw
+		if err := dec(&data); err != nil {
+			return nil, err
+		}
 		q := new(Q)
-		if err := dec(q); err != nil {
+		if err := (Codec{}).Unmarshal(data, q); err != nil {
 			return nil, toStatus(err)
 		}
 		a, err := call(srv.(Handler), ctx, *q)
