--- a/operator/handler_test.go
+++ b/operator/handler_test.go
@@ -112,7 +112,7 @@
 	It("needs a token on every path but health, readiness and metrics", func() {
 		for _, t := range []string{"", "secret", "Bearer", "Bearer ", "Bearer wrong", "bearer secret", "Basic secret", "Bearer secret2"} {
 			for path, method := range map[string]string{
-				"/v1/config": "PUT", "/v1/config/history": "GET", "/v1/drain": "POST", "/v1/undrain": "POST", "/v1/status": "GET", "/v1/audit": "GET",
+				"/v1/config": "PUT", "/v1/config/history": "GET", "/v1/drain": "POST", "/v1/undrain": "POST", "/v1/members": "POST", "/v1/status": "GET", "/v1/audit": "GET",
 			} {
 				status, body := call(method, path, t, change("c1", 0, config))
 				Expect([]any{status, body}).To(Equal([]any{401, `{"error":"unauthorized"}`}), t+path)
@@ -149,6 +149,8 @@
 		Entry("drain without target", "POST", "/v1/drain", `{"changeId":"d1","reason":"x"}`, 400),
 		Entry("drain of a bad kind", "POST", "/v1/undrain", strings.Replace(drain, "upstream", "service", 1), 400),
 		Entry("drain without reason", "POST", "/v1/drain", strings.Replace(drain, "disk", " ", 1), 400),
+		Entry("member without action", "POST", "/v1/members", `{"changeId":"m1","reason":"x","instance":"c4"}`, 400),
+		Entry("member without instance", "POST", "/v1/members", `{"changeId":"m1","reason":"x","action":"promote"}`, 400),
 		Entry("audit limit", "GET", "/v1/audit?limit=-1", "", 400), Entry("audit time", "GET", "/v1/audit?from=yesterday", "", 400),
 		Entry("audit overflow", "GET", "/v1/audit?to=9223372036854775808", "", 400),
 	)
