--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"net/http"
 	"net/http/httptest"
 
 	"github.com/onsi/ginkgo/v2"
@@ -12,7 +13,7 @@
 // Guards against a caller that gets the shares of many by using many addresses of its block.
 var _ = ginkgo.DescribeTable("a request without a caller's name counts for its client block",
 	func(remote, name string, want azurestair.CallerID) {
-		q := httptest.NewRequest("GET", "/v1/request/a/b", nil)
+		q := httptest.NewRequest(http.MethodGet, "/v1/request/a/b", nil)
 		q.RemoteAddr = remote
 		r := &Request{Caller: azurestair.CallerID(name)}
 		Expect((&handler{}).parseCaller(q, r)).To(Succeed())
