--- a/instance/backend.go
+++ b/instance/backend.go
@@ -122,5 +122,6 @@
 		AnnounceEveryMs: azurestair.MillisOf(upstream.AnnounceEvery),
 		LeaseMs:         azurestair.MillisOf(control.UpstreamLease),
 		Entries:         a.p.entry.announceOrder(an.Upstream),
+		Drained:         a.p.entry.isDrained(an),
 	}, nil
 }
--- a/instance/entry.go
+++ b/instance/entry.go
@@ -267,6 +267,13 @@
 	return out
 }
 
+// isDrained reports whether an operator has drained the upstream.
+func (e *Entry) isDrained(a azurestair.Announcement) bool {
+	v := e.view.Load()
+	return v != nil && (v.snapshot.IsDrained(azurestair.TargetUpstream, string(a.Upstream)) ||
+		v.snapshot.IsDrained(azurestair.TargetFailureDomain, string(a.FailureDomain)))
+}
+
 // close waits for the gates to end; the context given to newEntry has ended.
 func (e *Entry) close() {
 	e.wg.Wait()
--- a/stub/announce.go
+++ b/stub/announce.go
@@ -41,7 +41,7 @@
 	for range entries {
 		reply, err := u.announce(ctx, client, entries[*next%len(entries)])
 		if err == nil {
-			u.learn(reply.Entries)
+			u.learn(reply)
 			return reply.AnnounceEveryMs.Duration()
 		}
 		*next++
@@ -64,13 +64,13 @@
 	return u.entries
 }
 
-func (u *Upstream) learn(entries []string) {
-	if len(entries) == 0 {
-		return
-	}
+func (u *Upstream) learn(reply upstream.AnnounceReply) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.entries = entries
+	u.drained = reply.Drained
+	if len(reply.Entries) > 0 {
+		u.entries = reply.Entries
+	}
 }
 
 func (u *Upstream) announcement() azurestair.Announcement {
--- a/stub/upstream.go
+++ b/stub/upstream.go
@@ -59,6 +59,8 @@
 	accepted    int
 	serviceTime time.Duration
 	silent      bool
+	// drained is true while an operator has drained the stub.
+	drained bool
 }
 
 // Start listens and begins to announce the stub.
@@ -203,7 +205,7 @@
 	w.Header().Set(upstream.HeaderRequest, id)
 	w.Header().Set(HeaderUpstream, string(u.opts.ID))
 	u.mu.Lock()
-	w.Header().Set(upstream.HeaderState, string(u.state))
+	w.Header().Set(upstream.HeaderState, string(u.answeredState()))
 	u.mu.Unlock()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -233,6 +235,14 @@
 	_, _ = w.Write(body)
 }
 
+// answeredState is the state that answers carry. The caller holds mu.
+func (u *Upstream) answeredState() azurestair.UpstreamState {
+	if u.drained && u.state == azurestair.StateServing {
+		return azurestair.StateDraining
+	}
+	return u.state
+}
+
 func (u *Upstream) work(ctx context.Context, testID string) {
 	u.mu.Lock()
 	u.inFlight++
--- a/upstream/announce.go
+++ b/upstream/announce.go
@@ -19,6 +19,9 @@
 type AnnounceReply struct {
 	AnnounceEveryMs azurestair.Millis `json:"announceEveryMs"`
 	LeaseMs         azurestair.Millis `json:"leaseMs"`
+	// Drained is true while an operator has drained the upstream. It then says
+	// so in its answers, which also reach entries that have lost control.
+	Drained bool `json:"drained,omitempty"`
 	// Entries lists where upstreams may announce themselves.
 	Entries []string `json:"entries"`
 }
