--- a/control/allocator.go
+++ b/control/allocator.go
@@ -321,10 +321,7 @@
 // more, the part that keeps it warm. It falls by at most half at a time.
 func (b *budget) target(s *share) int64 {
 	fair := min(s.need(b.floorOf(s)), s.level)
-	if s.remote {
-		return max(fair, min(s.last, s.held)/2)
-	}
-	return max(fair, b.warm, min(s.last, s.held)/2)
+	return max(fair, need{remote: s.remote}.keptWarm(b.warm), min(s.last, s.held)/2)
 }
 
 // total returns what leases and floors may add up to now.
@@ -441,11 +438,23 @@
 	remote bool
 }
 
+// remoteWarm is up to what a remote holder is kept warm: enough to start a
+// shift without waiting, and soon given back.
+const remoteWarm = 1
+
+// keptWarm returns the part of an amount kept warm that the holder gets.
+func (n need) keptWarm(warm int64) int64 {
+	if n.remote {
+		return min(warm, remoteWarm)
+	}
+	return warm
+}
+
 // levels returns the max-min fair level of the needs, the amount up to which
 // the rest of the pool keeps each holder warm, which is an equal share at
-// most, and how many holders may have one more than level. A remote holder is
-// not kept warm: it could use the amount within its shift budget only, and the
-// holders of the region would wait for a lease time to get it.
+// most, and how many holders may have one more than level. A remote holder gets
+// less: it could use the amount within its shift budget only, and the holders
+// of the region would wait for a lease time to get it.
 func levels(needs []need, pool, holders int64) (level, warm, rest int64) {
 	if len(needs) == 0 || holders <= 0 {
 		return pool, 0, 0
@@ -454,10 +463,7 @@
 		sum := int64(0)
 		for _, n := range needs {
 			amount := min(n.amount, level)
-			if !n.remote {
-				amount = max(amount, warm)
-			}
-			sum += amount
+			sum += max(amount, n.keptWarm(warm))
 		}
 		return sum
 	}
--- a/instance/attempt.go
+++ b/instance/attempt.go
@@ -66,7 +66,7 @@
 // serve runs attempts one after the other, with at most one hedge beside the first.
 func (t *tries) serve(ctx context.Context) caller.Reply {
 	defer t.end()
-	if d, ok := t.begin(time.Time{}); !ok {
+	if d, ok := t.beginFirst(ctx); !ok {
 		return t.finish(d)
 	}
 	hedge, stop := t.hedgeTimer()
@@ -109,6 +109,25 @@
 	if err != nil {
 		return t.req.Refuse(c.pickReason(err)), false
 	}
+	return t.start(choice, sameAt)
+}
+
+// beginFirst starts the first attempt of an admitted request. It waits for a
+// slot as long as the caller can still be told of a refusal in time.
+func (t *tries) beginFirst(ctx context.Context) (retry.Decision, bool) {
+	c := t.call
+	ctx, cancel := context.WithDeadline(ctx, c.work.Deadline.Add(-answerReserve))
+	defer cancel()
+	choice, err := c.gate.pickWhenFree(ctx, c.work, nil)
+	if err != nil {
+		return t.req.Refuse(c.pickReason(err)), false
+	}
+	return t.start(choice, time.Time{})
+}
+
+// start sends an attempt to the chosen upstream.
+func (t *tries) start(choice azurestair.Choice, sameAt time.Time) (retry.Decision, bool) {
+	c := t.call
 	now := c.entry.clock.Now()
 	tryCtx, cancel := context.WithCancel(c.entry.ctx)
 	body, n := c.attemptBody()
--- a/instance/gate.go
+++ b/instance/gate.go
@@ -37,6 +37,8 @@
 
 	// wake makes run look at the next deadline again.
 	wake chan struct{}
+	// freed is closed and replaced when a slot may have become free.
+	freed chan struct{}
 }
 
 // lateSlot is the slot of an attempt that was cut off.
@@ -199,6 +201,41 @@
 	return c, nil
 }
 
+// pickWhenFree waits until an upstream can be picked within the caps, or ctx
+// ends. Hedges and retries take slots beside the admitted requests, so that
+// one may find none although it was admitted.
+func (g *gate) pickWhenFree(ctx context.Context, w azurestair.Work, avoid []azurestair.UpstreamID) (azurestair.Choice, error) {
+	for {
+		freed := g.nextFreed()
+		c, err := g.pick(w, avoid)
+		if err == nil || routing.ReasonOf(err) != azurestair.ReasonShiftCap {
+			return c, err
+		}
+		select {
+		case <-freed:
+		case <-ctx.Done():
+			return c, err
+		}
+	}
+}
+
+func (g *gate) nextFreed() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.freed == nil {
+		g.freed = make(chan struct{})
+	}
+	return g.freed
+}
+
+// signalFreed lets the waiting picks try again. The caller holds mu.
+func (g *gate) signalFreed() {
+	if g.freed != nil {
+		close(g.freed)
+		g.freed = nil
+	}
+}
+
 // done ends an attempt; the slot of one that timed out stays busy for a while.
 func (g *gate) done(c azurestair.Choice, r azurestair.AttemptResult, latency time.Duration) {
 	g.mu.Lock()
@@ -209,6 +246,7 @@
 		g.latency.Observe(latency)
 	}
 	g.free(c, r == azurestair.AttemptTimeout, now)
+	g.signalFreed()
 }
 
 // abandon ends an attempt whose outcome says nothing about the upstream.
@@ -222,6 +260,7 @@
 		g.picker.Done(c, azurestair.AttemptDone, elapsed, now)
 	}
 	g.free(c, sent, now)
+	g.signalFreed()
 }
 
 // free ends the count of an attempt, at once or after the bound for one that
@@ -315,6 +354,7 @@
 func (g *gate) resize(now time.Time) {
 	g.admitter.SetSlots(max(0, g.slots-azurestair.Slots(len(g.late))), now)
 	g.dispatch(now)
+	g.signalFreed()
 }
 
 // usage is what a gate uses and has waiting.
