--- /dev/null
+++ b/control/scale_bench_test.go
@@ -0,0 +1,172 @@
+package control_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/control"
+)
+
+// scaled is a leader's soft state at a size.
+type scaled struct {
+	registry  control.Registry
+	publisher control.Publisher
+	allocator control.Allocator
+	receiver  control.ReportReceiver
+	source    control.Source
+	senders   []control.ReportSender
+	reports   []azurestair.Report
+}
+
+// scaleServices, scaleRegions and scaleDomains are those of the expected scale.
+const (
+	scaleServices = 3
+	scaleRegions  = 4
+	scaleDomains  = 13
+)
+
+func scalePlace(i int) (azurestair.RegionName, azurestair.FailureDomainName) {
+	d := i % scaleDomains
+	return azurestair.RegionName(fmt.Sprintf("region-%d", d%scaleRegions)), azurestair.FailureDomainName(fmt.Sprintf("domain-%d", d))
+}
+
+func scaleConfig(version azurestair.ConfigVersion) *azurestair.Config {
+	c := &azurestair.Config{Version: version}
+	for i := range scaleServices {
+		c.Services = append(c.Services, azurestair.Service{
+			Name:       azurestair.ServiceName(fmt.Sprintf("service-%d", i)),
+			Operations: []azurestair.Operation{{Name: "read", Rank: azurestair.RankInteractive, Idempotent: true, TimeoutMs: 1000}},
+		})
+	}
+	for i := range scaleRegions {
+		c.Regions = append(c.Regions, azurestair.Region{Name: azurestair.RegionName(fmt.Sprintf("region-%d", i))})
+	}
+	for i := range scaleDomains {
+		region, domain := scalePlace(i)
+		for j := range c.Regions {
+			if c.Regions[j].Name == region {
+				c.Regions[j].FailureDomains = append(c.Regions[j].FailureDomains, domain)
+			}
+		}
+	}
+	return c
+}
+
+func newScaled(instances, upstreams int) *scaled {
+	s := &scaled{allocator: control.Allocator{MaxHolders: instances + 1}}
+	s.registry.Seed(&azurestair.Snapshot{}, start)
+	for i := range upstreams {
+		region, domain := scalePlace(i)
+		_ = s.registry.Announce(azurestair.Announcement{
+			Upstream: azurestair.UpstreamID(fmt.Sprintf("upstream-%d", i)), Service: azurestair.ServiceName(fmt.Sprintf("service-%d", i%scaleServices)),
+			Addr: fmt.Sprintf("10.1.%d.%d:8080", i/250, i%250), Region: region, FailureDomain: domain, Slots: 9, MaxConns: 330,
+			State: azurestair.StateServing, Incarnation: 1, Sequence: 1,
+		}, start)
+	}
+	s.senders, s.reports = make([]control.ReportSender, instances), make([]azurestair.Report, instances)
+	for i := range instances {
+		region, domain := scalePlace(i)
+		info := azurestair.InstanceInfo{
+			ID: azurestair.InstanceID(fmt.Sprintf("entry-%d", i)), Incarnation: 1_790_000_000_000_000_000, Region: region, FailureDomain: domain,
+			CallerAddr: fmt.Sprintf("10.2.%d.%d:7111", i/250, i%250), UpstreamAddr: fmt.Sprintf("10.2.%d.%d:7112", i/250, i%250),
+			PeerAddr: fmt.Sprintf("10.2.%d.%d:7114", i/250, i%250), Ready: true, InForce: 1,
+		}
+		_ = s.registry.Instance(info, start)
+		r := azurestair.Report{Instance: info, HeldTerm: 1, HeldRevision: 1}
+		for n := i; n < upstreams; n += instances {
+			r.Alive = append(r.Alive, azurestair.UpstreamID(fmt.Sprintf("upstream-%d", n)))
+		}
+		for service := range scaleServices {
+			for to := range scaleRegions {
+				resource := azurestair.Resource{
+					Kind: azurestair.ResourceSlots, Service: azurestair.ServiceName(fmt.Sprintf("service-%d", service)),
+					Region: azurestair.RegionName(fmt.Sprintf("region-%d", to)),
+				}
+				shift := resource
+				shift.Kind = azurestair.ResourceShift
+				r.Demands = append(r.Demands, azurestair.Demand{Resource: resource}, azurestair.Demand{Resource: shift})
+			}
+		}
+		s.reports[i] = r
+	}
+	s.source = control.Source{Term: 1, Commit: 1, Config: scaleConfig(1), Registry: &s.registry}
+	snap, _ := s.publisher.Publish(s.source, start)
+	_ = s.allocator.SetLimits(control.Limits(snap.Config, nil, snap.Upstreams, instances+1), start)
+	return s
+}
+
+// exchange carries one report and its reply, as the leader and a watcher do.
+func (s *scaled) exchange(i int, now time.Time) (q azurestair.Report, reply azurestair.ReportReply) {
+	n := i % len(s.senders)
+	r := s.reports[n]
+	r.HeldRevision = s.publisher.Current().Revision
+	q = s.senders[n].Prepare(r)
+	whole, _ := s.receiver.Expand(q)
+	_ = s.registry.Instance(whole.Instance, now)
+	_ = s.registry.Alive(whole.Alive, now)
+	s.publisher.Publish(s.source, now)
+	s.receiver.Shorten(whole, s.allocator.Demand(whole.Instance.ID, whole.Instance.Incarnation, whole.Demands, now), &reply)
+	reply.Term, reply.ControlTTLMs = 1, 3000
+	s.senders[n].Take(reply)
+	return q, reply
+}
+
+func sizeOf(v any) float64 {
+	data, _ := cbor.Marshal(v)
+	return float64(len(data))
+}
+
+// BenchmarkScaleReport measures one idle report at the leader, with the sizes
+// of the first and of a repeated report with their replies, and of a snapshot.
+func BenchmarkScaleReport(b *testing.B) {
+	for _, size := range [][2]int{{7, 40}, {50, 40}, {50, 240}, {200, 240}, {690, 40}, {690, 240}} {
+		b.Run(fmt.Sprintf("instances=%d/upstreams=%d", size[0], size[1]), func(b *testing.B) {
+			s := newScaled(size[0], size[1])
+			first, firstReply := s.exchange(0, start)
+			i := 1
+			step := time.Second / time.Duration(size[0])
+			for ; i < 3*size[0]; i++ {
+				s.exchange(i, start.Add(time.Duration(i)*step))
+			}
+			var q azurestair.Report
+			var a azurestair.ReportReply
+			b.ReportAllocs()
+			for b.Loop() {
+				q, a = s.exchange(i, start.Add(time.Duration(i)*step))
+				i++
+			}
+			b.ReportMetric(sizeOf(first)+sizeOf(firstReply), "B/firstReport")
+			b.ReportMetric(sizeOf(q)+sizeOf(a), "B/report")
+			b.ReportMetric(sizeOf(s.publisher.Current()), "B/snapshot")
+		})
+	}
+}
+
+// BenchmarkScaleChange measures a configuration change at the leader with the
+// encoded delta for each watcher.
+func BenchmarkScaleChange(b *testing.B) {
+	for _, watchers := range []int{7, 50, 200, 690} {
+		b.Run(fmt.Sprintf("watchers=%d", watchers), func(b *testing.B) {
+			s := newScaled(watchers, 240)
+			version := azurestair.ConfigVersion(1)
+			size := 0.0
+			for b.Loop() {
+				version++
+				base := s.publisher.Current().Revision
+				s.source.Config = scaleConfig(version)
+				s.publisher.Publish(s.source, start)
+				for range watchers {
+					d, _ := s.publisher.Delta(1, base)
+					data, _ := cbor.Marshal(&azurestair.ReportReply{Term: 1, ControlTTLMs: 3000, Delta: d})
+					size = float64(len(data))
+				}
+			}
+			b.ReportMetric(size, "B/delta")
+			b.ReportMetric(size*float64(watchers), "B/change")
+		})
+	}
+}
--- a/lookup/table_test.go
+++ b/lookup/table_test.go
@@ -166,7 +166,7 @@
 }
 
 func BenchmarkBuild(b *testing.B) {
-	for _, n := range []int{7, 690} {
+	for _, n := range []int{7, 70, 690} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			whole, less := entries(n), entries(n-1)
 			t, _ := lookup.Build(nil, whole, 20)
