--- a/instance/attempt.go
+++ b/instance/attempt.go
@@ -66,7 +66,7 @@
 // serve runs attempts one after the other, with at most one hedge beside the first.
 func (t *tries) serve(ctx context.Context) caller.Reply {
 	defer t.end()
-	if d, ok := t.start(ctx, time.Time{}); !ok {
+	if d, ok := t.beginWhenFree(ctx, time.Time{}); !ok {
 		return t.finish(d)
 	}
 	hedge, stop := t.hedgeTimer()
@@ -98,30 +98,6 @@
 	}
 }
 
-// slotPoll is how often a request without a slot looks for one again.
-const slotPoll = 5 * time.Millisecond
-
-// start starts an attempt. A lease can shrink between the admission of a
-// request and its attempt, most of all when a new leader grants only floors;
-// then the request waits for a slot, since refusing admitted work would make a
-// planned change of the leader visible to callers.
-func (t *tries) start(ctx context.Context, sameAt time.Time) (retry.Decision, bool) {
-	until := t.call.work.Deadline.Add(-answerReserve)
-	ticker := time.NewTicker(slotPoll)
-	defer ticker.Stop()
-	for {
-		d, ok := t.begin(sameAt)
-		if ok || !t.call.gate.isOvercommitted() || !t.call.entry.clock.Now().Before(until) {
-			return d, ok
-		}
-		select {
-		case <-ctx.Done():
-			return d, false
-		case <-ticker.C:
-		}
-	}
-}
-
 // begin starts an attempt; without one it returns what the caller gets. An
 // upstream that was tried before gets it no sooner than sameAt.
 //
@@ -133,6 +109,25 @@
 	if err != nil {
 		return t.req.Refuse(c.pickReason(err)), false
 	}
+	return t.start(choice, sameAt)
+}
+
+// beginWhenFree starts an attempt of an admitted request. It waits for a slot
+// as long as the caller can still be told of a refusal in time.
+func (t *tries) beginWhenFree(ctx context.Context, sameAt time.Time) (retry.Decision, bool) {
+	c := t.call
+	ctx, cancel := context.WithDeadline(ctx, c.work.Deadline.Add(-answerReserve))
+	defer cancel()
+	choice, err := c.gate.pickWhenFree(ctx, c.work, t.req.Avoid())
+	if err != nil {
+		return t.req.Refuse(c.pickReason(err)), false
+	}
+	return t.start(choice, sameAt)
+}
+
+// start sends an attempt to the chosen upstream.
+func (t *tries) start(choice azurestair.Choice, sameAt time.Time) (retry.Decision, bool) {
+	c := t.call
 	now := c.entry.clock.Now()
 	tryCtx, cancel := context.WithCancel(c.entry.ctx)
 	body, n := c.attemptBody()
@@ -184,7 +179,7 @@
 		return t.req.Refuse(azurestair.ReasonDeadline), false
 	}
 	t.call.entry.metrics.retries.Inc(1)
-	return t.start(ctx, d.SameAt)
+	return t.beginWhenFree(ctx, d.SameAt)
 }
 
 func (t *tries) hedgeTimer() (<-chan time.Time, func()) {
