--- a/faults/connections_test.go
+++ b/faults/connections_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -28,6 +29,7 @@
 			idempotent := f.startTraffic(rng, "silent", silentWorkers, []kind{browse}, once)
 			keyed := f.startTraffic(rng, "keyed", 4, []kind{engrave, pay}, f.throughAll())
 			idempotent.more(400)
+			f.fillPools()
 			before := idempotent.count()
 			for _, r := range f.relays {
 				r.Silence()
@@ -56,6 +58,23 @@
 	})
 })
 
+// pooled is the number of requests at one entry that fill its connection pools.
+const pooled = 40
+
+// fillPools has every entry open several connections to each upstream, all of
+// which are idle afterwards.
+func (f *fleet) fillPools() {
+	f.setServiceTime(catalogue, 100*time.Millisecond)
+	var all []*traffic
+	for _, n := range f.nodes {
+		all = append(all, f.sendAll(n, browse, "pool-"+string(n.id), pooled))
+	}
+	for _, t := range all {
+		t.wait()
+	}
+	f.setServiceTime(catalogue, 2*time.Millisecond)
+}
+
 // wrongAnswers is the least number of answers with each fault in a test.
 const wrongAnswers = 5
 
