--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -1,8 +1,8 @@
 package caller
 
 import (
+	"net/http"
 	"net/http/httptest"
-	"testing"
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -10,15 +10,10 @@
 	"azurestair.example/azurestair"
 )
 
-func TestCaller(t *testing.T) {
-	RegisterFailHandler(ginkgo.Fail)
-	ginkgo.RunSpecs(t, "caller")
-}
-
 // Guards against a caller that gets the shares of many by using many addresses of its block.
 var _ = ginkgo.DescribeTable("a request without a caller's name counts for its client block",
 	func(remote, name string, want azurestair.CallerID) {
-		q := httptest.NewRequest("GET", "/v1/request/a/b", nil)
+		q := httptest.NewRequest(http.MethodGet, "/v1/request/a/b", nil)
 		q.RemoteAddr = remote
 		r := &Request{Caller: azurestair.CallerID(name)}
 		Expect((&handler{}).parseCaller(q, r)).To(Succeed())
