--- a/stub/upstream.go
+++ b/stub/upstream.go
@@ -103,6 +103,9 @@
 // Service returns the service that the stub belongs to.
 func (u *Upstream) Service() azurestair.ServiceName { return u.opts.Service }
 
+// Region returns where the stub stands.
+func (u *Upstream) Region() azurestair.RegionName { return u.opts.Region }
+
 // Runs returns how often the request with the given value of Stub-Request ran.
 func (u *Upstream) Runs(id string) int {
 	u.mu.Lock()
