--- a/control/limits.go
+++ b/control/limits.go
@@ -37,16 +37,25 @@
 // Unconfirmed upstreams count: they stay listed while the listener is suspect,
 // and then the last plan is kept.
 func Limits(cfg *azurestair.Config, drains []azurestair.Drain, upstreams []azurestair.UpstreamInfo, maxHolders int) []ResourceLimit {
+	return LimitsFor(&azurestair.Snapshot{Config: cfg, Drains: drains, Upstreams: upstreams}, maxHolders)
+}
+
+// LimitsFor derives the limits from a snapshot. The floors of a region's slots
+// are divided among the entries that may be there, since those of other regions
+// get only what they may shift.
+func LimitsFor(snap *azurestair.Snapshot, maxHolders int) []ResourceLimit {
+	cfg, drains, upstreams := snap.Config, snap.Drains, snap.Upstreams
 	if cfg == nil {
 		return nil
 	}
+	holders := regionHolders(snap.Instances, maxHolders)
 	slots := regionSlots(cfg, drains, upstreams)
 	var out []ResourceLimit
 	for _, s := range cfg.Services {
 		for _, r := range cfg.Regions {
 			n := slots[servicePlace{s.Name, r.Name}]
 			shift := shiftLimit(cfg, s.Name, r.Name, n, maxHolders)
-			out = append(out, slotsLimit(s.Name, r.Name, n, shift.Limit.Floor, maxHolders), shift)
+			out = append(out, slotsLimit(s.Name, r.Name, n, shift.Limit.Floor, holders(r.Name), maxHolders), shift)
 		}
 	}
 	for _, l := range cfg.Links {
@@ -58,11 +67,26 @@
 	return out
 }
 
+// regionHolders returns how many holders divide the floors of a region: the
+// entries that are listed there, and all possible ones that are listed nowhere.
+func regionHolders(instances []azurestair.InstanceInfo, maxHolders int) func(azurestair.RegionName) int {
+	unlisted := orDefault(maxHolders, DefaultMaxHolders)
+	listed := map[azurestair.RegionName]int{}
+	for _, i := range instances {
+		if i.CallerAddr != "" {
+			listed[i.Region]++
+			unlisted--
+		}
+	}
+	return func(r azurestair.RegionName) int { return max(1, listed[r]+max(0, unlisted)) }
+}
+
 // slotsLimit gives a holder of another region no larger floor than it may
 // shift without a lease: it could not use more, and what is reserved for it is
 // lost to the holders of the region.
-func slotsLimit(s azurestair.ServiceName, r azurestair.RegionName, n, shiftFloor int64, maxHolders int) ResourceLimit {
-	floor := floorOf(n, maxHolders)
+func slotsLimit(s azurestair.ServiceName, r azurestair.RegionName, n, shiftFloor int64, holders, maxHolders int) ResourceLimit {
+	// A new leader reserves the floor for each possible holder until it has reported.
+	floor := min(floorOf(n, holders), n/int64(orDefault(maxHolders, DefaultMaxHolders)))
 	return ResourceLimit{
 		Resource: azurestair.Resource{Kind: azurestair.ResourceSlots, Service: s, Region: r},
 		Limit:    Limit{Total: n, Floor: floor, RemoteFloor: min(floor, shiftFloor)},
--- a/instance/replica.go
+++ b/instance/replica.go
@@ -393,7 +393,7 @@
 // setLimits derives the budgets' limits from a new snapshot.
 func (r *Replica) setLimits(snap *azurestair.Snapshot, now time.Time) {
 	r.limited = snap
-	limits := control.Limits(snap.Config, snap.Drains, snap.Upstreams, control.DefaultMaxHolders)
+	limits := control.LimitsFor(snap, control.DefaultMaxHolders)
 	if err := r.allocator.SetLimits(limits, now); err != nil {
 		r.log.Error("budgets not limited", "err", err)
 	}
