--- a/control/query.go
+++ b/control/query.go
@@ -14,12 +14,17 @@
 	// Instances asks for what the leader knows of the instances; it is newer
 	// than the published snapshots, which collect small changes.
 	Instances bool `cbor:"4,keyasint,omitempty"`
+	// Local asks the replica that gets the query for what it has applied, which
+	// may be behind. It answers also while there is no leader.
+	Local bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Validate checks the query.
 func (q Query) Validate() error {
 	if q.Claim != nil {
-		return q.Claim.Validate()
+		if err := q.Claim.Validate(); err != nil {
+			return err
+		}
 	}
 	if q.Audit != nil && (q.Audit.Limit < 0 || q.Audit.Limit > MaxAudit) {
 		return fmt.Errorf("%w: audit limit %d; allowed 0 to %d", azurestair.ErrInvalid, q.Audit.Limit, MaxAudit)
--- a/instance/attempt.go
+++ b/instance/attempt.go
@@ -66,7 +66,7 @@
 // serve runs attempts one after the other, with at most one hedge beside the first.
 func (t *tries) serve(ctx context.Context) caller.Reply {
 	defer t.end()
-	if d, ok := t.beginFirst(ctx); !ok {
+	if d, ok := t.beginWhenFree(ctx, time.Time{}); !ok {
 		return t.finish(d)
 	}
 	hedge, stop := t.hedgeTimer()
@@ -112,17 +112,17 @@
 	return t.start(choice, sameAt)
 }
 
-// beginFirst starts the first attempt of an admitted request. It waits for a
-// slot as long as the caller can still be told of a refusal in time.
-func (t *tries) beginFirst(ctx context.Context) (retry.Decision, bool) {
+// beginWhenFree starts an attempt of an admitted request. It waits for a slot
+// as long as the caller can still be told of a refusal in time.
+func (t *tries) beginWhenFree(ctx context.Context, sameAt time.Time) (retry.Decision, bool) {
 	c := t.call
 	ctx, cancel := context.WithDeadline(ctx, c.work.Deadline.Add(-answerReserve))
 	defer cancel()
-	choice, err := c.gate.pickWhenFree(ctx, c.work, nil)
+	choice, err := c.gate.pickWhenFree(ctx, c.work, t.req.Avoid())
 	if err != nil {
 		return t.req.Refuse(c.pickReason(err)), false
 	}
-	return t.start(choice, time.Time{})
+	return t.start(choice, sameAt)
 }
 
 // start sends an attempt to the chosen upstream.
@@ -179,7 +179,7 @@
 		return t.req.Refuse(azurestair.ReasonDeadline), false
 	}
 	t.call.entry.metrics.retries.Inc(1)
-	return t.begin(d.SameAt)
+	return t.beginWhenFree(ctx, d.SameAt)
 }
 
 func (t *tries) hedgeTimer() (<-chan time.Time, func()) {
@@ -327,7 +327,8 @@
 
 // readWhole reads a short answer, so that one that breaks off can be retried.
 func (e *try) readWhole() {
-	if e.answer.Length > wholeLimit {
+	isHead := e.attempt.Method == http.MethodHead
+	if e.answer.Length > wholeLimit && !isHead {
 		return
 	}
 	data, err := io.ReadAll(io.LimitReader(e.answer.Body, wholeLimit+1))
@@ -346,21 +347,23 @@
 		}{io.MultiReader(bytes.NewReader(data), e.answer.Body), e.answer.Body}
 	default:
 		_ = e.answer.Body.Close()
-		e.answer.Body, e.answer.Length = nil, int64(len(data))
-		e.answer.Whole = data
+		e.answer.Body, e.answer.Whole = nil, data
+		if !isHead {
+			e.answer.Length = int64(len(data))
+		}
 	}
 }
 
 // settle tells the gate how the attempt ended. One that this entry cut off or
-// did not send, or that waited on a silent connection, says nothing against
-// the upstream.
+// did not send, whose caller broke off the request, or that waited on a silent
+// connection says nothing against the upstream.
 func (e *try) settle(r azurestair.AttemptResult) {
 	g := e.tries.call.gate
 	took := e.tries.call.entry.clock.Now().Sub(e.sent)
 	switch {
 	case r == azurestair.AttemptDone:
 		g.done(e.choice, r, took)
-	case errors.Is(e.err, azurestair.ErrDeadline), e.answer.Silent:
+	case errors.Is(e.err, azurestair.ErrDeadline), errors.Is(e.err, upstream.ErrRequestBody), e.answer.Silent:
 		g.abandon(e.choice, false, took)
 	case e.ctx.Err() != nil:
 		g.abandon(e.choice, r != azurestair.AttemptNotRun, took)
@@ -378,13 +381,35 @@
 		r.Body = io.NopCloser(bytes.NewReader(e.answer.Whole))
 		return r
 	}
-	if e.tries.call.req.Method == http.MethodHead {
-		r.Length = -1
-	}
 	r.Streamed, r.Deadline = true, e.tries.call.work.Deadline
-	r.Body = &closer{ReadCloser: e.answer.Body, done: func() {
-		e.settle(azurestair.AttemptDone)
+	body := &streamed{ReadCloser: e.answer.Body}
+	r.Body = &closer{ReadCloser: body, done: func() {
+		e.settle(body.result())
 		e.cancel()
 	}}
 	return r
 }
+
+// streamed notes how the body of an answer ends.
+type streamed struct {
+	io.ReadCloser
+	err error
+}
+
+// Read reads the body.
+func (s *streamed) Read(p []byte) (int, error) {
+	n, err := s.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		s.err = err
+	}
+	return n, err
+}
+
+// result counts an answer that broke off against the upstream. One that ran
+// into its deadline may have had a slow reader.
+func (s *streamed) result() azurestair.AttemptResult {
+	if s.err == nil || upstream.IsTimeout(s.err) {
+		return azurestair.AttemptDone
+	}
+	return azurestair.AttemptBroken
+}
--- a/upstream/announce.go
+++ b/upstream/announce.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -18,6 +19,9 @@
 type AnnounceReply struct {
 	AnnounceEveryMs azurestair.Millis `json:"announceEveryMs"`
 	LeaseMs         azurestair.Millis `json:"leaseMs"`
+	// Drained is true while an operator has drained the upstream. It then says
+	// so in its answers, which also reach entries that have lost control.
+	Drained bool `json:"drained,omitempty"`
 	// Entries lists where upstreams may announce themselves.
 	Entries []string `json:"entries"`
 }
@@ -55,16 +59,20 @@
 		c.JSON(http.StatusBadRequest, ErrorBody{Error: "announcement: " + err.Error()})
 		return
 	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		c.JSON(http.StatusBadRequest, ErrorBody{Error: "announcement: text after the JSON value"})
+		return
+	}
 	if err := a.Validate(); err != nil {
 		c.JSON(http.StatusBadRequest, ErrorBody{Error: "announcement: " + err.Error()})
 		return
 	}
 	reply, err := an.Announce(a)
 	switch {
-	case errors.Is(err, azurestair.ErrFull):
-		c.JSON(http.StatusServiceUnavailable, ErrorBody{Error: err.Error()})
-	case err != nil:
+	case errors.Is(err, azurestair.ErrConflict):
 		c.JSON(http.StatusConflict, ErrorBody{Error: err.Error()})
+	case err != nil:
+		c.JSON(http.StatusServiceUnavailable, ErrorBody{Error: err.Error()})
 	default:
 		c.JSON(http.StatusOK, reply)
 	}
