--- a/instance/replica.go
+++ b/instance/replica.go
@@ -172,15 +172,6 @@
 	return nil
 }
 
-// query reads parts of the control state.
-func (r *Replica) query(q control.Query) control.QueryResult {
-	res := r.state.Query(q)
-	if q.Instances && r.registry != nil {
-		res.Instances = r.registry.Instances()
-	}
-	return res
-}
-
 // settle writes, sends and applies what is due, and publishes the result.
 func (r *Replica) settle(now time.Time, m *Member) error {
 	r.node.Tick(now)
@@ -348,114 +339,6 @@
 	r.node.Stored(job.ready.Seq)
 }
 
-// lead keeps the leader's soft state and publishes a snapshot when it has changed.
-// held and inherited are the snapshot and the budgets that this instance had
-// from the predecessor.
-func (r *Replica) lead(now time.Time, held *azurestair.Snapshot, inherited []azurestair.Grant) {
-	if _, err := r.node.ReadIndex(now); err != nil {
-		return
-	}
-	term := r.node.Status().Term
-	if r.leading != term {
-		r.leading = term
-		r.registry = &control.Registry{}
-		r.publisher = &control.Publisher{}
-		r.allocator = &control.Allocator{}
-		r.reports = &control.ReportReceiver{}
-		if r.state.Config().Version == 0 {
-			// Without a configuration no predecessor can have listed or leased anything.
-			held = &azurestair.Snapshot{}
-		} else {
-			r.allocator.Quiet(now.Add(control.QuietTime))
-		}
-		r.registry.Seed(held, now)
-		r.allocator.Inherit(inherited)
-		r.limited = nil
-		r.log.Info("leading", "term", term, "commit", r.state.Applied())
-	}
-	r.registry.Expire(now)
-	r.publish(now)
-}
-
-func (r *Replica) publish(now time.Time) {
-	prev := r.publisher.Current()
-	snap, changed := r.publisher.Publish(control.Source{
-		Term: r.leading, Commit: r.state.Applied(), Config: r.state.Config(), Drains: r.state.Drains(), Registry: r.registry,
-	}, now)
-	if snap != nil && snap != r.limited {
-		r.setLimits(snap, now)
-	}
-	if changed && isUrgent(prev, snap) {
-		r.notifier.notify(snap.Instances)
-	}
-}
-
-// setLimits derives the budgets' limits from a new snapshot.
-func (r *Replica) setLimits(snap *azurestair.Snapshot, now time.Time) {
-	r.limited = snap
-	limits := control.LimitsFor(snap, control.DefaultMaxHolders)
-	if err := r.allocator.SetLimits(limits, now); err != nil {
-		r.log.Error("budgets not limited", "err", err)
-	}
-}
-
-// isUrgent reports whether instances should fetch the snapshot at once rather
-// than with their next report; load reports and versions in force can wait.
-func isUrgent(prev, next *azurestair.Snapshot) bool {
-	if prev == nil || prev.ConfigVersion() != next.ConfigVersion() || !slices.Equal(prev.Drains, next.Drains) {
-		return true
-	}
-	if len(prev.Upstreams) != len(next.Upstreams) || len(prev.Instances) != len(next.Instances) {
-		return true
-	}
-	for i, u := range next.Upstreams {
-		p := prev.Upstreams[i]
-		if u.Announcement.Upstream != p.Announcement.Upstream || u.Announcement.State != p.Announcement.State ||
-			u.Announcement.Addr != p.Announcement.Addr {
-			return true
-		}
-	}
-	for i, n := range next.Instances {
-		if n.ID != prev.Instances[i].ID || n.Ready != prev.Instances[i].Ready {
-			return true
-		}
-	}
-	return false
-}
-
-// report answers an instance's report.
-func (r *Replica) report(q azurestair.Report, now time.Time) (azurestair.ReportReply, error) {
-	var reply azurestair.ReportReply
-	if err := r.readable(now); err != nil {
-		return reply, err
-	}
-	if r.leading != r.node.Status().Term {
-		return reply, fmt.Errorf("%w: the leader is starting", azurestair.ErrNoQuorum)
-	}
-	q, known := r.reports.Expand(q)
-	if !known {
-		return azurestair.ReportReply{Term: r.leading, Resend: true}, nil
-	}
-	if q.Leaving {
-		r.registry.InstanceLeaving(q.Instance.ID, now)
-		r.allocator.Leave(q.Instance.ID)
-	} else if err := r.registry.Instance(q.Instance, now); err != nil {
-		return reply, err
-	}
-	for _, a := range q.Announcements {
-		if err := r.registry.Announce(a, now); err != nil {
-			r.log.Warn("announcement rejected", "upstream", a.Upstream, "from", q.Instance.ID, "err", err)
-		}
-	}
-	reply.Unknown = r.registry.Alive(q.Alive, now)
-	r.publish(now)
-	r.reports.Shorten(q, r.allocator.Demand(q.Instance.ID, q.Instance.Incarnation, q.Demands, now), &reply)
-	reply.Term = r.leading
-	reply.ControlTTLMs = controlTTL
-	reply.Delta, reply.Snapshot = r.publisher.Delta(q.HeldTerm, q.HeldRevision)
-	return reply, nil
-}
-
 // maybeCompact starts to encode an image when the log has grown enough.
 func (r *Replica) maybeCompact() {
 	if r.imaging {
@@ -485,25 +368,6 @@
 	return nil
 }
 
-// handOver passes the leadership to the follower that has most of the log. It
-// returns false when there is nothing to pass on.
-func (r *Replica) handOver(now time.Time) bool {
-	st := r.node.Status()
-	if !r.node.IsLeader() || len(st.Membership.Voters) < 2 {
-		return false
-	}
-	var best raft.FollowerStatus
-	for _, f := range st.Followers {
-		if !f.Learner && f.Match >= best.Match {
-			best = f
-		}
-	}
-	if err := r.node.TransferLeadership(best.ID, now); err != nil {
-		r.log.Debug("leadership not passed on", "to", best.ID, "err", err)
-	}
-	return true
-}
-
 func (r *Replica) nextDeadline() time.Time {
 	next := r.node.NextDeadline()
 	if r.registry != nil && r.node.IsLeader() {
