--- a/instance/lead.go
+++ b/instance/lead.go
@@ -127,6 +127,10 @@
 	return res
 }
 
+// ackedLately is how recently a follower must have answered to be handed the
+// leadership; heartbeats leave four times in it.
+const ackedLately = time.Second
+
 // handOver passes the leadership to the follower that has most of the log. It
 // returns false when there is nothing to pass on.
 func (r *Replica) handOver(now time.Time) bool {
@@ -136,7 +140,7 @@
 	}
 	var best raft.FollowerStatus
 	for _, f := range st.Followers {
-		if !f.Learner && f.Match >= best.Match {
+		if !f.Learner && now.Sub(f.AckedAt) < ackedLately && f.Match >= best.Match {
 			best = f
 		}
 	}
--- a/raft/election.go
+++ b/raft/election.go
@@ -61,6 +61,11 @@
 	n.incoming = incoming{}
 	n.votes = map[azurestair.InstanceID]bool{}
 	n.retryElection()
+	if transfer {
+		// A second attempt would need a pre-vote, which the others refuse while
+		// the former leader may hold a lease; a slow sync must not cause one.
+		n.electionDeadline = n.now.Add(n.opts.ElectionTimeout)
+	}
 	n.askForVotes(azurestair.RaftVote, n.term)
 }
 
--- a/raft/lease.go
+++ b/raft/lease.go
@@ -37,6 +37,10 @@
 			Commit: min(n.log.commit, p.match),
 		})
 	}
+	if t := n.lead.transfer; t.sent {
+		// The message that asks the target to campaign may have been lost.
+		n.send(azurestair.RaftMessage{Kind: azurestair.RaftTimeoutNow, To: t.to})
+	}
 }
 
 func (n *Node) handleHeartbeat(m azurestair.RaftMessage) {
