--- a/instance/controller.go
+++ b/instance/controller.go
@@ -78,6 +78,9 @@
 		if err := c.replica.settle(now, c.member); err != nil {
 			c.fail(err)
 		}
+		for _, e := range c.replica.takePostponed() {
+			e.handle(c, now)
+		}
 	}
 	c.member.settle(now)
 }
@@ -120,7 +123,14 @@
 		e.reply <- queryReply{err: azurestair.NotLeaderError{}}
 		return
 	}
-	if err := c.replica.readable(now); err != nil && !e.query.Local {
+	if e.query.Local {
+		e.reply <- queryReply{result: c.replica.query(e.query)}
+		return
+	}
+	if c.replica.postpone(e, now) {
+		return
+	}
+	if err := c.replica.readable(now); err != nil {
 		e.reply <- queryReply{err: err}
 		return
 	}
@@ -132,6 +142,9 @@
 		e.reply <- reportReply{err: azurestair.NotLeaderError{}}
 		return
 	}
+	if c.replica.postpone(e, now) {
+		return
+	}
 	reply, err := c.replica.report(e.report, now)
 	e.reply <- reportReply{reply: reply, err: err}
 }
@@ -158,7 +171,7 @@
 
 func (notifyEvent) handle(c *Controller, _ time.Time) { c.member.reportSoon() }
 
-func (leaveEvent) handle(c *Controller, now time.Time) { c.member.leave(now) }
+func (e leaveEvent) handle(c *Controller, now time.Time) { c.member.leave(e.known, now) }
 
 func (e goneEvent) handle(c *Controller, _ time.Time) { c.member.goneSoon(e.done) }
 
--- a/instance/events.go
+++ b/instance/events.go
@@ -79,7 +79,8 @@
 type notifyEvent struct{}
 
 // leaveEvent takes this instance out of look-ups; it goes on serving.
-type leaveEvent struct{}
+// known is closed when the leader knows it.
+type leaveEvent struct{ known chan<- struct{} }
 
 // goneEvent has the last report of this instance sent; done is closed when it
 // has been answered.
--- a/instance/member.go
+++ b/instance/member.go
@@ -40,6 +40,10 @@
 	announced       map[azurestair.UpstreamID]*announced
 
 	leaving bool
+	// leftKnown is closed when the leader has taken a report that says that
+	// this instance leaves; saidLeaving is true while such a report is on its way.
+	leftKnown   chan<- struct{}
+	saidLeaving bool
 	// gone is closed when the last report has been answered; nil before the end.
 	gone      chan<- struct{}
 	lastSent  bool
@@ -70,8 +74,8 @@
 func (m *Member) reportSoon() { m.due = true }
 
 // leave takes this instance out of look-ups.
-func (m *Member) leave(now time.Time) {
-	m.leaving = true
+func (m *Member) leave(known chan<- struct{}, now time.Time) {
+	m.leaving, m.leftKnown = true, known
 	m.reportSoon()
 	m.publish(now)
 }
@@ -182,7 +186,7 @@
 // send hands a report to the reporter.
 func (m *Member) send(now time.Time) {
 	r := azurestair.Report{Instance: m.self, Leaving: m.gone != nil}
-	m.lastSent = r.Leaving
+	m.lastSent, m.saidLeaving = r.Leaving, m.leaving
 	r.Instance.Ready = m.entry != nil && !m.leaving && m.isCurrent(now)
 	r.Instance.InForce = m.snapshot.ConfigVersion()
 	if m.snapshot != nil {
@@ -215,6 +219,10 @@
 		m.failed(e.err)
 		return
 	}
+	if m.saidLeaving && m.leftKnown != nil {
+		close(m.leftKnown)
+		m.leftKnown = nil
+	}
 	if !m.connected {
 		m.connected = true
 		m.log.Info("control reached", "term", e.reply.Term)
--- a/instance/member_test.go
+++ b/instance/member_test.go
@@ -130,7 +130,7 @@
 	})
 
 	ginkgo.It("is not ready once it leaves, and says so last", func() {
-		m.leave(m.clock.Now())
+		m.leave(make(chan struct{}), m.clock.Now())
 		Expect(m.rig.Ready()).To(MatchError(azurestair.ErrClosed))
 		q := m.exchange(azurestair.ReportReply{Term: 5})
 		Expect([]bool{q.Instance.Ready, q.Leaving}).To(Equal([]bool{false, false}))
@@ -248,4 +248,34 @@
 		Eventually(c.stopped).Should(BeClosed())
 		Expect(c.err).To(MatchError(errStore))
 	})
+
+	// Guards against reports that a busy leader refuses: the instances would lose
+	// their leases, and a leaving one would stay in look-ups.
+	ginkgo.It("keeps a read until what it must see is applied", func() {
+		now := time.Unix(1_700_000_000, 0)
+		r, err := newReplica(raft.Options{
+			ID: "c1", Membership: azurestair.Membership{Voters: []azurestair.InstanceID{"c1"}},
+		}, azurestair.LogState{}, now, slog.New(slog.DiscardHandler))
+		Expect(err).NotTo(HaveOccurred())
+		r.transport, r.peers = noTransport{}, noTransport{}
+		r.writer = &logWriter{jobs: make(chan *storeJob, storeDepth)}
+		for range 30 {
+			now = now.Add(100 * time.Millisecond)
+			r.node.Tick(now)
+			Expect(r.work(now)).To(Succeed())
+			for len(r.writer.jobs) > 0 {
+				r.stored(<-r.writer.jobs)
+			}
+		}
+		Expect(r.postpone(reportEvent{}, now)).To(BeFalse())
+		_, _, err = r.node.Propose(nil, now)
+		Expect(err).NotTo(HaveOccurred())
+		rd, _ := r.node.Ready()
+		r.node.Stored(rd.Seq)
+		Expect(r.postpone(reportEvent{}, now)).To(BeTrue())
+		r.storing = storeDepth
+		Expect(r.takePostponed()).To(BeEmpty())
+		r.storing = 0
+		Expect(r.takePostponed()).To(HaveLen(1))
+	})
 })
--- a/instance/replica.go
+++ b/instance/replica.go
@@ -67,8 +67,10 @@
 	self     azurestair.InstanceID
 
 	pending []proposeEvent
-	waiting map[azurestair.Index]waiter
-	storing int
+	// postponed holds reads that wait until committed entries are applied.
+	postponed []event
+	waiting   map[azurestair.Index]waiter
+	storing   int
 	// joining is true until the data folder has recorded that the log lists this instance.
 	joining     bool
 	imaging     bool
@@ -163,15 +165,38 @@
 	if err != nil {
 		return r.notLeader()
 	}
-	if r.state.Applied() >= index {
-		return nil
-	}
-	if err := r.work(now); err != nil || r.state.Applied() < index {
+	if r.state.Applied() < index {
 		return fmt.Errorf("%w: entry %d is not applied yet", azurestair.ErrNoQuorum, index)
 	}
 	return nil
 }
 
+// maxPostponed bounds the reads that wait for committed entries.
+const maxPostponed = 4096
+
+// postpone keeps a read until the entries that it must see are applied, which
+// waits for the log writer when that has all the jobs it may hold. Refusing
+// the read would cost an instance its leases just when the log is busy.
+func (r *Replica) postpone(e event, now time.Time) bool {
+	index, err := r.node.ReadIndex(now)
+	if err != nil || r.state.Applied() >= index || len(r.postponed) >= maxPostponed {
+		return false
+	}
+	r.postponed = append(r.postponed, e)
+	return true
+}
+
+// takePostponed returns the reads to try again; those that must still wait are
+// postponed anew.
+func (r *Replica) takePostponed() []event {
+	if r.storing >= storeDepth {
+		return nil
+	}
+	out := r.postponed
+	r.postponed = nil
+	return out
+}
+
 // settle writes, sends and applies what is due, and publishes the result.
 func (r *Replica) settle(now time.Time, m *Member) error {
 	r.node.Tick(now)
--- a/instance/shutdown.go
+++ b/instance/shutdown.go
@@ -77,15 +77,32 @@
 	}
 }
 
+// leaveKnown bounds the wait until the leader knows that an instance leaves; a
+// fleet without a leader forgets the instance by itself after its lease.
+const leaveKnown = 3 * time.Second
+
+func waitFor(ctx context.Context, known <-chan struct{}) {
+	ctx, cancel := context.WithTimeout(ctx, leaveKnown)
+	defer cancel()
+	select {
+	case <-known:
+	case <-ctx.Done():
+	}
+}
+
 // leave returns when no caller should use this instance any more.
 func (p *Process) leave(ctx context.Context) {
 	if p.entry == nil {
 		return
 	}
 	wasReady := p.entry.Ready() == nil
-	if err := p.controller.post(ctx, leaveEvent{}); err != nil {
+	known := make(chan struct{})
+	if err := p.controller.post(ctx, leaveEvent{known: known}); err != nil {
 		return
 	}
+	if wasReady {
+		waitFor(ctx, known)
+	}
 	deadline := p.options.Clock.Now()
 	if v := p.entry.view.Load(); v != nil && wasReady {
 		ttl := v.snapshot.Config.Defaults.WithDefaults().LookupTTLMs
