--- a/admission/share.go
+++ b/admission/share.go
@@ -20,7 +20,9 @@
 	sum := 0
 	for r, p := range percent {
 		if p > 0 {
-			s.floors[r] = max(1, (slots*int(p)+50)/100)
+			// A floor is a guarantee: rounding down would miss it on every
+			// entry of a service whose slots are spread over many.
+			s.floors[r] = (slots*int(p) + 99) / 100
 			sum += s.floors[r]
 		}
 	}
--- a/instance/claim.go
+++ b/instance/claim.go
@@ -43,7 +43,7 @@
 	if reason := c.gate.admit(ctx, c.work); reason != azurestair.ReasonNone {
 		return c.refuseKeyed(ctx, reason)
 	}
-	return releaseOnClose(c.claimAndSend(ctx), func() { c.gate.release(c.work) })
+	return c.freeAfter(c.claimAndSend(ctx))
 }
 
 // claimAndSend claims an admitted request and sends it if the claim is granted.
@@ -51,7 +51,9 @@
 	claim := c.claim()
 	claimCtx, cancel := context.WithDeadline(ctx, c.work.Deadline.Add(-answerReserve))
 	defer cancel()
+	c.gate.park()
 	res, err := c.entry.ledger.Propose(claimCtx, azurestair.Command{Claim: &claim})
+	c.gate.unpark()
 	if err != nil {
 		// The claim may still be accepted later; recording that it was not
 		// used lets another entry take over.
@@ -149,6 +151,9 @@
 		}
 		return nil
 	})
+	if reply.Outcome != azurestair.OutcomeDone {
+		c.freeSlot()
+	}
 	switch reply.Outcome {
 	case azurestair.OutcomeDone:
 		return c.recordDone(claim, reply)
@@ -165,6 +170,7 @@
 	data, err := io.ReadAll(io.LimitReader(reply.Body, bufferLimit+1))
 	if err != nil {
 		_ = reply.Body.Close()
+		c.freeSlot()
 		c.record(claim, azurestair.ClaimUnknown, nil)
 		return unknown(azurestair.ReasonBroken)
 	}
@@ -176,8 +182,10 @@
 	}
 	rest := reply.Body
 	if len(data) <= bufferLimit {
-		c.record(claim, azurestair.ClaimDone, &answer)
+		// The upstream has finished; the slot need not wait for the ledger.
 		_ = rest.Close()
+		c.freeSlot()
+		c.record(claim, azurestair.ClaimDone, &answer)
 		reply.Streamed = false
 		reply.Body = io.NopCloser(bytes.NewReader(data))
 		if c.req.Method != http.MethodHead {
--- a/instance/gate.go
+++ b/instance/gate.go
@@ -31,6 +31,8 @@
 	rand     azurestair.Rand
 	// slots is what the leases allow; late attempts are taken off it.
 	slots azurestair.Slots
+	// parked counts the admitted requests that wait for the ledger.
+	parked azurestair.Slots
 	// shrunkAt is when the leases last allowed less than before.
 	shrunkAt time.Time
 	// late holds, in order of time, until when the slots of timed-out attempts
@@ -53,7 +55,7 @@
 // lateFor is how long the slot of a cut-off attempt counts as busy. Each
 // attempt carries its deadline to the upstream; the time covers upstreams that
 // notice it late.
-const lateFor = 2 * time.Second
+const lateFor = 500 * time.Millisecond
 
 func newGate(clock azurestair.Clock, a azurestair.Admitter, p azurestair.Picker, r azurestair.Rand) *gate {
 	return &gate{
@@ -374,9 +376,26 @@
 	}
 }
 
-// resize takes the late slots off what the leases allow. The caller holds mu.
+// park counts an admitted request that waits for the ledger. Its slot is idle
+// meanwhile, so that another request may be admitted in its place; the caps of
+// the picker hold all the same.
+func (g *gate) park() { g.addParked(1) }
+
+// unpark ends park.
+func (g *gate) unpark() { g.addParked(-1) }
+
+func (g *gate) addParked(n azurestair.Slots) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.parked += n
+	g.resize(g.clock.Now())
+}
+
+// resize takes the late slots off what the leases allow, and adds those of
+// parked requests, half of all at most. The caller holds mu.
 func (g *gate) resize(now time.Time) {
-	g.admitter.SetSlots(max(0, g.slots-azurestair.Slots(len(g.late))), now)
+	usable := max(0, g.slots-azurestair.Slots(len(g.late)))
+	g.admitter.SetSlots(usable+min(g.parked, usable/2), now)
 	g.dispatch(now)
 	g.signalFreed()
 }
--- a/instance/serve.go
+++ b/instance/serve.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"azurestair.example/azurestair"
@@ -27,6 +28,24 @@
 	// body is the whole body, or nil when it is streamed from rest.
 	body []byte
 	rest io.Reader
+	// slot ends the hold on the admitted slot once.
+	slot sync.Once
+}
+
+// freeSlot gives the admitted slot back; further calls do nothing.
+func (c *call) freeSlot() {
+	c.slot.Do(func() { c.gate.release(c.work) })
+}
+
+// freeAfter gives the admitted slot back once the upstream has finished: now,
+// or when the body of an answer that is still being read is closed. Writing a
+// whole answer to a slow caller holds no slot.
+func (c *call) freeAfter(r caller.Reply) caller.Reply {
+	if !r.Streamed {
+		c.freeSlot()
+		return r
+	}
+	return releaseOnClose(r, c.freeSlot)
 }
 
 // Serve handles a request until its reply is known.
@@ -206,5 +225,5 @@
 	if reason := c.gate.admit(ctx, c.work); reason != azurestair.ReasonNone {
 		return refused(reason)
 	}
-	return releaseOnClose(c.attempt(ctx, nil), func() { c.gate.release(c.work) })
+	return c.freeAfter(c.attempt(ctx, nil))
 }
