--- a/budget.go
+++ b/budget.go
@@ -44,6 +44,9 @@
 	// Remote is true for slots outside the entry's own region. They can be used
 	// within the shift budget only, so that less is reserved for them.
 	Remote bool `cbor:"5,keyasint,omitempty" json:"remote,omitempty"`
+	// Held is what the entry leases above its floor when it sends the report. A
+	// new leader extends it, since its predecessor has granted it.
+	Held int64 `cbor:"6,keyasint,omitempty" json:"held,omitempty"`
 }
 
 // Grant is a leased part of a budget. TTLMs counts from when the holder sent
@@ -106,7 +109,7 @@
 		}
 	}
 	for _, d := range r.Demands {
-		if d.InUse < 0 || d.Want < 0 || d.Floor < 0 {
+		if d.InUse < 0 || d.Want < 0 || d.Floor < 0 || d.Held < 0 {
 			return fmt.Errorf("%w: demand for %s is negative", ErrInvalid, d.Resource)
 		}
 	}
--- a/control/allocator.go
+++ b/control/allocator.go
@@ -66,6 +66,9 @@
 // longest lease has run out.
 func (a *Allocator) Quiet(until time.Time) { a.quietUntil = until }
 
+// IsQuiet reports whether nothing above what is held may be granted yet.
+func (a *Allocator) IsQuiet(now time.Time) bool { return now.Before(a.quietUntil) }
+
 // Inherit takes the grants that this instance had from the predecessor, before
 // any limit is set. The predecessor gave the same floors to others, which may
 // be cut off now and keep them.
@@ -280,7 +283,7 @@
 		floor = min(floor, max(d.Floor, b.inherited))
 	}
 	s.noteFloor(floor, now)
-	amount := int64(0)
+	amount := b.extension(s, d.Held)
 	if !quiet {
 		amount = b.amount(s, now)
 	}
@@ -302,6 +305,14 @@
 	return b.floor
 }
 
+// extension returns how much of a lease of the predecessor goes on. While the
+// allocator is quiet it grants nothing else, so that the sum of all leases
+// stays what the predecessor had granted.
+func (b *budget) extension(s *share, held int64) int64 {
+	room := b.total() - b.reserve() - (b.held - s.held)
+	return max(0, min(held, room))
+}
+
 // amount returns what a share may lease now. Above the pool, which happens
 // after it was lowered, a share may renew as much as keeps the leases that are
 // granted since then within the pool. The leases of earlier incarnations are
--- a/control/allocator_test.go
+++ b/control/allocator_test.go
@@ -109,6 +109,20 @@
 		Expect(ask(a, "0", 90, 2100).Amount).To(BeNumerically(">", 0))
 	})
 
+	// Guards against entries that fall to their floors whenever the leader
+	// changes, although their leases could go on.
+	It("extends what holders lease while it is quiet, within the limit", func() {
+		Expect(a.SetLimit(slots, control.Limit{Total: 100})).To(Succeed())
+		a.Quiet(at(2100))
+		held := func(id azurestair.InstanceID, n int64) int64 {
+			d := azurestair.Demand{Resource: slots, Want: 90, Held: n}
+			return a.Demand(id, 1, []azurestair.Demand{d}, start)[0].Amount
+		}
+		Expect(held("0", 70)).To(BeEquivalentTo(70))
+		Expect(held("1", 0)).To(BeZero())
+		Expect(held("2", 70)).To(BeEquivalentTo(30))
+	})
+
 	// Guards against a quiet period that ends before a lease at the edge of the
 	// drift bound of 2%: a slow holder and a fast leader.
 	It("is quiet for longer than any lease of the predecessor", func() {
--- a/control/holder.go
+++ b/control/holder.go
@@ -60,6 +60,14 @@
 	return g.floor
 }
 
+// Leased returns what the instance leases of a budget above its floor at now.
+func (h *Holder) Leased(r azurestair.Resource, now time.Time) int64 {
+	if g := h.held[r]; now.Before(g.deadline) {
+		return g.amount
+	}
+	return 0
+}
+
 // Demand returns the demand for a budget as the next report carries it.
 func (h *Holder) Demand(r azurestair.Resource, inUse, want int64) azurestair.Demand {
 	return azurestair.Demand{Resource: r, InUse: inUse, Want: want, Floor: h.held[r].floor}
--- a/control/lease_property_test.go
+++ b/control/lease_property_test.go
@@ -32,6 +32,8 @@
 	former []*control.Holder
 	want   int64
 	sent   int
+	// term is that of the leader whose reply came last.
+	term int
 	// frozen and cut hold the end of a pause of the process and of its connection.
 	next, frozen, cut time.Duration
 	granted           []azurestair.Grant
@@ -49,6 +51,7 @@
 	rng      *rand.Rand
 	resource azurestair.Resource
 	leader   *control.Allocator
+	term     int
 	clock    simClock
 	limit    control.Limit
 	limits   []int64
@@ -83,7 +86,7 @@
 
 // elect replaces the leader. Its knowledge of floors is what one holder has.
 func (s *sim) elect(t time.Duration) {
-	s.clock, s.leader = s.newClock(), &control.Allocator{}
+	s.clock, s.leader, s.term = s.newClock(), &control.Allocator{}, s.term+1
 	s.leader.Inherit(s.holders[s.rng.IntN(len(s.holders))].granted)
 	s.leader.Quiet(s.clock(t).Add(control.QuietTime))
 	_ = s.leader.SetLimit(s.resource, s.limit)
@@ -99,7 +102,7 @@
 		h.cut = t + s.upTo(10*time.Second)
 	case 2:
 		h.former = append(h.former, h.holder)
-		h.holder, h.inc = &control.Holder{}, h.inc+1
+		h.holder, h.inc, h.term = &control.Holder{}, h.inc+1, 0
 	case 3:
 		s.limit = s.limitOf(s.rng)
 		_ = s.leader.SetLimit(s.resource, s.limit)
@@ -148,12 +151,24 @@
 	h.sent++
 	number, inc, now := h.sent, h.inc, h.clock(t)
 	d := h.holder.Demand(s.resource, min(h.want, h.holder.Limit(s.resource, now)), h.want)
+	d.Held = h.holder.Leased(s.resource, now)
+	heard := h.term
 	s.send(h, nil, t, func(t time.Duration) {
+		term, d := s.term, d
+		if heard != term {
+			d.Held = 0
+		}
 		grants := s.leader.Demand(h.id, inc, []azurestair.Demand{d}, s.clock(t))
+		if heard != term && s.leader.IsQuiet(s.clock(t)) {
+			grants = nil
+		}
 		s.send(h, h, t, func(t time.Duration) {
 			if number == h.sent && inc == h.inc {
 				h.holder.Apply(grants, now, h.clock(t))
-				h.granted = grants
+				h.term = term
+				if grants != nil {
+					h.granted = grants
+				}
 			}
 		})
 	})
--- a/instance/lead.go
+++ b/instance/lead.go
@@ -52,6 +52,26 @@
 	}
 }
 
+// grants answers the demands of a report. What a report says of held leases
+// counts only if its sender has heard this leader before: then the predecessor
+// had stopped to grant when the report was sent. Until then the sender keeps
+// what the predecessor granted.
+func (r *Replica) grants(q azurestair.Report, now time.Time) []azurestair.Grant {
+	heard := q.HeldTerm == r.leading
+	demands := q.Demands
+	if !heard {
+		demands = slices.Clone(demands)
+		for i := range demands {
+			demands[i].Held = 0
+		}
+	}
+	grants := r.allocator.Demand(q.Instance.ID, q.Instance.Incarnation, demands, now)
+	if !heard && r.allocator.IsQuiet(now) {
+		return nil
+	}
+	return grants
+}
+
 // setLimits derives the budgets' limits from a new snapshot.
 func (r *Replica) setLimits(snap *azurestair.Snapshot, now time.Time) {
 	r.limited = snap
@@ -111,7 +131,7 @@
 	}
 	reply.Unknown = r.registry.Alive(q.Alive, now)
 	r.publish(now)
-	r.reports.Shorten(q, r.allocator.Demand(q.Instance.ID, q.Instance.Incarnation, q.Demands, now), &reply)
+	r.reports.Shorten(q, r.grants(q, now), &reply)
 	reply.Term = r.leading
 	reply.ControlTTLMs = controlTTL
 	reply.Delta, reply.Snapshot = r.publisher.Delta(q.HeldTerm, q.HeldRevision)
--- a/instance/member.go
+++ b/instance/member.go
@@ -203,6 +203,9 @@
 	slices.Sort(r.Alive)
 	if m.entry != nil && m.snapshot != nil {
 		r.Demands = m.entry.demands(m.snapshot, &m.holder, now)
+		for i, d := range r.Demands {
+			r.Demands[i].Held = m.holder.Leased(d.Resource, now)
+		}
 	}
 	m.due, m.reporting, m.sentAt = false, true, now
 	m.reporter.jobs <- m.reports.Prepare(r)
@@ -309,6 +312,10 @@
 		m.log.Info("configuration in force", "version", m.snapshot.ConfigVersion(), "commit", m.snapshot.Commit)
 		m.reportSoon()
 	}
+	if before == nil || before.Term != m.snapshot.Term {
+		// Only a second report tells a new leader which leases it may extend.
+		m.reportSoon()
+	}
 	if m.entry == nil {
 		return
 	}
