--- a/instance/member.go
+++ b/instance/member.go
@@ -18,6 +18,10 @@
 	reportSpacing = 20 * time.Millisecond
 	// tickEvery is how often leases, demands and look-up moves are looked at.
 	tickEvery = 100 * time.Millisecond
+	// announceMargin is how much of the control deadline must be left to take an
+	// announcement. Half of it lets an upstream, whose lease began with the last
+	// report that the leader got, announce itself elsewhere before it lapses.
+	announceMargin = 1500 * time.Millisecond
 	// announcedFor is how long an upstream counts as announcing itself here.
 	announcedFor = 2 * time.Second
 )
@@ -107,7 +111,7 @@
 	if m.entry != nil {
 		m.entry.confirm(a.Service, a.Upstream, a.State)
 	}
-	if !now.Before(m.controlDeadline) {
+	if m.controlDeadline.Sub(now) < announceMargin {
 		// The leader does not hear of the announcement through this instance,
 		// so that the upstream has to announce itself at another one.
 		return azurestair.ErrNoQuorum
