--- a/faults/traffic_test.go
+++ b/faults/traffic_test.go
@@ -168,7 +168,7 @@
 		if r.isFinal() || (time.Now().After(end) && r.err == nil) || time.Now().After(end.Add(followFor)) {
 			return out
 		}
-		time.Sleep(20 * time.Millisecond)
+		<-time.After(20 * time.Millisecond)
 	}
 }
 
@@ -193,7 +193,7 @@
 			for i := 0; !t.stopped.Load(); i++ {
 				q := request{kind: kinds[own.IntN(len(kinds))], id: fmt.Sprintf("%s-%d-%d", name, w, i)}
 				t.add(serve(own, q))
-				time.Sleep(requestPause)
+				<-time.After(requestPause)
 			}
 		})
 	}
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -54,11 +54,11 @@
 	}
 	v1 := e.Group("/v1", authorize(auth))
 	v1.GET("/config", h.getConfig)
-	v1.PUT("/config", h.putConfig)
+	v1.PUT("/config", submit(h, configCommand, h.applied))
 	v1.GET("/config/history", h.history)
-	v1.POST("/drain", func(c *gin.Context) { h.drain(c, true) })
-	v1.POST("/undrain", func(c *gin.Context) { h.drain(c, false) })
-	v1.POST("/members", h.members)
+	v1.POST("/drain", submit(h, drainCommand(true), nil))
+	v1.POST("/undrain", submit(h, drainCommand(false), nil))
+	v1.POST("/members", submit(h, memberCommand, nil))
 	v1.GET("/status", func(c *gin.Context) { c.JSON(http.StatusOK, h.backend.Status(c.Request.Context())) })
 	v1.GET("/audit", h.audit)
 	return e
@@ -166,61 +166,66 @@
 	c.JSON(http.StatusOK, HistoryAnswer{Versions: res.History})
 }
 
-func (h *handler) putConfig(c *gin.Context) {
-	var q ConfigRequest
-	if err := decode(c, &q); err != nil {
-		writeError(c, err)
-		return
+// submit returns a handler that decodes a request, proposes the command that
+// build makes of it and its operator, and answers the result after finish.
+func submit[Q any, P interface {
+	*Q
+	azurestair.Validator
+}](h *handler, build func(Q, azurestair.OperatorName) azurestair.Command, finish func(*gin.Context, Q, *ChangeAnswer),
+) gin.HandlerFunc {
+	return func(c *gin.Context) {
+		var q Q
+		if err := decode(c, P(&q)); err != nil {
+			writeError(c, err)
+			return
+		}
+		a, ok := h.change(c, build(q, operatorOf(c)))
+		if !ok {
+			return
+		}
+		if finish != nil {
+			finish(c, q, &a)
+		}
+		writeChange(c, a)
 	}
-	cmd := azurestair.Command{Config: &azurestair.ConfigChange{
-		Change:      azurestair.Change{ID: q.ChangeID, Operator: operatorOf(c), Reason: q.Reason},
+}
+
+func configCommand(q ConfigRequest, op azurestair.OperatorName) azurestair.Command {
+	return azurestair.Command{Config: &azurestair.ConfigChange{
+		Change:      azurestair.Change{ID: q.ChangeID, Operator: op, Reason: q.Reason},
 		BaseVersion: q.BaseVersion,
 		Config:      q.Config,
 	}}
-	a, ok := h.change(c, cmd)
-	if !ok {
-		return
-	}
-	if a.Code == azurestair.ResultAccepted {
-		wait := q.WaitMs
-		if wait == 0 {
-			wait = DefaultWaitMs
-		}
-		a.InForce, a.NotInForce = h.waitInForce(c.Request.Context(), a.Version, wait)
-	}
-	writeChange(c, a)
 }
 
-func (h *handler) drain(c *gin.Context, drained bool) {
-	var q DrainRequest
-	if err := decode(c, &q); err != nil {
-		writeError(c, err)
-		return
-	}
-	cmd := azurestair.Command{Drain: &azurestair.DrainChange{
-		Change:  azurestair.Change{ID: q.ChangeID, Operator: operatorOf(c), Reason: q.Reason},
-		Target:  q.Target,
-		Drained: drained,
-	}}
-	if a, ok := h.change(c, cmd); ok {
-		writeChange(c, a)
+func drainCommand(drained bool) func(DrainRequest, azurestair.OperatorName) azurestair.Command {
+	return func(q DrainRequest, op azurestair.OperatorName) azurestair.Command {
+		return azurestair.Command{Drain: &azurestair.DrainChange{
+			Change:  azurestair.Change{ID: q.ChangeID, Operator: op, Reason: q.Reason},
+			Target:  q.Target,
+			Drained: drained,
+		}}
 	}
 }
 
-func (h *handler) members(c *gin.Context) {
-	var q MemberRequest
-	if err := decode(c, &q); err != nil {
-		writeError(c, err)
-		return
-	}
-	cmd := azurestair.Command{Members: &azurestair.MemberChange{
-		Change:   azurestair.Change{ID: q.ChangeID, Operator: operatorOf(c), Reason: q.Reason},
+func memberCommand(q MemberRequest, op azurestair.OperatorName) azurestair.Command {
+	return azurestair.Command{Members: &azurestair.MemberChange{
+		Change:   azurestair.Change{ID: q.ChangeID, Operator: op, Reason: q.Reason},
 		Action:   q.Action,
 		Instance: q.Instance,
 	}}
-	if a, ok := h.change(c, cmd); ok {
-		writeChange(c, a)
+}
+
+// applied adds to the answer which instances have applied an accepted configuration.
+func (h *handler) applied(c *gin.Context, q ConfigRequest, a *ChangeAnswer) {
+	if a.Code != azurestair.ResultAccepted {
+		return
+	}
+	wait := q.WaitMs
+	if wait == 0 {
+		wait = DefaultWaitMs
 	}
+	a.InForce, a.NotInForce = h.waitInForce(c.Request.Context(), a.Version, wait)
 }
 
 // change proposes a command; it has answered the request when it returns false.
--- a/try/cluster.go
+++ b/try/cluster.go
@@ -180,6 +180,23 @@
 	return n
 }
 
+// accepted returns how many requests the upstreams have started.
+func (c *Cluster) accepted() int {
+	n := 0
+	for _, u := range c.upstreams {
+		n += u.Accepted()
+	}
+	return n
+}
+
+// hasAccepted reports whether a request has started since there were n.
+func (c *Cluster) hasAccepted(n int) error {
+	if c.accepted() <= n {
+		return fmt.Errorf("%w: a request in progress", azurestair.ErrNotFound)
+	}
+	return nil
+}
+
 // Stop ends everything and removes the data folder.
 func (c *Cluster) Stop(ctx context.Context) {
 	for i := len(c.nodes) - 1; i >= 0; i-- {
--- a/try/run.go
+++ b/try/run.go
@@ -341,9 +341,12 @@
 	for _, u := range r.cluster.upstreams {
 		u.SetServiceTime(400 * time.Millisecond)
 	}
+	before := r.cluster.accepted()
 	done := make(chan error, 1)
 	go r.runSlow(ctx, done)
-	time.Sleep(100 * time.Millisecond)
+	if err := poll(ctx, func() error { return r.cluster.hasAccepted(before) }); err != nil {
+		return "", err
+	}
 	last := r.cluster.entries()[numEntries-1]
 	if err := last.app.Stop(ctx); err != nil {
 		return "", err
