--- a/caller/handler.go
+++ b/caller/handler.go
@@ -306,8 +306,5 @@
 	}
 }
 
-// ErrServerClosed is what Serve returns after a shutdown.
-var ErrServerClosed = http.ErrServerClosed
-
 // IsClosed reports whether a server ended because it was shut down.
 func IsClosed(err error) bool { return errors.Is(err, http.ErrServerClosed) }
--- a/upstream/announce.go
+++ b/upstream/announce.go
@@ -88,8 +88,6 @@
 	return h[len(prefix):]
 }
 
-// Spans of the announcement protocol.
-const (
-	AnnounceEvery = time.Second
-	LeaseTime     = 3 * time.Second
-)
+// AnnounceEvery is the interval at which an upstream announces itself. Three of
+// them fit into its lease, so that one lost announcement costs nothing.
+const AnnounceEvery = time.Second
