--- a/load/control.go
+++ b/load/control.go
@@ -287,7 +287,7 @@
 	if err := r.fleet.run(leader); err != nil {
 		return took, sample, err
 	}
-	return took, sample, poll(ctx, func() error { return r.fleet.ready(ctx) })
+	return took, sample, operator.Poll(ctx, func() error { return r.fleet.ready(ctx) })
 }
 
 // acceptedAgain repeats a change until it is accepted.
@@ -295,7 +295,7 @@
 	ctx, cancel := context.WithTimeout(ctx, startTimeout/2)
 	defer cancel()
 	id := azurestair.ChangeID(fmt.Sprintf("load-kill-%d", trial))
-	return poll(ctx, func() error {
+	return operator.Poll(ctx, func() error {
 		a, err := r.fleet.admin(via).Apply(ctx, operator.ConfigRequest{
 			ChangeID: id, Reason: "measurement", BaseVersion: r.fleet.config.Version, Config: r.fleet.config, WaitMs: 1,
 		})
--- a/load/fleet.go
+++ b/load/fleet.go
@@ -224,17 +224,16 @@
 // Limits on waiting for the fleet.
 const (
 	startTimeout = 20 * time.Second
-	pollEvery    = 20 * time.Millisecond
 )
 
 // configure applies the configuration and waits until all budgets are leased everywhere.
 func (f *Fleet) configure(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	if err := poll(ctx, func() error { return f.apply(ctx, f.members[0], "load-0") }); err != nil {
+	if err := operator.Poll(ctx, func() error { return f.apply(ctx, f.members[0], "load-0") }); err != nil {
 		return fmt.Errorf("apply the configuration: %w", err)
 	}
-	return poll(ctx, func() error { return f.ready(ctx) })
+	return operator.Poll(ctx, func() error { return f.ready(ctx) })
 }
 
 // apply replaces the configuration by one with a new version through an instance.
@@ -326,20 +325,3 @@
 	}
 	ended <- struct{}{}
 }
-
-// poll repeats f until it succeeds or ctx ends.
-func poll(ctx context.Context, f func() error) error {
-	t := time.NewTicker(pollEvery)
-	defer t.Stop()
-	for {
-		err := f()
-		if err == nil {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return err
-		case <-t.C:
-		}
-	}
-}
--- a/operator/client.go
+++ b/operator/client.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"time"
 
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/control"
@@ -186,3 +187,21 @@
 
 	errUnexpected = errors.New("unexpected answer")
 )
+
+// Poll repeats f, for instance a call of the administration API, until it
+// succeeds or ctx ends.
+func Poll(ctx context.Context, f func() error) error {
+	t := time.NewTicker(pollEvery)
+	defer t.Stop()
+	for {
+		err := f()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-t.C:
+		}
+	}
+}
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -32,7 +32,7 @@
 const (
 	maxBodyBytes   = 1 << 20
 	requestTimeout = 10 * time.Second
-	// pollEvery is how often a change looks for instances that have not applied it.
+	// pollEvery is how often a condition is looked at again.
 	pollEvery = 20 * time.Millisecond
 )
 
@@ -69,7 +69,7 @@
 
 func authorize(auth Authorizer) gin.HandlerFunc {
 	return func(c *gin.Context) {
-		name, err := auth(bearerToken(c.Request))
+		name, err := auth(azurestair.BearerToken(c.GetHeader("Authorization")))
 		if err != nil {
 			c.AbortWithStatusJSON(http.StatusUnauthorized, ErrorBody{Error: err.Error()})
 			return
@@ -78,15 +78,6 @@
 	}
 }
 
-func bearerToken(r *http.Request) string {
-	const prefix = "Bearer "
-	h := r.Header.Get("Authorization")
-	if len(h) <= len(prefix) || h[:len(prefix)] != prefix {
-		return ""
-	}
-	return h[len(prefix):]
-}
-
 func operatorOf(c *gin.Context) azurestair.OperatorName {
 	name, _ := c.Get(operatorKey)
 	op, _ := name.(azurestair.OperatorName)
--- a/try/run.go
+++ b/try/run.go
@@ -109,7 +109,7 @@
 	started := time.Now()
 	q := operator.ConfigRequest{ChangeID: "try-1", Reason: "embedded default", Config: fleet()}
 	var a operator.ChangeAnswer
-	err := poll(ctx, func() error {
+	err := operator.Poll(ctx, func() error {
 		var err error
 		a, err = r.cluster.admin().Apply(ctx, q)
 		return err
@@ -120,7 +120,7 @@
 	if len(a.NotInForce) > 0 {
 		return "", fmt.Errorf("version %d is not in force on %v", a.Version, a.NotInForce)
 	}
-	err = poll(ctx, func() error { return r.ready(ctx) })
+	err = operator.Poll(ctx, func() error { return r.ready(ctx) })
 	return fmt.Sprintf("version %d on %d instances, ready after %d ms", a.Version, len(a.InForce), time.Since(started).Milliseconds()), err
 }
 
@@ -162,26 +162,6 @@
 	return leased[serviceCatalogue] && leased[servicePayment]
 }
 
-// pollEvery is how often a condition is looked at again.
-const pollEvery = 20 * time.Millisecond
-
-// poll repeats f until it succeeds or ctx ends.
-func poll(ctx context.Context, f func() error) error {
-	t := time.NewTicker(pollEvery)
-	defer t.Stop()
-	for {
-		err := f()
-		if err == nil {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return err
-		case <-t.C:
-		}
-	}
-}
-
 func (r *run) lookup(ctx context.Context) (string, error) {
 	total := 0
 	for _, n := range r.cluster.entries() {
@@ -309,7 +289,7 @@
 	if err != nil {
 		return "", err
 	}
-	if err := poll(ctx, func() error { return r.drainedEverywhere(ctx) }); err != nil {
+	if err := operator.Poll(ctx, func() error { return r.drainedEverywhere(ctx) }); err != nil {
 		return "", err
 	}
 	before := u.Accepted()
@@ -344,7 +324,7 @@
 	before := r.cluster.accepted()
 	done := make(chan error, 1)
 	go r.runSlow(ctx, done)
-	if err := poll(ctx, func() error { return r.cluster.hasAccepted(before) }); err != nil {
+	if err := operator.Poll(ctx, func() error { return r.cluster.hasAccepted(before) }); err != nil {
 		return "", err
 	}
 	last := r.cluster.entries()[numEntries-1]
--- a/upstream/announce.go
+++ b/upstream/announce.go
@@ -49,7 +49,7 @@
 }
 
 func announce(c *gin.Context, an Announcer, auth Authorizer) {
-	if _, err := auth(BearerToken(c.Request)); err != nil {
+	if _, err := auth(azurestair.BearerToken(c.GetHeader("Authorization"))); err != nil {
 		c.JSON(http.StatusUnauthorized, ErrorBody{Error: err.Error()})
 		return
 	}
@@ -78,16 +78,6 @@
 	}
 }
 
-// BearerToken returns the token of the Authorization header, empty without one.
-func BearerToken(r *http.Request) string {
-	const prefix = "Bearer "
-	h := r.Header.Get("Authorization")
-	if len(h) <= len(prefix) || h[:len(prefix)] != prefix {
-		return ""
-	}
-	return h[len(prefix):]
-}
-
 // AnnounceEvery is the interval at which an upstream announces itself. Three of
 // them fit into its lease, so that one lost announcement costs nothing.
 const AnnounceEvery = time.Second
