--- a/faults/entry_test.go
+++ b/faults/entry_test.go
@@ -23,12 +23,11 @@
 				return f.follow(shuffled(rng, rest), q)
 			})
 			load.more(50)
-			f.setServiceTime(payment, time.Second)
+			f.hold(payment, "held")
 			held := f.sendAll(victim, pay, "held", 8)
 			Eventually(func() int { return f.runsOf("held", 8) }).Should(Equal(8))
 			victim.kill()
 			held.wait()
-			f.setServiceTime(payment, 2*time.Millisecond)
 			for _, r := range held.results {
 				again := f.follow(shuffled(rng, rest), r.request)
 				Expect(again.last().outcome).To(Equal(azurestair.OutcomeUnknown), "%v", again)
@@ -85,6 +84,15 @@
 	})
 })
 
+// hold keeps the requests of a service whose ids begin with the prefix unanswered.
+func (f *fleet) hold(s azurestair.ServiceName, prefix string) {
+	for _, u := range f.upstreams {
+		if u.Service() == s {
+			u.Hold(prefix)
+		}
+	}
+}
+
 // setServiceTime changes how long the requests of a service take.
 func (f *fleet) setServiceTime(s azurestair.ServiceName, d time.Duration) {
 	for _, u := range f.upstreams {
--- a/stub/upstream.go
+++ b/stub/upstream.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -58,6 +59,7 @@
 	runs        map[string]int
 	accepted    int
 	serviceTime time.Duration
+	held        string
 	silent      bool
 	// drained is true while an operator has drained the stub.
 	drained bool
@@ -120,6 +122,14 @@
 	return u.accepted
 }
 
+// Hold keeps each request whose value of Stub-Request begins with the prefix
+// until its deadline or its cancellation. The empty prefix holds none.
+func (u *Upstream) Hold(prefix string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.held = prefix
+}
+
 // SetServiceTime changes how long a request takes.
 func (u *Upstream) SetServiceTime(d time.Duration) {
 	u.mu.Lock()
@@ -253,9 +263,11 @@
 	if testID != "" {
 		u.runs[testID]++
 	}
-	d := u.serviceTime
+	d, held := u.serviceTime, u.held
 	u.mu.Unlock()
-	if d > 0 {
+	if held != "" && strings.HasPrefix(testID, held) {
+		<-ctx.Done()
+	} else if d > 0 {
 		t := time.NewTimer(d)
 		select {
 		case <-t.C:
