--- a/control/allocator.go
+++ b/control/allocator.go
@@ -271,6 +271,7 @@
 
 // grant answers one demand.
 func (b *budget) grant(s *share, d azurestair.Demand, quiet bool, now time.Time) azurestair.Grant {
+	s.lowest.add(s.inUse)
 	s.want, s.inUse, s.remote, s.activeUntil = d.Want, d.InUse, d.Remote, now.Add(LeaseTTL)
 	s.noteFloor(d.Floor, now)
 	b.recount(s, now)
--- a/control/allocator_test.go
+++ b/control/allocator_test.go
@@ -14,6 +14,9 @@
 
 var slots = azurestair.Resource{Kind: azurestair.ResourceSlots, Service: "catalogue", Region: "kigali"}
 
+// shiftIn is the budget of shifted work in the region of slots.
+var shiftIn = azurestair.Resource{Kind: azurestair.ResourceShift, Service: "catalogue", Region: "kigali"}
+
 func ask(a *control.Allocator, holder string, want int64, ms int) azurestair.Grant {
 	GinkgoHelper()
 	g := a.Demand(azurestair.InstanceID(holder), 1, []azurestair.Demand{{Resource: slots, Want: want}}, at(ms))
--- a/control/holder.go
+++ b/control/holder.go
@@ -46,10 +46,21 @@
 			continue
 		}
 		ttl := min(g.TTLMs.Duration(), LeaseTTL)
-		h.held[g.Resource] = holding{amount: g.Amount, deadline: sentAt.Add(ttl - driftMargin), floor: g.Floor, maxFloor: g.MaxFloor}
+		next := holding{amount: g.Amount, deadline: sentAt.Add(ttl - driftMargin), floor: g.Floor, maxFloor: g.MaxFloor}
+		if g.Resource.Kind == azurestair.ResourceShift && h.held[g.Resource].endedBetween(sentAt, now) {
+			// The leader renewed work that has been interrupted since; resuming
+			// it is a rise, which only the answer to a later report may allow.
+			next.amount = 0
+		}
+		h.held[g.Resource] = next
 	}
 }
 
+// endedBetween reports whether the lease ran out after from and up to now.
+func (g holding) endedBetween(from, now time.Time) bool {
+	return g.amount > 0 && g.deadline.After(from) && !now.Before(g.deadline)
+}
+
 // Limit returns how much of a budget the instance may use at now: its floor,
 // and what it leases on top of that until the deadline.
 func (h *Holder) Limit(r azurestair.Resource, now time.Time) int64 {
--- a/control/lease_property_test.go
+++ b/control/lease_property_test.go
@@ -64,8 +64,8 @@
 	leaders bool
 }
 
-func newSim(seed uint64, limitOf func(*rand.Rand) control.Limit) *sim {
-	s := &sim{rng: rand.New(rand.NewPCG(seed, 7)), limitOf: limitOf, resource: slots}
+func newSim(seed uint64, r azurestair.Resource, limitOf func(*rand.Rand) control.Limit) *sim {
+	s := &sim{rng: rand.New(rand.NewPCG(seed, 7)), limitOf: limitOf, resource: r}
 	s.limit = limitOf(s.rng)
 	for i := range 7 {
 		s.holders = append(s.holders, &simHolder{
@@ -195,7 +195,7 @@
 	GinkgoHelper()
 	most := 0.0
 	for seed := range uint64(300) {
-		s := newSim(seed, limitOf)
+		s := newSim(seed, slots, limitOf)
 		s.leaders = leaders
 		for t := time.Duration(0); t < simLength; t += simStep {
 			s.disturb(t)
@@ -218,7 +218,7 @@
 	GinkgoHelper()
 	n, most := int(l.Interval/simStep), int64(0)
 	for seed := range uint64(100) {
-		s := newSim(seed, func(*rand.Rand) control.Limit { return l })
+		s := newSim(seed, shiftIn, func(*rand.Rand) control.Limit { return l })
 		var values []int64
 		for t := time.Duration(0); t < simLength; t += simStep {
 			values = append(values, run(s, seed, t))
@@ -265,6 +265,25 @@
 		})
 	})
 
+	// Guards against work that was interrupted by a lost lease and resumes
+	// besides the rise of the others, with replies lost and connections cut.
+	It("let resumed work rise at most by the cap", func() {
+		expectRiseWithin(shift, func(s *sim, seed uint64, t time.Duration) int64 {
+			if t == time.Duration(seed)*simLength/100 {
+				s.elect(t)
+			}
+			if h := s.holders[s.rng.IntN(len(s.holders))]; s.rng.IntN(100) == 0 {
+				h.cut = t + s.upTo(4*time.Second)
+			}
+			for _, h := range s.holders {
+				h.want = int64(t/(10*time.Second)) * 1000
+			}
+			s.step(t)
+			_, used := s.held(t)
+			return used
+		})
+	})
+
 	// Guards against a rise that was allowed but not used and adds to the next one.
 	It("let the outstanding sum rise at most by the cap, whatever the demand", func() {
 		expectRiseWithin(shift, func(s *sim, _ uint64, t time.Duration) int64 {
--- a/control/share.go
+++ b/control/share.go
@@ -11,6 +11,8 @@
 	holder      azurestair.InstanceID
 	incarnation azurestair.Incarnation
 	want, inUse int64
+	// lowest is the least use that the latest reports carried.
+	lowest lowest
 	// remote is true when the budget lies outside the holder's region.
 	remote bool
 	// activeUntil ends one lease time after the last report.
@@ -103,7 +105,7 @@
 	s.recent += s.former.liveAmount(now)
 	s.use = 0
 	if s.active(now) {
-		s.use = min(s.inUse, s.held+s.floor)
+		s.use = min(s.lowest.of(s.inUse), s.held+s.floor)
 	}
 }
 
@@ -119,3 +121,23 @@
 // rampBuckets is the number of parts of an interval for which a ramp keeps the
 // least use.
 const rampBuckets = 5
+
+// useReports is the number of reports whose least use counts. Reports of
+// different holders tell of times that lie up to a report's interval and its
+// delay apart, so the sum of the newest uses may exceed the use at any one time.
+const useReports = 3
+
+// lowest is the use that the reports before the newest one carried.
+type lowest [useReports - 1]int64
+
+func (l *lowest) add(use int64) {
+	copy(l[1:], l[:])
+	l[0] = use
+}
+
+func (l *lowest) of(use int64) int64 {
+	for _, u := range l {
+		use = min(use, u)
+	}
+	return use
+}
