--- a/load/run.go
+++ b/load/run.go
@@ -55,6 +55,8 @@
 		{"latency", (*run).latency},
 		{"lookups", (*run).lookups},
 		{"slow", (*run).slow},
+		{"drain", (*run).drain},
+		{"headroom", (*run).headroom},
 		{"deferredFlood", (*run).deferredFlood},
 		{"urgentFlood", (*run).urgentFlood},
 		{"caller", (*run).greedyCaller},
--- a/stub/upstream.go
+++ b/stub/upstream.go
@@ -58,9 +58,11 @@
 	waiting     int
 	runs        map[string]int
 	accepted    int
-	serviceTime time.Duration
-	held        string
-	silent      bool
+	// lastAccepted is when the stub last started a request.
+	lastAccepted time.Time
+	serviceTime  time.Duration
+	held         string
+	silent       bool
 	// drained is true while an operator has drained the stub.
 	drained bool
 }
@@ -122,6 +124,13 @@
 	return u.accepted
 }
 
+// LastAccepted returns when the stub last started a request.
+func (u *Upstream) LastAccepted() time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.lastAccepted
+}
+
 // Hold keeps each request whose value of Stub-Request begins with the prefix
 // until its deadline or its cancellation. The empty prefix holds none.
 func (u *Upstream) Hold(prefix string) {
@@ -260,6 +269,7 @@
 	u.mu.Lock()
 	u.inFlight++
 	u.accepted++
+	u.lastAccepted = time.Now()
 	if testID != "" {
 		u.runs[testID]++
 	}
