--- a/control/allocator.go
+++ b/control/allocator.go
@@ -37,7 +37,9 @@
 // Invariant: for each budget, the unexpired leases, counting the largest one
 // of each holder, and the floors of all possible holders never exceed the
 // limit. A lease counts until it expires at the leader, also when a later one
-// is smaller, because the holder may never get the later one. After the limit
+// is smaller, because the holder may never get the later one. A lease above a
+// smaller floor than the one that is reserved counts only as far as both
+// together exceed that. After the limit
 // was lowered, the invariant holds again one LeaseTTL later.
 //
 // Leased amounts follow demand with max-min fairness. What nobody asks for is
@@ -284,11 +286,11 @@
 		floor = min(floor, max(d.Floor, b.inherited))
 	}
 	s.noteFloor(floor, now)
-	amount := b.extension(s, d.Held)
+	amount := b.extension(s, d.Held, floor)
 	if !quiet {
-		amount = b.amount(s, now)
+		amount = b.amount(s, floor, now)
 	}
-	s.add(amount, now)
+	s.add(amount, floor, now)
 	b.recount(s, now)
 	b.lastGrant = now
 	g := azurestair.Grant{Resource: d.Resource, Amount: amount, Floor: floor, TTLMs: azurestair.MillisOf(LeaseTTL)}
@@ -309,32 +311,36 @@
 // extension returns how much of a lease of the predecessor goes on. While the
 // allocator is quiet it grants nothing else, so that the sum of all leases
 // stays what the predecessor had granted.
-func (b *budget) extension(s *share, held int64) int64 {
+func (b *budget) extension(s *share, held, floor int64) int64 {
 	room := b.total() - b.reserve() - (b.held - s.held)
-	return max(0, min(held, room))
+	return max(0, min(held, room+s.reserved-floor))
 }
 
-// amount returns what a share may lease now. Above the pool, which happens
-// after it was lowered, a share may renew as much as keeps the leases that are
-// granted since then within the pool. The leases of earlier incarnations are
-// counted besides the new one. With a ramp, a renewal also covers no more than
-// the use: a holder that lost its lease in between regains it only under the cap.
-func (b *budget) amount(s *share, now time.Time) int64 {
+// amount returns what a share may lease now above its floor. Above the pool,
+// which happens after it was lowered, a share may renew as much as keeps the
+// leases that are granted since then within the pool. The leases of earlier
+// incarnations are counted besides the new one. With a ramp, a renewal also
+// covers no more than the use: a holder that lost its lease in between regains
+// it only under the cap. What is reserved for a larger floor that the holder
+// may still have is room for the lease.
+func (b *budget) amount(s *share, floor int64, now time.Time) int64 {
 	pool := b.total() - b.reserve()
 	b.noteLowered(pool, now)
 	room := pool - (b.held - s.held)
 	renewal := min(s.held, pool-(b.recent-s.recent))
 	if b.limit.Interval > 0 {
-		renewal = min(renewal, s.inUse-b.floorOf(s))
+		renewal = min(renewal, s.inUse-s.reserved)
 	}
-	return max(0, min(b.target(s), max(room, renewal)-s.former.liveAmount(now)))
+	most := max(room, renewal) - s.former.liveAmount(now) + s.reserved - floor
+	return max(0, min(b.target(s, floor), most))
 }
 
 // target returns what a share should lease: its fair part or, if that is
 // more, the part that keeps it warm. It falls by at most half at a time.
-func (b *budget) target(s *share) int64 {
-	fair := min(s.need(b.floorOf(s)), s.level)
-	return max(fair, need{remote: s.remote}.keptWarm(b.warm), min(s.last, s.held)/2)
+func (b *budget) target(s *share, floor int64) int64 {
+	spare := s.reserved - floor
+	fair := min(s.need(floor), s.level)
+	return max(fair, need{remote: s.remote}.keptWarm(b.warm), min(s.last, s.held+spare)/2)
 }
 
 // total returns what leases and floors may add up to now.
@@ -389,8 +395,11 @@
 	b.recent -= s.recent
 	b.use -= s.use
 	b.floors -= s.reserved
+	if reserved := max(s.floor, b.floorOf(s)); s.reserved != reserved {
+		// The levels count from what is reserved.
+		s.reserved, b.stale = reserved, true
+	}
 	s.count(b.recentUntil, now)
-	s.reserved = max(s.floor, b.floorOf(s))
 	b.held += s.held
 	b.recent += s.recent
 	b.use += s.use
@@ -410,16 +419,17 @@
 
 // plan recomputes the floor and the levels.
 func (b *budget) plan(now time.Time) {
-	b.planned, b.stale = now, false
 	b.sweep(now)
 	b.ramp.observe(b.use, b.limit.Interval, now)
 	b.planFloor(now)
+	b.planned, b.stale = now, false
 	// With the pool for the wanted floor, leases shrink until it has room.
 	pool := max(0, b.total()-b.reserveFor(b.limit.Floor))
 	needs := make([]need, 0, len(b.order))
 	for _, s := range b.order {
 		if s.active(now) {
-			needs = append(needs, need{amount: s.need(b.floorOf(s)), remote: s.remote})
+			floor := b.floorOf(s)
+			needs = append(needs, need{amount: s.need(floor), spare: s.reserved - floor, remote: s.remote})
 		}
 	}
 	level, warm, rest := levels(needs, pool, int64(b.holders))
@@ -448,6 +458,8 @@
 // need is what a holder wants above its floor.
 type need struct {
 	amount int64
+	// spare is reserved for the holder above its floor and takes no room in the pool.
+	spare  int64
 	remote bool
 }
 
@@ -475,18 +487,20 @@
 	filled := func(level, warm int64) int64 {
 		sum := int64(0)
 		for _, n := range needs {
-			amount := min(n.amount, level)
-			sum += max(amount, n.keptWarm(warm))
+			amount := max(min(n.amount, level), n.keptWarm(warm))
+			sum += max(0, amount-n.spare)
 		}
 		return sum
 	}
+	most := pool
 	for _, n := range needs {
+		most = max(most, pool+n.spare)
 		if n.remote {
 			holders--
 		}
 	}
 	holders = max(1, holders)
-	level = highest(pool, func(level int64) bool { return filled(level, 0) <= pool })
+	level = highest(most, func(level int64) bool { return filled(level, 0) <= pool })
 	warm = highest(pool/holders, func(warm int64) bool { return filled(level, warm) <= pool })
 	return level, warm, pool - filled(level, warm)
 }
--- a/control/allocator_test.go
+++ b/control/allocator_test.go
@@ -89,6 +89,22 @@
 		Expect(leased + reserved).To(BeEquivalentTo(60))
 	})
 
+	// Guards against a drain of half a region that leaves its entries a third of
+	// the other half, because the larger floors of before stay reserved.
+	It("leases what stays reserved for larger floors", func() {
+		Expect(a.SetLimit(slots, control.Limit{Total: 100, Floor: 12})).To(Succeed())
+		_, ms := settleWants(a, 0, 90, 90, 90, 90)
+		Expect(a.SetLimit(slots, control.Limit{Total: 50, Floor: 6})).To(Succeed())
+		for ms++; ms < 20_000; ms += 500 {
+			usable := int64(0)
+			for i := range 4 {
+				g := ask(a, fmt.Sprint(i), 90, ms+i)
+				usable += g.Amount + g.Floor
+			}
+			Expect(usable).To(BeNumerically("~", 50, 2))
+		}
+	})
+
 	// Guards against a raised floor that holders use on top of older leases.
 	It("raises a floor only when leases leave room, and keeps a larger one reserved", func() {
 		_, ms := settleWants(a, 0, 90, 90, 90, 90)
--- a/control/share.go
+++ b/control/share.go
@@ -17,8 +17,7 @@
 	remote bool
 	// activeUntil ends one lease time after the last report.
 	activeUntil time.Time
-	// leases holds the unexpired leases that no later and larger one covers:
-	// the oldest and largest first.
+	// leases holds the unexpired leases that no later one covers, the oldest first.
 	leases []lease
 	// former covers the leases of earlier incarnations, which may still run.
 	former lease
@@ -29,12 +28,23 @@
 	floor     int64
 	floorSeen time.Time
 	// held, recent, use and reserved are counted in the sums of the budget.
+	// reserved is the floor that is reserved for the holder, and held what it
+	// may use above that.
 	held, recent, use, reserved int64
 }
 
+// lease is an amount above a floor. A holder that has the lease has that floor.
 type lease struct {
-	amount int64
-	until  time.Time
+	amount, floor int64
+	until         time.Time
+}
+
+// total returns what a holder with the lease may use.
+func (l lease) total() int64 { return l.floor + l.amount }
+
+// covers reports whether the lease outlasts an earlier one that is no larger.
+func (l lease) covers(earlier lease) bool {
+	return earlier.total() <= l.total() && earlier.amount <= l.amount
 }
 
 func (l lease) live(now time.Time) bool { return now.Before(l.until) }
@@ -56,17 +66,21 @@
 // active reports whether the holder has reported within a lease time.
 func (s *share) active(now time.Time) bool { return now.Before(s.activeUntil) }
 
-// add counts a new lease.
-func (s *share) add(amount int64, now time.Time) {
+// add counts a new lease above the given floor.
+func (s *share) add(amount, floor int64, now time.Time) {
 	s.last = amount
+	added := lease{amount: amount, floor: floor, until: now.Add(LeaseTTL)}
 	n := len(s.leases)
-	for n > 0 && s.leases[n-1].amount <= amount {
+	for n > 0 && added.covers(s.leases[n-1]) {
 		n--
 	}
-	s.leases = append(s.leases[:n], lease{amount: amount, until: now.Add(LeaseTTL)})
+	s.leases = append(s.leases[:n], added)
 	if len(s.leases) > maxLeases {
-		// One lease stands for the two oldest: the larger amount, the later time.
-		s.leases[1].amount = s.leases[0].amount
+		// One lease stands for the two oldest: the larger amounts, the later time.
+		first, second := s.leases[0], &s.leases[1]
+		total := max(first.total(), second.total())
+		second.amount = max(first.amount, second.amount)
+		second.floor = total - second.amount
 		s.leases = append(s.leases[:0], s.leases[1:]...)
 	}
 }
@@ -95,17 +109,18 @@
 	}
 	s.leases = append(s.leases[:0], s.leases[n:]...)
 	s.held, s.recent = 0, 0
-	for i := len(s.leases) - 1; i >= 0; i-- {
-		s.held = s.leases[i].amount
-		if !s.leases[i].until.Before(recentUntil) {
-			s.recent = s.held
+	for _, l := range s.leases {
+		above := l.total() - s.reserved
+		s.held = max(s.held, above)
+		if !l.until.Before(recentUntil) {
+			s.recent = max(s.recent, above)
 		}
 	}
 	s.held += s.former.liveAmount(now)
 	s.recent += s.former.liveAmount(now)
 	s.use = 0
 	if s.active(now) {
-		s.use = min(s.lowest.of(s.inUse), s.held+s.floor)
+		s.use = min(s.lowest.of(s.inUse), s.held+s.reserved)
 	}
 }
 
