--- a/control/lease_property_test.go
+++ b/control/lease_property_test.go
@@ -62,6 +62,8 @@
 	lossless bool
 	// leaders allows changes of leader.
 	leaders bool
+	// bursts has a holder report each second, and often at once after a reply.
+	bursts bool
 }
 
 func newSim(seed uint64, r azurestair.Resource, limitOf func(*rand.Rand) control.Limit) *sim {
@@ -155,6 +157,9 @@
 // report sends a report, which ends the wait for the reply to the one before.
 func (s *sim) report(h *simHolder, t time.Duration) {
 	h.next = t + 500*time.Millisecond
+	if s.bursts {
+		h.next = t + time.Second
+	}
 	h.sent++
 	number, inc, now := h.sent, h.inc, h.clock(t)
 	d := h.holder.Demand(s.resource, min(h.want, h.holder.Limit(s.resource, now)), h.want)
@@ -173,6 +178,9 @@
 			if number == h.sent && inc == h.inc {
 				h.holder.Apply(grants, now, h.clock(t))
 				h.term = term
+				if s.bursts && s.rng.IntN(2) == 0 {
+					h.next = t + simStep
+				}
 				if grants != nil {
 					h.granted = grants
 				}
@@ -276,6 +284,7 @@
 	// besides the rise of the others, with replies lost and connections cut.
 	It("let resumed work rise at most by the cap", func() {
 		expectRiseWithin(shift, func(s *sim, seed uint64, t time.Duration) int64 {
+			s.bursts = seed%2 == 1
 			if t == time.Duration(seed)*simLength/100 {
 				s.elect(t)
 			}
--- a/control/share.go
+++ b/control/share.go
@@ -119,7 +119,7 @@
 	s.held += s.former.liveAmount(now)
 	s.recent += s.former.liveAmount(now)
 	s.use = 0
-	if s.active(now) {
+	if now.Before(s.activeUntil.Add(useTTL - LeaseTTL)) {
 		s.use = min(s.lowest.of(s.inUse), s.held+s.reserved)
 	}
 }
@@ -137,6 +137,9 @@
 // least use.
 const rampBuckets = 5
 
+// useTTL is how long a reported use counts without a later report.
+const useTTL = 1500 * time.Millisecond
+
 // useReports is the number of reports whose least use counts. Reports of
 // different holders tell of times that lie up to a report's interval and its
 // delay apart, so the sum of the newest uses may exceed the use at any one time.
