--- a/cmd/azurestair-load/main.go
+++ b/cmd/azurestair-load/main.go
@@ -46,6 +46,7 @@
 	fs.IntVar(&o.Procs, "procs", 2, "processors that one instance may use at once")
 	fs.StringVar(&o.Deployment, "deployment", "addis", "addis or inkingi")
 	fs.DurationVar(&o.Delay, "delay", 0, "one-way delay between callers and entries")
+	fs.DurationVar(&o.RegionDelay, "region-delay", 0, "one-way delay between instances of different regions")
 	fs.DurationVar(&o.Duration, "duration", 6*time.Second, "length of each measured load")
 	only := fs.String("only", "", "comma-separated scenarios; default all: "+strings.Join(load.Names(), ","))
 	asJSON := fs.Bool("json", false, "print the report as JSON")
--- a/faults/relay.go
+++ b/faults/relay.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -201,50 +202,80 @@
 		_ = l.client.Close()
 		return
 	}
+	there := &lane{link: l, src: l.client, dst: l.target, direction: ToTarget, pieces: make(chan piece, maxPieces)}
+	back := &lane{link: l, src: l.target, dst: l.client, direction: FromTarget, pieces: make(chan piece, maxPieces)}
 	var wg sync.WaitGroup
-	wg.Go(func() { l.pump(l.client, l.target, ToTarget) })
-	wg.Go(func() { l.pump(l.target, l.client, FromTarget) })
+	for _, n := range []*lane{there, back} {
+		wg.Go(n.run)
+		wg.Go(n.loop)
+	}
 	wg.Wait()
 	_ = l.client.Close()
 	_ = l.target.Close()
 }
 
-// pump passes bytes on until one side ends. The end of a silent direction is
-// not passed on either.
-func (l *link) pump(src, dst net.Conn, d Direction) {
+// maxPieces bounds the pieces of data that wait on their way.
+const maxPieces = 256
+
+// piece is data that is passed on at a time.
+type piece struct {
+	data []byte
+	due  time.Time
+}
+
+// lane is one direction of a link. Pieces follow each other at the distance
+// at which they came, so that a delay does not lower the throughput.
+type lane struct {
+	link      *link
+	src, dst  net.Conn
+	direction Direction
+	pieces    chan piece
+}
+
+// run reads until one side ends.
+func (n *lane) run() {
+	defer close(n.pieces)
 	buf := make([]byte, 32<<10)
 	for {
-		n, err := src.Read(buf)
-		if n > 0 && !l.pass(dst, buf[:n], d) {
-			l.reset()
-			return
+		size, err := n.src.Read(buf)
+		if size > 0 {
+			wait := time.Duration(n.link.relay.delay[n.direction].Load())
+			n.pieces <- piece{data: slices.Clone(buf[:size]), due: time.Now().Add(wait)}
 		}
 		if err == nil {
 			continue
 		}
-		if l.silent[d].Load() {
-			return
-		}
-		if !errors.Is(err, io.EOF) {
-			l.reset()
-			return
+		if !n.link.silent[n.direction].Load() && !errors.Is(err, io.EOF) {
+			n.link.reset()
 		}
-		_ = dst.(*net.TCPConn).CloseWrite()
 		return
 	}
 }
 
-func (l *link) pass(dst net.Conn, data []byte, d Direction) bool {
-	if wait := time.Duration(l.relay.delay[d].Load()); wait > 0 {
-		time.Sleep(wait)
+// loop passes the pieces on when they are due. The end of a silent direction
+// is not passed on.
+func (n *lane) loop() {
+	broken := false
+	for p := range n.pieces {
+		time.Sleep(time.Until(p.due))
+		if !broken && !n.pass(p.data) {
+			broken = true
+			n.link.reset()
+		}
 	}
-	if l.silent[d].Load() {
+	if !n.link.silent[n.direction].Load() {
+		_ = n.dst.(*net.TCPConn).CloseWrite()
+	}
+}
+
+func (n *lane) pass(data []byte) bool {
+	if n.link.silent[n.direction].Load() {
 		return true
 	}
-	if d == FromTarget && l.relay.takeCut() {
+	if n.direction == FromTarget && n.link.relay.takeCut() {
 		return false
 	}
-	_, err := dst.Write(data)
+	_, err := n.dst.Write(data)
 	return err == nil
 }
 
--- a/load/control.go
+++ b/load/control.go
@@ -203,12 +203,16 @@
 	return nil
 }
 
-// numChanges is the number of configuration changes of the changes scenario.
-const numChanges = 100
+const (
+	// numChanges is the number of configuration changes of the changes scenario.
+	numChanges = 100
+	// changesTimeout gives each change more than it may take on average.
+	changesTimeout = numChanges * time.Second
+)
 
 // changes measures how long a change takes until all instances have it in effect.
 func (r *run) changes(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	ctx, cancel := context.WithTimeout(ctx, changesTimeout)
 	defer cancel()
 	s := NewSample()
 	for i := range numChanges {
--- a/load/fleet.go
+++ b/load/fleet.go
@@ -13,6 +13,7 @@
 
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/disk"
+	"azurestair.example/azurestair/faults"
 	"azurestair.example/azurestair/operator"
 	"azurestair.example/azurestair/peer"
 	"azurestair.example/azurestair/stub"
@@ -40,6 +41,8 @@
 	// Procs bounds the processors that one instance uses at once.
 	Procs      int
 	Deployment Deployment
+	// RegionDelay is the one-way delay between instances of different regions.
+	RegionDelay time.Duration
 	// Dir holds settings, logs and data of the instances.
 	Dir string
 }
@@ -69,6 +72,7 @@
 	members []*member
 	stubs   map[azurestair.ServiceName][]*stub.Upstream
 	wire    *wire
+	relays  []*faults.Relay
 	config  azurestair.Config
 }
 
@@ -155,7 +159,11 @@
 	}
 	var voters strings.Builder
 	for _, v := range f.members[:f.opts.Controls] {
-		fmt.Fprintf(&voters, "{ id = %q, peerAddr = %q }, ", v.id, v.peers)
+		addr, err := f.peerAddr(m, v)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(&voters, "{ id = %q, peerAddr = %q }, ", v.id, addr)
 	}
 	text := fmt.Sprintf(`[instance]
 id = %q
@@ -187,6 +195,22 @@
 	return os.WriteFile(f.file(m, ".toml"), []byte(text), 0o600)
 }
 
+// peerAddr returns where an instance reaches a voter: through a relay that
+// delays the messages if the voter is in another region.
+func (f *Fleet) peerAddr(m, voter *member) (string, error) {
+	if f.opts.RegionDelay <= 0 || m.region == voter.region {
+		return voter.peers, nil
+	}
+	r, err := faults.NewRelay("127.0.0.1:0", voter.peers)
+	if err != nil {
+		return "", err
+	}
+	r.SetDelay(faults.ToTarget, f.opts.RegionDelay)
+	r.SetDelay(faults.FromTarget, f.opts.RegionDelay)
+	f.relays = append(f.relays, r)
+	return r.Addr(), nil
+}
+
 // run starts the process of an instance.
 func (f *Fleet) run(m *member) error {
 	p, err := startProcess(f.opts.Binary, f.file(m, ".log"), f.opts.Procs, "serve", "--settings", f.file(m, ".toml"))
@@ -261,6 +285,8 @@
 		if m.process.hasEnded() {
 			return fmt.Errorf("%w: %s has ended; its log is in %s", azurestair.ErrClosed, m.id, f.file(m, ".log"))
 		}
+	}
+	for _, m := range f.members {
 		st, err := f.admin(m).Status(ctx)
 		if err != nil {
 			return err
@@ -317,6 +343,9 @@
 	for range f.members {
 		<-ended
 	}
+	for _, r := range f.relays {
+		r.Close()
+	}
 }
 
 func (m *member) runStop(ended chan<- struct{}) {
--- a/load/run.go
+++ b/load/run.go
@@ -24,6 +24,8 @@
 	Deployment string
 	// Delay is the one-way delay between the callers and the entries.
 	Delay time.Duration
+	// RegionDelay is the one-way delay between instances of different regions.
+	RegionDelay time.Duration
 	// Duration is how long each measured schedule lasts.
 	Duration time.Duration
 	// Only names the scenarios to run; empty means all.
@@ -87,7 +89,7 @@
 	}
 	defer os.RemoveAll(dir) //nolint:errcheck // nothing is left to do
 	f, err := StartFleet(ctx, FleetOptions{
-		Binary: o.Binary, Controls: o.Controls, Entries: o.Entries, Procs: o.Procs, Deployment: d, Dir: dir,
+		Binary: o.Binary, Controls: o.Controls, Entries: o.Entries, Procs: o.Procs, Deployment: d, RegionDelay: o.RegionDelay, Dir: dir,
 	})
 	if err != nil {
 		return Findings{}, err
