--- a/control/allocator.go
+++ b/control/allocator.go
@@ -16,9 +16,6 @@
 	// QuietTime is how long a new leader grants nothing above floors: the
 	// longest lease of its predecessor, with the margin for clock drift.
 	QuietTime = LeaseTTL + LeaseTTL/20
-	// holderMemory is how long a silent holder keeps its place when another
-	// one needs it. A holder cut off for longer than that still uses its floor.
-	holderMemory = 10 * time.Minute
 	// planInterval is how long the fair level of a budget is kept at least,
 	// because it costs a walk over all holders. planPerHolder makes the time
 	// longer with many holders, 1.4 s at 690, so that the cost of the walks
@@ -56,12 +53,6 @@
 	inherited map[azurestair.Resource]int64
 }
 
-type holderPlace struct {
-	incarnation azurestair.Incarnation
-	seen        time.Time
-	left        bool
-}
-
 // Quiet makes the allocator grant nothing above floors until the predecessor's
 // longest lease has run out.
 func (a *Allocator) Quiet(until time.Time) { a.quietUntil = until }
@@ -141,52 +132,6 @@
 	return grants
 }
 
-// admit gives the holder a place and reports whether it has one.
-func (a *Allocator) admit(holder azurestair.InstanceID, inc azurestair.Incarnation, now time.Time) bool {
-	p := a.holders[holder]
-	if p == nil {
-		if !a.makeRoom(now) {
-			return false
-		}
-		p = &holderPlace{}
-		a.holders[holder] = p
-	}
-	if inc < p.incarnation || (p.left && inc == p.incarnation) {
-		return false
-	}
-	p.incarnation, p.seen, p.left = inc, now, false
-	return true
-}
-
-// Leave frees the place of a holder that has sent its last report. Its leases
-// still count until they expire.
-func (a *Allocator) Leave(holder azurestair.InstanceID) {
-	if p := a.holders[holder]; p != nil {
-		p.left = true
-	}
-}
-
-// makeRoom makes room for one more holder.
-func (a *Allocator) makeRoom(now time.Time) bool {
-	if a.holders == nil {
-		a.holders = map[azurestair.InstanceID]*holderPlace{}
-	}
-	if len(a.holders) < orDefault(a.MaxHolders, DefaultMaxHolders) {
-		return true
-	}
-	for id, p := range a.holders {
-		silent := now.Sub(p.seen)
-		if silent >= holderMemory || (p.left && silent >= LeaseTTL) {
-			delete(a.holders, id)
-			for _, b := range a.budgets {
-				b.forget(id)
-			}
-			return true
-		}
-	}
-	return false
-}
-
 // Outstanding returns the sum of the unexpired leases of a budget and the sum
 // of the reserved floors.
 func (a *Allocator) Outstanding(r azurestair.Resource, now time.Time) (leased, reserved int64) {
