--- a/command.go
+++ b/command.go
@@ -11,6 +11,10 @@
 	Claim   *Claim        `cbor:"4,keyasint,omitempty" json:"claim,omitempty"`
 	Finish  *ClaimFinish  `cbor:"5,keyasint,omitempty" json:"finish,omitempty"`
 	Members *MemberChange `cbor:"6,keyasint,omitempty" json:"members,omitempty"`
+	Holder  *HolderChange `cbor:"7,keyasint,omitempty" json:"holder,omitempty"`
+	// ListsHolders is set by a leader that gives floors only to listed holders.
+	// Programs before the list did not set it.
+	ListsHolders bool `cbor:"8,keyasint,omitempty" json:"listsHolders,omitempty"`
 }
 
 // Validate checks the command.
@@ -31,6 +35,7 @@
 	check(c.Claim != nil, func() error { return c.Claim.Validate() })
 	check(c.Finish != nil, func() error { return c.Finish.Validate() })
 	check(c.Members != nil, func() error { return c.Members.Validate() })
+	check(c.Holder != nil, func() error { return c.Holder.Validate() })
 	if n != 1 {
 		return fmt.Errorf("%w: a command needs exactly one part, has %d", ErrInvalid, n)
 	}
@@ -117,6 +122,16 @@
 	return m.Change.Validate()
 }
 
+// HolderChange lists an instance among the holders that may have floors, or
+// removes it. The leader proposes it, not an operator.
+type HolderChange struct {
+	Instance InstanceID `cbor:"1,keyasint" json:"instance"`
+	Removed  bool       `cbor:"2,keyasint,omitempty" json:"removed,omitempty"`
+}
+
+// Validate checks the change.
+func (h HolderChange) Validate() error { return CheckName("instance", string(h.Instance)) }
+
 // ResultCode says how a command ended.
 type ResultCode string
 
--- a/control/allocator.go
+++ b/control/allocator.go
@@ -32,8 +32,8 @@
 // Allocator leases budgets to entry instances. It is the leader's soft state.
 //
 // Invariant: for each budget, the unexpired leases, counting the largest one
-// of each holder, and the floors of all possible holders never exceed the
-// limit. A lease counts until it expires at the leader, also when a later one
+// of each holder, and the floors of all holders that may have one never exceed
+// the limit. A lease counts until it expires at the leader, also when a later one
 // is smaller, because the holder may never get the later one. After the limit
 // was lowered, the invariant holds again one LeaseTTL later.
 //
@@ -49,6 +49,10 @@
 	quietUntil time.Time
 	holders    map[azurestair.InstanceID]*holderPlace
 	budgets    map[azurestair.Resource]*budget
+	// listed names the holders that may have floors; nil stands for any.
+	listed *HolderList
+	// changes holds the changes of the list that holders need.
+	changes map[azurestair.InstanceID]listChange
 	// inherited holds the floors that the predecessor may have given.
 	inherited map[azurestair.Resource]int64
 }
@@ -82,6 +86,7 @@
 			a.budgets = map[azurestair.Resource]*budget{}
 		}
 		b = &budget{shares: map[azurestair.InstanceID]*share{}, inherited: a.inherited[r]}
+		b.setListed(a.listed)
 		a.budgets[r] = b
 	}
 	b.setLimit(l)
@@ -121,12 +126,14 @@
 	if len(demands) == 0 || !a.admit(holder, inc, now) {
 		return nil
 	}
-	quiet := now.Before(a.quietUntil)
+	quiet, hasFloor := now.Before(a.quietUntil), a.mayHaveFloor(holder)
 	grants := make([]azurestair.Grant, 0, len(demands))
 	for _, d := range demands {
 		if b := a.budgets[d.Resource]; b != nil {
 			b.holders = orDefault(a.MaxHolders, DefaultMaxHolders)
-			grants = append(grants, b.grant(b.share(holder, inc, now), d, quiet, now))
+			s := b.share(holder, inc, now)
+			s.unlisted = !hasFloor
+			grants = append(grants, b.grant(s, d, quiet, now))
 		}
 	}
 	return grants
@@ -148,7 +155,11 @@
 	limit Limit
 	// holders is the number of possible holders.
 	holders int
-	shares  map[azurestair.InstanceID]*share
+	// listed names the holders that may have floors, nil for any, and unseen is
+	// how many of them have no share.
+	listed *HolderList
+	unseen int64
+	shares map[azurestair.InstanceID]*share
 	// order holds the shares sorted by holder, so that what cannot be split
 	// evenly goes to the same holders each time.
 	order []*share
@@ -188,6 +199,7 @@
 		i, _ := b.search(id)
 		b.order = slices.Insert(b.order, i, s)
 		b.stale = true
+		b.setListed(b.listed)
 	}
 	if s.incarnation != inc {
 		s.restart(inc, now)
@@ -208,6 +220,7 @@
 	delete(b.shares, id)
 	i, _ := b.search(id)
 	b.order = slices.Delete(b.order, i, i+1)
+	b.setListed(b.listed)
 }
 
 func (b *budget) search(id azurestair.InstanceID) (int, bool) {
@@ -223,10 +236,7 @@
 		b.plan(now)
 	}
 	b.ramp.observe(b.use, b.limit.Interval, now)
-	floor := b.floorOf(s)
-	if quiet {
-		floor = min(floor, max(d.Floor, b.inherited))
-	}
+	floor := b.grantedFloor(s, d, quiet)
 	s.noteFloor(floor, now)
 	amount := b.extension(s, d.Held)
 	if !quiet {
@@ -236,18 +246,25 @@
 	b.recount(s, now)
 	b.lastGrant = now
 	g := azurestair.Grant{Resource: d.Resource, Amount: amount, Floor: floor, TTLMs: azurestair.MillisOf(LeaseTTL)}
-	if most := max(b.floor, b.inherited); s.remote && most > floor {
+	if most := max(b.floor, b.inherited); (s.remote || b.listed != nil) && most > floor {
 		g.MaxFloor = most
 	}
 	return g
 }
 
 // floorOf returns the floor that the holder of a share is given.
-func (b *budget) floorOf(s *share) int64 {
-	if s.remote {
-		return min(b.floor, b.limit.RemoteFloor)
+func (b *budget) floorOf(s *share) int64 { return b.floorFor(s, b.floor) }
+
+// floorFor returns the floor of the holder of a share if each gets floor.
+func (b *budget) floorFor(s *share, floor int64) int64 {
+	switch {
+	case s.unlisted:
+		return 0
+	case s.remote:
+		return min(floor, b.limit.RemoteFloor)
+	default:
+		return floor
 	}
-	return b.floor
 }
 
 // extension returns how much of a lease of the predecessor goes on. While the
@@ -289,27 +306,20 @@
 	return min(b.limit.Total, b.ramp.base()+b.limit.Step)
 }
 
-// reserve returns the floors of all possible holders, as last counted.
+// reserve returns the floors of all holders that may have one, as last counted.
 func (b *budget) reserve() int64 { return b.floors + b.unknown()*max(b.floor, b.inherited) }
 
-// reserveFor returns the floors of all possible holders if floor is given to
-// each. A known holder may still have a larger one, and so may one that has
+// reserveFor returns the floors of all holders that may have one if floor is
+// given to each. A known holder may still have a larger one, and so may one that has
 // not reported to this leader.
 func (b *budget) reserveFor(floor int64) int64 {
 	sum := b.unknown() * max(floor, b.inherited)
 	for _, s := range b.order {
-		if s.remote {
-			sum += max(s.floor, min(floor, b.limit.RemoteFloor))
-			continue
-		}
-		sum += max(s.floor, floor)
+		sum += max(s.floor, b.floorFor(s, floor))
 	}
 	return sum
 }
 
-// unknown returns the number of possible holders that have not reported.
-func (b *budget) unknown() int64 { return int64(max(0, b.holders-len(b.shares))) }
-
 // noteLowered notes a fall of the pool. While leases from before the first
 // noted fall may exist, the first one stays, and later falls move only the end.
 func (b *budget) noteLowered(pool int64, now time.Time) {
--- a/control/allocator_test.go
+++ b/control/allocator_test.go
@@ -159,7 +159,7 @@
 		_, ms := settleWants(a, 0, 1, 1, 1, 1)
 		demand := []azurestair.Demand{{Resource: slots, Want: 1}}
 		Expect(a.Demand("other", 1, demand, at(ms))).To(BeNil())
-		a.Leave("2")
+		a.Leave("2", 1)
 		Expect(a.Demand("other", 1, demand, at(ms))).To(BeNil())
 		Expect(a.Demand("other", 1, demand, at(ms+2000))).To(HaveLen(1))
 	})
--- a/control/change.go
+++ b/control/change.go
@@ -105,10 +105,10 @@
 	return r
 }
 
-// digestOf identifies the content of a command regardless of its time. Config
+// digestOf identifies the content of a command regardless of what the leader adds. Config
 // holds no map, so that its JSON form is the same on every replica.
 func digestOf(c azurestair.Command) ([sha256.Size]byte, error) {
-	c.At = 0
+	c.At, c.ListsHolders = 0, false
 	data, err := json.Marshal(c)
 	if err != nil {
 		return [sha256.Size]byte{}, fmt.Errorf("%w: change cannot be encoded: %w", azurestair.ErrInvalid, err)
--- a/control/config.go
+++ b/control/config.go
@@ -58,6 +58,9 @@
 	}
 	next := c.Config.Config
 	next.Version = current + 1
+	if current == 0 && c.ListsHolders {
+		s.holders = &HolderList{}
+	}
 	s.history.push(ConfigRecord{
 		Config:   &next,
 		Operator: c.Config.Change.Operator,
--- a/control/image.go
+++ b/control/image.go
@@ -25,6 +25,8 @@
 	Ledger [][]*LedgerRecord `cbor:"6,keyasint,omitempty" json:"ledger,omitempty"`
 	// LastKept is the number of the newest answer that was ever kept.
 	LastKept uint64 `cbor:"7,keyasint,omitempty" json:"lastKept,omitempty"`
+	// Holders is nil in the image of a state without the list.
+	Holders *HolderList `cbor:"8,keyasint,omitempty" json:"holders,omitempty"`
 }
 
 // Image returns the state. It copies references only and may be encoded on
@@ -42,6 +44,7 @@
 		Audit:    s.audit.view(),
 		Ledger:   slices.Collect(slices.Chunk(records, ledgerPage)),
 		LastKept: s.ledger.answers.last,
+		Holders:  s.holders,
 	}
 }
 
@@ -50,7 +53,7 @@
 	if err := i.Validate(); err != nil {
 		return nil, err
 	}
-	s := &State{applied: i.Applied, drains: i.Drains}
+	s := &State{applied: i.Applied, drains: i.Drains, holders: i.Holders}
 	s.history.items = slices.Clip(i.History)
 	s.audit.items = slices.Clip(i.Audit)
 	for _, r := range i.Changes {
@@ -95,6 +98,9 @@
 	if err := i.validateChanges(); err != nil {
 		return err
 	}
+	if err := i.Holders.Validate(); err != nil {
+		return err
+	}
 	return i.validateLedger()
 }
 
--- a/control/lease_property_test.go
+++ b/control/lease_property_test.go
@@ -62,6 +62,68 @@
 	lossless bool
 	// leaders allows changes of leader.
 	leaders bool
+	// state holds the list of holders, nil where the leader keeps none, and log
+	// the changes of it that are proposed and not committed. listRNG leaves the
+	// schedules without a list as they are.
+	state   *control.State
+	log     []simEntry
+	listRNG *rand.Rand
+	// unlisted counts grants to holders that had no floor yet.
+	unlisted int
+}
+
+type simEntry struct {
+	due    time.Duration
+	change azurestair.HolderChange
+}
+
+// withList starts from an empty list of holders, which need no quiet time.
+func (s *sim) withList(seed uint64) {
+	s.state, s.listRNG = &control.State{}, rand.New(rand.NewPCG(seed, 8))
+	first := configChange("first", 0, 1)
+	first.ListsHolders = true
+	s.state.Apply(1, first)
+	s.leader = &control.Allocator{}
+	_ = s.leader.SetLimit(s.resource, s.limit)
+}
+
+// commit applies the proposed changes of the list that are due, in order.
+func (s *sim) commit(t time.Duration) {
+	for len(s.log) > 0 && s.log[0].due <= t {
+		s.state.Apply(s.state.Applied()+1, azurestair.Command{At: epoch, Holder: &s.log[0].change})
+		s.log = s.log[1:]
+	}
+}
+
+// list has the leader propose changes, some of which are dropped at once.
+func (s *sim) list(t time.Duration) {
+	s.commit(t)
+	for _, c := range s.leader.HolderChanges(s.clock(t)) {
+		if s.listRNG.IntN(5) > 0 {
+			s.log = append(s.log, simEntry{due: t + time.Duration(s.listRNG.Int64N(int64(3*time.Second))), change: c})
+		}
+	}
+}
+
+// churn has a holder leave gracefully and return after a while, or cuts one off
+// for longer than any lease.
+func (s *sim) churn(t time.Duration) {
+	h := s.holders[s.listRNG.IntN(len(s.holders))]
+	switch s.listRNG.IntN(200) {
+	case 0, 1:
+		s.leave(h, t)
+	case 2:
+		h.cut = t + time.Duration(s.listRNG.Int64N(int64(simLength)))
+	}
+}
+
+// leave ends a holder's process after its last report, which may come late.
+func (s *sim) leave(h *simHolder, t time.Duration) {
+	id, inc := h.id, h.inc
+	s.send(h, nil, t, func(time.Duration) { s.leader.Leave(id, inc) })
+	h.former = append(h.former, h.holder)
+	h.holder, h.inc, h.term = &control.Holder{}, inc+1, 0
+	h.next = t + time.Duration(s.listRNG.Int64N(int64(6*time.Second)))
 }
 
 func newSim(seed uint64, limitOf func(*rand.Rand) control.Limit) *sim {
@@ -89,6 +151,11 @@
 	s.clock, s.leader, s.term = s.newClock(), &control.Allocator{}, s.term+1
 	s.leader.Inherit(s.holders[s.rng.IntN(len(s.holders))].granted)
 	s.leader.Quiet(s.clock(t).Add(control.QuietTime))
+	if s.state != nil {
+		// Of the proposed changes, any first part is committed before the next leader acts.
+		s.log = s.log[:s.listRNG.IntN(len(s.log)+1)]
+		s.commit(simLength * 2)
+	}
 	_ = s.leader.SetLimit(s.resource, s.limit)
 }
 
@@ -155,6 +222,9 @@
 	heard := h.term
 	s.send(h, nil, t, func(t time.Duration) {
 		term, d := s.term, d
+		if s.state != nil {
+			s.leader.SetHolders(s.state.Holders(), s.clock(t))
+		}
 		if heard != term {
 			d.Held = 0
 		}
@@ -162,6 +232,12 @@
 		if heard != term && s.leader.IsQuiet(s.clock(t)) {
 			grants = nil
 		}
+		for _, g := range grants {
+			if s.state != nil && g.Amount > 0 && !s.state.Holders().Has(h.id) {
+				Expect(g.Floor).To(BeZero(), "floor of a holder that is not listed")
+				s.unlisted++
+			}
+		}
 		s.send(h, h, t, func(t time.Duration) {
 			if number == h.sent && inc == h.inc {
 				h.holder.Apply(grants, now, h.clock(t))
@@ -191,14 +267,21 @@
 
 // expectWithinLimit checks that what is held stays within the largest limit
 // of the last lease time, and that the schedules come near it.
-func expectWithinLimit(leaders bool, limitOf func(*rand.Rand) control.Limit) {
+func expectWithinLimit(leaders, listed bool, limitOf func(*rand.Rand) control.Limit) {
 	GinkgoHelper()
-	most := 0.0
+	most, unlisted := 0.0, 0
 	for seed := range uint64(300) {
 		s := newSim(seed, limitOf)
 		s.leaders = leaders
+		if listed {
+			s.withList(seed)
+		}
 		for t := time.Duration(0); t < simLength; t += simStep {
 			s.disturb(t)
+			if listed {
+				s.churn(t)
+				s.list(t)
+			}
 			s.step(t)
 			held, _ := s.held(t)
 			recent := s.limits[max(0, len(s.limits)-int(control.LeaseTTL/simStep)-2):]
@@ -207,8 +290,10 @@
 				Fail(fmt.Sprintf("seed %d at %v: %d held of %d", seed, t, held, slices.Max(recent)))
 			}
 		}
+		unlisted += s.unlisted
 	}
 	Expect(most).To(BeNumerically(">", 0.9))
+	Expect(unlisted > 0).To(Equal(listed), "leases without a floor")
 }
 
 // expectRiseWithin runs schedules with a ramp and checks that no value
@@ -234,12 +319,26 @@
 	// replies, pauses, restarts, cut connections, clock drift, changed limits
 	// and, in the first case, changes of leader.
 	It("never pass the limit across leaders", func() {
-		expectWithinLimit(true, func(rng *rand.Rand) control.Limit {
+		expectWithinLimit(true, false, func(rng *rand.Rand) control.Limit {
 			return control.Limit{Total: 60 + rng.Int64N(140), Floor: 5}
 		})
 	})
 	It("never pass the limit while floors change", func() {
-		expectWithinLimit(false, func(rng *rand.Rand) control.Limit {
+		expectWithinLimit(false, false, func(rng *rand.Rand) control.Limit {
+			return control.Limit{Total: 60 + rng.Int64N(140), Floor: 2 + rng.Int64N(5)}
+		})
+	})
+
+	// Guards against a floor that a new leader does not reserve, because the list
+	// that it has lacks a holder that is cut off and uses its floor, and against
+	// leases of others that still cover a floor when it is given.
+	It("never pass the limit across leaders that reserve floors for listed holders only", func() {
+		expectWithinLimit(true, true, func(rng *rand.Rand) control.Limit {
+			return control.Limit{Total: 60 + rng.Int64N(140), Floor: 5}
+		})
+	})
+	It("never pass the limit while floors change and holders are listed", func() {
+		expectWithinLimit(false, true, func(rng *rand.Rand) control.Limit {
 			return control.Limit{Total: 60 + rng.Int64N(140), Floor: 2 + rng.Int64N(5)}
 		})
 	})
--- /dev/null
+++ b/control/places_test.go
@@ -0,0 +1,147 @@
+package control_test
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/control"
+)
+
+func listOf(ids ...azurestair.InstanceID) *control.HolderList { return &control.HolderList{IDs: ids} }
+
+var _ = Describe("list of holders", func() {
+	var a *control.Allocator
+	add := func(id azurestair.InstanceID) azurestair.HolderChange {
+		return azurestair.HolderChange{Instance: id}
+	}
+	remove := func(id azurestair.InstanceID) azurestair.HolderChange {
+		return azurestair.HolderChange{Instance: id, Removed: true}
+	}
+	expectChanges := func(ms int, want ...azurestair.HolderChange) {
+		GinkgoHelper()
+		got := a.HolderChanges(at(ms))
+		Expect(got).To(HaveLen(len(want)))
+		for i, c := range want {
+			Expect(got[i]).To(Equal(c))
+		}
+	}
+	demand := func(id azurestair.InstanceID, inc azurestair.Incarnation, ms int) []azurestair.Grant {
+		return a.Demand(id, inc, []azurestair.Demand{{Resource: slots, Want: 200}}, at(ms))
+	}
+	lead := func(list *control.HolderList) {
+		GinkgoHelper()
+		a = &control.Allocator{MaxHolders: 4}
+		a.Inherit([]azurestair.Grant{{Resource: slots, Floor: 7}})
+		Expect(a.SetLimit(slots, control.Limit{Total: 100, Floor: 5})).To(Succeed())
+		a.SetHolders(list, at(0))
+	}
+	BeforeEach(func() { lead(listOf()) })
+
+	// Guards against budget that is reserved for holders that nobody has seen.
+	It("leases everything while no holder is listed", func() {
+		Expect(ask(a, "0", 200, 0)).To(Equal(azurestair.Grant{Resource: slots, Amount: 100, MaxFloor: 7, TTLMs: 2000}))
+	})
+
+	// Guards against a floor that others still lease, and that no leader knows of.
+	It("gives a floor once it is listed and leases leave room", func() {
+		ask(a, "0", 200, 0)
+		expectChanges(0, add("0"))
+		expectChanges(999)
+		expectChanges(1000, add("0"))
+		a.SetHolders(listOf("0"), at(1000))
+		expectChanges(9000)
+		Expect(ask(a, "0", 200, 1000)).To(And(HaveField("Floor", BeZero()), HaveField("Amount", BeEquivalentTo(95))))
+		Expect(ask(a, "0", 200, 1999).Floor).To(BeZero())
+		Expect(ask(a, "0", 200, 2000).Floor).To(BeEquivalentTo(5))
+	})
+
+	// Guards against a new leader that leases the floor of a holder that is cut
+	// off, and that gives a floor which its predecessor had still leased.
+	It("reserves floors for all listed holders, and raises none while it is quiet", func() {
+		lead(listOf("0", "1", "2"))
+		a.Quiet(at(2100))
+		Expect(ask(a, "0", 200, 0).Floor).To(BeZero())
+		Expect(ask(a, "0", 200, 2100)).To(And(HaveField("Floor", BeEquivalentTo(5)), HaveField("Amount", BeEquivalentTo(100-5-2*7))))
+	})
+
+	// Guards against a floor that is given just before the holder is removed.
+	It("removes a holder that has left, and lists it anew after its return", func() {
+		ask(a, "0", 1, 0)
+		a.SetHolders(listOf("0"), at(0))
+		a.Leave("0", 0)
+		Expect(ask(a, "0", 1, 500).Floor).To(BeEquivalentTo(5), "the end of an earlier incarnation came late")
+		a.Leave("0", 1)
+		expectChanges(2499)
+		expectChanges(2500, remove("0"))
+		Expect(demand("0", 2, 2600)).To(ConsistOf(HaveField("Floor", BeZero())))
+		expectChanges(3499)
+		expectChanges(3500, remove("0"))
+		a.SetHolders(listOf(), at(3600))
+		expectChanges(3600, add("0"))
+	})
+
+	It("keeps the place of a holder that returns before it is removed", func() {
+		ask(a, "0", 1, 0)
+		a.SetHolders(listOf("0"), at(0))
+		a.Leave("0", 1)
+		Expect(demand("0", 2, 100)).To(ConsistOf(HaveField("Floor", BeEquivalentTo(5))))
+		expectChanges(9000)
+	})
+
+	// Guards against more holders with floors than there are places.
+	It("gives the place of a silent holder away only after a while", func() {
+		lead(listOf("0", "1", "2", "3"))
+		for i := range 3 {
+			ask(a, fmt.Sprint(i), 1, 599_000)
+		}
+		Expect(demand("other", 1, 599_999)).To(BeNil())
+		Expect(demand("other", 1, 600_000)).To(ConsistOf(HaveField("Floor", BeZero())))
+		expectChanges(600_000, remove("3"), add("other"))
+	})
+})
+
+var _ = Describe("holders in the state", func() {
+	var d *driver
+	holder := func(id azurestair.InstanceID, removed bool) azurestair.Command {
+		return azurestair.Command{Holder: &azurestair.HolderChange{Instance: id, Removed: removed}}
+	}
+	first := configChange("a", 0, 1)
+	first.ListsHolders = true
+	BeforeEach(func() { d = newDriver() })
+
+	It("are listed and removed in the order of their ids", func() {
+		r := d.expect(first, azurestair.ResultAccepted)
+		Expect(d.apply(configChange("a", 0, 1))).To(Equal(r), "a resend through an older leader is the same change")
+		d.expect(holder("b", false), azurestair.ResultAccepted)
+		held := d.state.Holders()
+		d.expect(holder("a", false), azurestair.ResultAccepted)
+		d.expect(holder("a", false), azurestair.ResultUnchanged)
+		Expect(d.state.Holders()).To(Equal(listOf("a", "b")))
+		d.expect(holder("b", true), azurestair.ResultAccepted)
+		d.expect(holder("b", true), azurestair.ResultUnchanged)
+		Expect(restore(d.state.Image()).Holders()).To(Equal(listOf("a")))
+		Expect(held).To(Equal(listOf("b")), "a list that was handed out must not change")
+		d.expect(holder("", false), azurestair.ResultInvalid)
+	})
+
+	// Guards against a list that lacks holders to which an older program gave floors.
+	It("are not listed in a state whose first configuration came without the list", func() {
+		d.expect(configChange("a", 0, 1), azurestair.ResultAccepted)
+		second := configChange("b", 1, 2)
+		second.ListsHolders = true
+		d.expect(second, azurestair.ResultAccepted)
+		d.expect(holder("a", false), azurestair.ResultUnchanged)
+		Expect(restore(d.state.Image()).Holders()).To(BeNil())
+	})
+
+	It("are bounded", func() {
+		d.expect(first, azurestair.ResultAccepted)
+		for i := range control.MaxListedHolders {
+			d.expect(holder(entry(i).ID, false), azurestair.ResultAccepted)
+		}
+		d.expect(holder("other", false), azurestair.ResultFull)
+	})
+})
--- a/control/share.go
+++ b/control/share.go
@@ -13,6 +13,8 @@
 	want, inUse int64
 	// remote is true when the budget lies outside the holder's region.
 	remote bool
+	// unlisted is true while the holder may not be given a floor.
+	unlisted bool
 	// activeUntil ends one lease time after the last report.
 	activeUntil time.Time
 	// leases holds the unexpired leases that no later and larger one covers:
--- a/control/state.go
+++ b/control/state.go
@@ -26,6 +26,7 @@
 	changes changeMemory
 	audit   window[azurestair.AuditRecord]
 	ledger  ledger
+	holders *HolderList
 }
 
 // Apply applies a log entry that holds one command. The state keeps the
@@ -70,6 +71,8 @@
 		return s.applyChange(c, c.Drain.Change, s.applyDrain)
 	case c.Members != nil:
 		return s.applyChange(c, c.Members.Change, s.applyMembers)
+	case c.Holder != nil:
+		return s.applyHolder(*c.Holder)
 	case c.Claim != nil:
 		return s.ledger.claim(c.At, *c.Claim)
 	default:
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -171,11 +171,15 @@
 	c := claim(fmt.Sprint("k", rng.IntN(30)), fmt.Sprint("i", rng.IntN(3)), uint64(rng.IntN(3)))
 	switch n := rng.IntN(10); n {
 	case 0:
-		return configChange(id, s.Config().Version-azurestair.ConfigVersion(rng.IntN(2)), rng.IntN(9))
+		c := configChange(id, s.Config().Version-azurestair.ConfigVersion(rng.IntN(2)), rng.IntN(9))
+		c.ListsHolders = true
+		return c
 	case 1:
 		return drainChange(id, fmt.Sprint("u", rng.IntN(4)), rng.IntN(2) == 0)
 	case 2, 3, 4:
 		return finish(c, []azurestair.ClaimState{azurestair.ClaimDone, azurestair.ClaimNotRun, azurestair.ClaimUnknown}[n-2], []byte(id))
+	case 5:
+		return azurestair.Command{Holder: &azurestair.HolderChange{Instance: c.Instance, Removed: rng.IntN(2) == 0}}
 	default:
 		return azurestair.Command{Claim: &c}
 	}
@@ -221,6 +225,7 @@
 		Entry("missing record", func(i *control.Image) { i.Ledger[0][0] = nil }),
 		Entry("change twice", func(i *control.Image) { i.Changes = append(i.Changes, i.Changes[0]) }),
 		Entry("gap in the history", func(i *control.Image) { i.History = append(i.History, i.History[0]) }),
+		Entry("holders out of order", func(i *control.Image) { i.Holders = listOf("b", "a") }),
 		Entry("too many drains", func(i *control.Image) { i.Drains = make([]azurestair.Drain, control.MaxDrains+1) }),
 	)
 })
--- a/instance/lead.go
+++ b/instance/lead.go
@@ -37,6 +37,16 @@
 	}
 	r.registry.Expire(now)
 	r.publish(now)
+	r.listHolders(now)
+}
+
+// listHolders proposes the changes of the list of holders that are due. Nobody
+// waits for them: the list shows what was applied.
+func (r *Replica) listHolders(now time.Time) {
+	for _, change := range r.allocator.HolderChanges(now) {
+		r.propose(proposeEvent{command: azurestair.Command{Holder: &change}, reply: make(chan proposeReply, 1)}, now)
+		r.log.Info("holder list change proposed", "holder", change.Instance, "removed", change.Removed)
+	}
 }
 
 func (r *Replica) publish(now time.Time) {
@@ -55,7 +65,8 @@
 // grants answers the demands of a report. What a report says of held leases
 // counts only if its sender has heard this leader before: then the predecessor
 // had stopped to grant when the report was sent. Until then the sender keeps
-// what the predecessor granted.
+// what the predecessor granted. The caller has checked that all entries of
+// earlier terms are applied, as the list of holders requires.
 func (r *Replica) grants(q azurestair.Report, now time.Time) []azurestair.Grant {
 	heard := q.HeldTerm == r.leading
 	demands := q.Demands
@@ -65,6 +76,7 @@
 			demands[i].Held = 0
 		}
 	}
+	r.allocator.SetHolders(r.state.Holders(), now)
 	grants := r.allocator.Demand(q.Instance.ID, q.Instance.Incarnation, demands, now)
 	if !heard && r.allocator.IsQuiet(now) {
 		return nil
@@ -120,7 +132,7 @@
 	}
 	if q.Leaving {
 		r.registry.InstanceLeaving(q.Instance.ID, now)
-		r.allocator.Leave(q.Instance.ID)
+		r.allocator.Leave(q.Instance.ID, q.Instance.Incarnation)
 	} else if err := r.registry.Instance(q.Instance, now); err != nil {
 		return reply, err
 	}
@@ -132,6 +144,7 @@
 	reply.Unknown = r.registry.Alive(q.Alive, now)
 	r.publish(now)
 	r.reports.Shorten(q, r.grants(q, now), &reply)
+	r.listHolders(now)
 	reply.Term = r.leading
 	reply.ControlTTLMs = controlTTL
 	reply.Delta, reply.Snapshot = r.publisher.Delta(q.HeldTerm, q.HeldRevision)
--- a/instance/replica.go
+++ b/instance/replica.go
@@ -127,7 +127,7 @@
 		e.reply <- proposeReply{err: err}
 		return
 	}
-	e.command.At = azurestair.UnixMillisOf(now)
+	e.command.At, e.command.ListsHolders = azurestair.UnixMillisOf(now), e.command.Config != nil
 	r.pending = append(r.pending, e)
 }
 
