--- a/control/allocator.go
+++ b/control/allocator.go
@@ -16,9 +16,6 @@
 	// QuietTime is how long a new leader grants nothing above floors: the
 	// longest lease of its predecessor, with the margin for clock drift.
 	QuietTime = LeaseTTL + LeaseTTL/20
-	// holderMemory is how long a silent holder keeps its place when another
-	// one needs it. A holder cut off for longer than that still uses its floor.
-	holderMemory = 10 * time.Minute
 	// planInterval is how long the fair level of a budget is kept at least,
 	// because it costs a walk over all holders. planPerHolder makes the time
 	// longer with many holders, 1.4 s at 690, so that the cost of the walks
@@ -35,8 +32,8 @@
 // Allocator leases budgets to entry instances. It is the leader's soft state.
 //
 // Invariant: for each budget, the unexpired leases, counting the largest one
-// of each holder, and the floors of all possible holders never exceed the
-// limit. A lease counts until it expires at the leader, also when a later one
+// of each holder, and the floors of all holders that may have one never exceed
+// the limit. A lease counts until it expires at the leader, also when a later one
 // is smaller, because the holder may never get the later one. A lease above a
 // smaller floor than the one that is reserved counts only as far as both
 // together exceed that. After the limit
@@ -54,16 +51,14 @@
 	quietUntil time.Time
 	holders    map[azurestair.InstanceID]*holderPlace
 	budgets    map[azurestair.Resource]*budget
+	// listed names the holders that may have floors; nil stands for any.
+	listed *HolderList
+	// changes holds the changes of the list that holders need.
+	changes map[azurestair.InstanceID]listChange
 	// inherited holds the floors that the predecessor may have given.
 	inherited map[azurestair.Resource]int64
 }
 
-type holderPlace struct {
-	incarnation azurestair.Incarnation
-	seen        time.Time
-	left        bool
-}
-
 // Quiet makes the allocator grant nothing above floors until the predecessor's
 // longest lease has run out.
 func (a *Allocator) Quiet(until time.Time) { a.quietUntil = until }
@@ -93,6 +88,7 @@
 			a.budgets = map[azurestair.Resource]*budget{}
 		}
 		b = &budget{shares: map[azurestair.InstanceID]*share{}, inherited: a.inherited[r]}
+		b.setListed(a.listed)
 		a.budgets[r] = b
 	}
 	b.setLimit(l)
@@ -132,63 +128,19 @@
 	if len(demands) == 0 || !a.admit(holder, inc, now) {
 		return nil
 	}
-	quiet := now.Before(a.quietUntil)
+	quiet, hasFloor := now.Before(a.quietUntil), a.mayHaveFloor(holder)
 	grants := make([]azurestair.Grant, 0, len(demands))
 	for _, d := range demands {
 		if b := a.budgets[d.Resource]; b != nil {
 			b.holders = orDefault(a.MaxHolders, DefaultMaxHolders)
-			grants = append(grants, b.grant(b.share(holder, inc, now), d, quiet, now))
+			s := b.share(holder, inc, now)
+			s.unlisted = !hasFloor
+			grants = append(grants, b.grant(s, d, quiet, now))
 		}
 	}
 	return grants
 }
 
-// admit gives the holder a place and reports whether it has one.
-func (a *Allocator) admit(holder azurestair.InstanceID, inc azurestair.Incarnation, now time.Time) bool {
-	p := a.holders[holder]
-	if p == nil {
-		if !a.makeRoom(now) {
-			return false
-		}
-		p = &holderPlace{}
-		a.holders[holder] = p
-	}
-	if inc < p.incarnation || (p.left && inc == p.incarnation) {
-		return false
-	}
-	p.incarnation, p.seen, p.left = inc, now, false
-	return true
-}
-
-// Leave frees the place of a holder that has sent its last report. Its leases
-// still count until they expire.
-func (a *Allocator) Leave(holder azurestair.InstanceID) {
-	if p := a.holders[holder]; p != nil {
-		p.left = true
-	}
-}
-
-// makeRoom makes room for one more holder.
-func (a *Allocator) makeRoom(now time.Time) bool {
-	if a.holders == nil {
-		a.holders = map[azurestair.InstanceID]*holderPlace{}
-	}
-	if len(a.holders) < orDefault(a.MaxHolders, DefaultMaxHolders) {
-		return true
-	}
-	for id, p := range a.holders {
-		silent := now.Sub(p.seen)
-		if silent >= holderMemory || (p.left && silent >= LeaseTTL) {
-			delete(a.holders, id)
-			for _, b := range a.budgets {
-				b.forget(id)
-			}
-			return true
-		}
-	}
-	return false
-}
-
 // Outstanding returns the sum of the unexpired leases of a budget and the sum
 // of the reserved floors.
 func (a *Allocator) Outstanding(r azurestair.Resource, now time.Time) (leased, reserved int64) {
@@ -205,7 +157,11 @@
 	limit Limit
 	// holders is the number of possible holders.
 	holders int
-	shares  map[azurestair.InstanceID]*share
+	// listed names the holders that may have floors, nil for any, and unseen is
+	// how many of them have no share.
+	listed *HolderList
+	unseen int64
+	shares map[azurestair.InstanceID]*share
 	// order holds the shares sorted by holder, so that what cannot be split
 	// evenly goes to the same holders each time.
 	order []*share
@@ -245,6 +201,7 @@
 		i, _ := b.search(id)
 		b.order = slices.Insert(b.order, i, s)
 		b.stale = true
+		b.setListed(b.listed)
 	}
 	if s.incarnation != inc {
 		s.restart(inc, now)
@@ -265,6 +222,7 @@
 	delete(b.shares, id)
 	i, _ := b.search(id)
 	b.order = slices.Delete(b.order, i, i+1)
+	b.setListed(b.listed)
 }
 
 func (b *budget) search(id azurestair.InstanceID) (int, bool) {
@@ -281,12 +239,9 @@
 		b.plan(now)
 	}
 	b.ramp.observe(b.use, b.limit.Interval, now)
-	floor := b.floorOf(s)
-	if quiet {
-		floor = min(floor, max(d.Floor, b.inherited))
-	}
+	floor := b.grantedFloor(s, d, quiet)
 	s.noteFloor(floor, now)
-	amount := b.extension(s, d.Held, floor)
+	amount := b.extension(s, d.Held, now)
 	if !quiet {
 		amount = b.amount(s, floor, now)
 	}
@@ -294,26 +249,33 @@
 	b.recount(s, now)
 	b.lastGrant = now
 	g := azurestair.Grant{Resource: d.Resource, Amount: amount, Floor: floor, TTLMs: azurestair.MillisOf(LeaseTTL)}
-	if most := max(b.floor, b.inherited); s.remote && most > floor {
+	if most := max(b.floor, b.inherited); (s.remote || b.listed != nil) && most > floor {
 		g.MaxFloor = most
 	}
 	return g
 }
 
 // floorOf returns the floor that the holder of a share is given.
-func (b *budget) floorOf(s *share) int64 {
-	if s.remote {
-		return min(b.floor, b.limit.RemoteFloor)
+func (b *budget) floorOf(s *share) int64 { return b.floorFor(s, b.floor) }
+
+// floorFor returns the floor of the holder of a share if each gets floor.
+func (b *budget) floorFor(s *share, floor int64) int64 {
+	switch {
+	case s.unlisted:
+		return 0
+	case s.remote:
+		return min(floor, b.limit.RemoteFloor)
+	default:
+		return floor
 	}
-	return b.floor
 }
 
 // extension returns how much of a lease of the predecessor goes on. While the
 // allocator is quiet it grants nothing else, so that the sum of all leases
 // stays what the predecessor had granted.
-func (b *budget) extension(s *share, held, floor int64) int64 {
+func (b *budget) extension(s *share, held int64, now time.Time) int64 {
 	room := b.total() - b.reserve() - (b.held - s.held)
-	return max(0, min(held, room+s.reserved-floor))
+	return max(0, min(held, room+b.spare(s, now)))
 }
 
 // amount returns what a share may lease now above its floor. Above the pool,
@@ -321,8 +283,7 @@
 // leases that are granted since then within the pool. The leases of earlier
 // incarnations are counted besides the new one. With a ramp, a renewal also
 // covers no more than the use: a holder that lost its lease in between regains
-// it only under the cap. What is reserved for a larger floor that the holder
-// may still have is room for the lease.
+// it only under the cap.
 func (b *budget) amount(s *share, floor int64, now time.Time) int64 {
 	pool := b.total() - b.reserve()
 	b.noteLowered(pool, now)
@@ -331,16 +292,21 @@
 	if b.limit.Interval > 0 {
 		renewal = min(renewal, s.inUse-s.reserved)
 	}
-	most := max(room, renewal) - s.former.liveAmount(now) + s.reserved - floor
-	return max(0, min(b.target(s, floor), most))
+	return max(0, min(b.target(s, floor, now), max(room, renewal)+b.spare(s, now)))
 }
 
 // target returns what a share should lease: its fair part or, if that is
 // more, the part that keeps it warm. It falls by at most half at a time.
-func (b *budget) target(s *share, floor int64) int64 {
-	spare := s.reserved - floor
+func (b *budget) target(s *share, floor int64, now time.Time) int64 {
 	fair := min(s.need(floor), s.level)
-	return max(fair, need{remote: s.remote}.keptWarm(b.warm), min(s.last, s.held+spare)/2)
+	return max(fair, need{remote: s.remote}.keptWarm(b.warm), min(s.last, s.held+b.spare(s, now))/2)
+}
+
+// spare returns what is reserved for a larger floor that the holder may still
+// have, less what earlier incarnations lease. A lease takes it before it takes
+// room in the pool.
+func (b *budget) spare(s *share, now time.Time) int64 {
+	return s.reserved - b.floorOf(s) - s.former.liveAmount(now)
 }
 
 // total returns what leases and floors may add up to now.
@@ -351,27 +317,20 @@
 	return min(b.limit.Total, b.ramp.base()+b.limit.Step)
 }
 
-// reserve returns the floors of all possible holders, as last counted.
+// reserve returns the floors of all holders that may have one, as last counted.
 func (b *budget) reserve() int64 { return b.floors + b.unknown()*max(b.floor, b.inherited) }
 
-// reserveFor returns the floors of all possible holders if floor is given to
-// each. A known holder may still have a larger one, and so may one that has
+// reserveFor returns the floors of all holders that may have one if floor is
+// given to each. A known holder may still have a larger one, and so may one that has
 // not reported to this leader.
 func (b *budget) reserveFor(floor int64) int64 {
 	sum := b.unknown() * max(floor, b.inherited)
 	for _, s := range b.order {
-		if s.remote {
-			sum += max(s.floor, min(floor, b.limit.RemoteFloor))
-			continue
-		}
-		sum += max(s.floor, floor)
+		sum += max(s.floor, b.floorFor(s, floor))
 	}
 	return sum
 }
 
-// unknown returns the number of possible holders that have not reported.
-func (b *budget) unknown() int64 { return int64(max(0, b.holders-len(b.shares))) }
-
 // noteLowered notes a fall of the pool. While leases from before the first
 // noted fall may exist, the first one stays, and later falls move only the end.
 func (b *budget) noteLowered(pool int64, now time.Time) {
@@ -395,11 +354,12 @@
 	b.recent -= s.recent
 	b.use -= s.use
 	b.floors -= s.reserved
-	if reserved := max(s.floor, b.floorOf(s)); s.reserved != reserved {
+	floor := b.floorOf(s)
+	if reserved := max(s.floor, floor); s.reserved != reserved {
 		// The levels count from what is reserved.
 		s.reserved, b.stale = reserved, true
 	}
-	s.count(b.recentUntil, now)
+	s.count(floor, b.recentUntil, now)
 	b.held += s.held
 	b.recent += s.recent
 	b.use += s.use
@@ -428,8 +388,7 @@
 	needs := make([]need, 0, len(b.order))
 	for _, s := range b.order {
 		if s.active(now) {
-			floor := b.floorOf(s)
-			needs = append(needs, need{amount: s.need(floor), spare: s.reserved - floor, remote: s.remote})
+			needs = append(needs, need{amount: s.need(b.floorOf(s)), spare: max(0, b.spare(s, now)), remote: s.remote})
 		}
 	}
 	level, warm, rest := levels(needs, pool, int64(b.holders))
--- a/control/share.go
+++ b/control/share.go
@@ -15,6 +15,8 @@
 	lowest lowest
 	// remote is true when the budget lies outside the holder's region.
 	remote bool
+	// unlisted is true while the holder may not be given a floor.
+	unlisted bool
 	// activeUntil ends one lease time after the last report.
 	activeUntil time.Time
 	// leases holds the unexpired leases that no later one covers, the oldest first.
@@ -101,23 +103,25 @@
 }
 
 // count drops expired leases and counts the others, and as recent those that
-// end at recentUntil or later.
-func (s *share) count(recentUntil, now time.Time) {
+// end at recentUntil or later. A lease counts above the floor that came with
+// it, or above the present one if that is larger: a later incarnation may get
+// that floor while the earlier one still uses the lease.
+func (s *share) count(floor int64, recentUntil, now time.Time) {
 	n := 0
 	for n < len(s.leases) && !s.leases[n].live(now) {
 		n++
 	}
 	s.leases = append(s.leases[:0], s.leases[n:]...)
-	s.held, s.recent = 0, 0
+	most, mostRecent := floor, floor
 	for _, l := range s.leases {
-		above := l.total() - s.reserved
-		s.held = max(s.held, above)
+		total := l.amount + max(l.floor, floor)
+		most = max(most, total)
 		if !l.until.Before(recentUntil) {
-			s.recent = max(s.recent, above)
+			mostRecent = max(mostRecent, total)
 		}
 	}
-	s.held += s.former.liveAmount(now)
-	s.recent += s.former.liveAmount(now)
+	former := s.former.liveAmount(now) - s.reserved
+	s.held, s.recent = max(0, most+former), max(0, mostRecent+former)
 	s.use = 0
 	if now.Before(s.activeUntil.Add(useTTL - LeaseTTL)) {
 		s.use = min(s.lowest.of(s.inUse), s.held+s.reserved)
