--- a/control/image.go
+++ b/control/image.go
@@ -25,6 +25,9 @@
 	Ledger [][]*LedgerRecord `cbor:"6,keyasint,omitempty" json:"ledger,omitempty"`
 	// LastKept is the number of the newest answer that was ever kept.
 	LastKept uint64 `cbor:"7,keyasint,omitempty" json:"lastKept,omitempty"`
+	// Needs is the newest protocol version that a log entry before the image
+	// has needed. It is left out while that is ProtocolUnannounced.
+	Needs azurestair.ProtocolVersion `cbor:"16,keyasint,omitempty" json:"needs,omitempty"`
 }
 
 // Image returns the state. It copies references only and may be encoded on
@@ -42,6 +45,7 @@
 		Audit:    s.audit.view(),
 		Ledger:   slices.Collect(slices.Chunk(records, ledgerPage)),
 		LastKept: s.ledger.answers.last,
+		Needs:    s.needs,
 	}
 }
 
@@ -50,7 +54,7 @@
 	if err := i.Validate(); err != nil {
 		return nil, err
 	}
-	s := &State{applied: i.Applied, drains: i.Drains}
+	s := &State{applied: i.Applied, drains: i.Drains, needs: i.Needs}
 	s.history.items = slices.Clip(i.History)
 	s.audit.items = slices.Clip(i.Audit)
 	for _, r := range i.Changes {
--- a/control/state.go
+++ b/control/state.go
@@ -26,6 +26,7 @@
 	changes changeMemory
 	audit   window[azurestair.AuditRecord]
 	ledger  ledger
+	needs   azurestair.ProtocolVersion
 }
 
 // Apply applies a log entry that holds one command. The state keeps the
@@ -56,6 +57,14 @@
 	return results
 }
 
+// Require records that a log entry needs a protocol version.
+func (s *State) Require(v azurestair.ProtocolVersion) { s.needs = max(s.needs, v) }
+
+// Needs returns the newest protocol version that an applied log entry has needed.
+func (s *State) Needs() azurestair.ProtocolVersion {
+	return max(s.needs, azurestair.ProtocolUnannounced)
+}
+
 // Applied returns the index of the last applied log entry.
 func (s *State) Applied() azurestair.Index { return s.applied }
 
--- a/errors.go
+++ b/errors.go
@@ -31,6 +31,11 @@
 	ErrUnauthorized = errs.New("unauthorized")
 	// ErrTooLarge reports input beyond a size limit.
 	ErrTooLarge = errs.New("too large")
+	// ErrVersion reports another instance whose protocol version does not fit this program's.
+	ErrVersion = errs.New("protocol version not accepted")
+	// ErrUnknownRecord reports a record of the replicated log or of its snapshot
+	// that this program would not apply as the program that wrote it.
+	ErrUnknownRecord = errs.New("unknown record, written by a newer program")
 )
 
 // NotLeaderError is an ErrNotLeader that may name the leader.
--- a/instance/backend.go
+++ b/instance/backend.go
@@ -40,7 +40,10 @@
 // Status returns what this instance knows.
 func (b *backend) Status(ctx context.Context) operator.Status {
 	now := b.p.options.Clock.Now()
-	st := operator.Status{Self: b.p.self, Refusals: map[azurestair.Reason]int64{}, Outcomes: map[azurestair.Outcome]int64{}}
+	st := operator.Status{
+		Self: b.p.self, Protocol: b.p.versions.Own(), VersionMismatch: b.p.versions.Mismatches(),
+		Refusals: map[azurestair.Reason]int64{}, Outcomes: map[azurestair.Outcome]int64{},
+	}
 	if b.p.entry != nil {
 		b.fillTraffic(&st, now)
 	}
@@ -97,7 +100,7 @@
 	out := &operator.ReplicaStatus{
 		State: r.Raft.Role.String(), Term: r.Raft.Term, Leader: r.Raft.Leader, Commit: r.Raft.Commit,
 		Applied: r.Raft.Applied, Members: r.Raft.Membership, Claims: r.Claims, Joining: r.Raft.Joining,
-		Match: map[azurestair.InstanceID]azurestair.Index{},
+		Match: map[azurestair.InstanceID]azurestair.Index{}, Needs: r.Needs, Versions: r.Versions,
 	}
 	for _, f := range r.Raft.Followers {
 		out.Match[f.ID] = f.Match
--- a/instance/fleet.go
+++ b/instance/fleet.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 
+	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/control"
 	"azurestair.example/azurestair/peer"
 	"azurestair.example/azurestair/settings"
@@ -17,7 +20,7 @@
 	if len(others) == 0 {
 		return false, nil
 	}
-	conns, err := newConns(s, Options{})
+	conns, err := newConns(s, Options{}, nil)
 	if err != nil {
 		return false, err
 	}
@@ -28,6 +31,10 @@
 		if err == nil && len(res.History) > 0 {
 			return true, nil
 		}
+		if errors.Is(err, azurestair.ErrVersion) {
+			// The voter lives, and only a program of its version can ask it.
+			return false, fmt.Errorf("voter %s: %w", to.ID, err)
+		}
 	}
 	return false, nil
 }
--- a/instance/member_test.go
+++ b/instance/member_test.go
@@ -192,6 +192,10 @@
 
 func (noTransport) Addr(azurestair.InstanceID) string { return "" }
 
+func (noTransport) Version(azurestair.InstanceID) azurestair.ProtocolVersion {
+	return azurestair.ProtocolUnannounced
+}
+
 var _ = ginkgo.Describe("a replica", func() {
 	// Guards against a promise that a restart does not keep: an acknowledged
 	// change that was never synced.
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -8,6 +8,7 @@
 
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/caller"
+	"azurestair.example/azurestair/peer"
 )
 
 // meters counts what an entry does, under the names that logs and status use.
@@ -30,6 +31,14 @@
 	}
 }
 
+// versionMismatch is the metric that counts the instances that were refused lately.
+const versionMismatch = "versionMismatch"
+
+// watchVersions registers the metric of refused instances.
+func (m *meters) watchVersions(v *peer.Versions) {
+	metrics.NewRegisteredFunctionalGauge(versionMismatch, m.registry, func() int64 { return int64(len(v.Mismatches())) })
+}
+
 const (
 	outcomePrefix = "outcome."
 	reasonPrefix  = "reason."
--- a/instance/process.go
+++ b/instance/process.go
@@ -81,7 +81,7 @@
 			return l
 		}),
 		fx.Supply(&slog.LevelVar{}),
-		fx.Provide(newLogger, newConns, newClient, newEntryOf, newProcess, newMeters),
+		fx.Provide(newLogger, newVersions, newConns, newClient, newEntryOf, newProcess, newMeters),
 		fx.Invoke(func(lc fx.Lifecycle, p *Process) {
 			lc.Append(fx.Hook{OnStart: p.start, OnStop: p.stop})
 		}),
@@ -96,12 +96,16 @@
 	return slog.New(h).With("instance", s.Instance.ID), nil
 }
 
-func newConns(s settings.Settings, o Options) (*peer.Conns, error) {
+func newVersions(s settings.Settings, o Options, log *slog.Logger) *peer.Versions {
+	return peer.NewVersions(peer.VersionOptions{Self: s.Instance.ID, Clock: o.Clock, Log: log})
+}
+
+func newConns(s settings.Settings, o Options, versions *peer.Versions) (*peer.Conns, error) {
 	cfg, err := peer.LoadTLS(s.TLS.CertFile, s.TLS.KeyFile, s.TLS.CAFile)
 	if err != nil {
 		return nil, err
 	}
-	return peer.NewConns(o.DialPeer, cfg), nil
+	return peer.NewConns(o.DialPeer, cfg, versions), nil
 }
 
 func addresses(s settings.Settings) []peer.Address {
@@ -163,6 +167,7 @@
 	settings settings.Settings
 	options  Options
 	log      *slog.Logger
+	versions *peer.Versions
 	conns    *peer.Conns
 	client   *peer.Client
 	entry    *Entry
@@ -188,14 +193,15 @@
 	wg      sync.WaitGroup
 }
 
-func newProcess(s settings.Settings, o Options, log *slog.Logger, conns *peer.Conns, client *peer.Client, entry *Entry,
+func newProcess(s settings.Settings, o Options, log *slog.Logger, versions *peer.Versions, conns *peer.Conns, client *peer.Client, entry *Entry,
 	m *meters, down fx.Shutdowner, level *slog.LevelVar,
 ) *Process {
 	p := &Process{
-		settings: s, options: o, log: log, conns: conns, client: client, entry: entry, metrics: m, down: down,
+		settings: s, options: o, log: log, versions: versions, conns: conns, client: client, entry: entry, metrics: m, down: down,
 		self: selfOf(s, o.Clock.Now()), level: level,
 	}
 	p.access.set(s.Tokens)
+	m.watchVersions(versions)
 	if entry != nil {
 		p.self = entry.self
 	}
@@ -339,7 +345,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	p.peers = peer.NewServer(p.controller, tlsCfg)
+	p.peers = peer.NewServer(p.controller, tlsCfg, p.versions)
 	p.wg.Go(func() { _ = p.peers.Serve(l) })
 	admin := operator.NewHandler(&backend{p}, p.access.operator, p.options.Clock, p.metrics)
 	if err := p.serveHTTP("operators", p.settings.Listen.Operators, admin); err != nil {
--- a/instance/replica.go
+++ b/instance/replica.go
@@ -26,11 +26,6 @@
 	controlTTL azurestair.Millis = 3_000
 )
 
-// commandBatch is what a log entry of commands holds.
-type commandBatch struct {
-	Commands []azurestair.Command `cbor:"1,keyasint"`
-}
-
 // waiter is a proposed batch whose proposers wait for its results.
 type waiter struct {
 	term    azurestair.Term
@@ -42,12 +37,17 @@
 type ReplicaStatus struct {
 	Raft   raft.Status
 	Claims int
+	// Needs is the newest protocol version that a record of the log has needed.
+	Needs azurestair.ProtocolVersion
+	// Versions are what the other members have announced to the leader.
+	Versions map[azurestair.InstanceID]azurestair.ProtocolVersion
 }
 
-// peerList learns the addresses of members of the log.
+// peerList learns the addresses and versions of members of the log.
 type peerList interface {
 	AddPeer(a peer.Address)
 	Addr(id azurestair.InstanceID) string
+	Version(id azurestair.InstanceID) azurestair.ProtocolVersion
 }
 
 // Replica replicates the log and, on the leader, answers reports. It belongs
@@ -106,7 +106,7 @@
 
 func (r *Replica) restore(data []byte) error {
 	var image control.Image
-	if err := r.codec.Unmarshal(data, &image); err != nil {
+	if err := r.readImage(data, &image); err != nil {
 		return fmt.Errorf("read image of the control state: %w", err)
 	}
 	state, err := control.FromImage(image)
@@ -123,6 +123,10 @@
 		e.reply <- proposeReply{err: r.notLeader()}
 		return
 	}
+	if err := r.checkMembers(e.command); err != nil {
+		e.reply <- proposeReply{err: err}
+		return
+	}
 	if err := r.changeMembers(e.command.Members, now); err != nil {
 		e.reply <- proposeReply{err: err}
 		return
@@ -280,7 +284,7 @@
 	for {
 		batch := commandBatch{Commands: make([]azurestair.Command, n)}
 		for i, p := range r.pending[:n] {
-			batch.Commands[i] = p.command
+			batch.add(i, p.command)
 		}
 		data, err := r.codec.Marshal(&batch)
 		if err != nil || azurestair.Bytes(len(data)) <= batchBytes || n == 1 {
@@ -335,12 +339,11 @@
 }
 
 func (r *Replica) apply(e azurestair.LogEntry) error {
-	var batch commandBatch
-	if e.Kind == azurestair.EntryCommands {
-		if err := r.codec.Unmarshal(e.Data, &batch); err != nil {
-			return fmt.Errorf("log entry %d: %w", e.Index, err)
-		}
+	batch, err := r.readEntry(e)
+	if err != nil {
+		return fmt.Errorf("log entry %d: %w", e.Index, err)
 	}
+	r.state.Require(batch.Needs)
 	results := r.state.ApplyBatch(e.Index, batch.Commands)
 	w, ok := r.waiting[e.Index]
 	if !ok {
@@ -404,5 +407,15 @@
 }
 
 func (r *Replica) status() ReplicaStatus {
-	return ReplicaStatus{Raft: r.node.Status(), Claims: r.state.Claims()}
+	st := ReplicaStatus{
+		Raft: r.node.Status(), Claims: r.state.Claims(), Needs: r.state.Needs(),
+		Versions: map[azurestair.InstanceID]azurestair.ProtocolVersion{},
+	}
+	if !r.node.IsLeader() {
+		return st
+	}
+	for _, id := range r.otherMembers() {
+		st.Versions[id] = r.peers.Version(id)
+	}
+	return st
 }
--- a/load/control.go
+++ b/load/control.go
@@ -179,7 +179,7 @@
 	}
 	c := &claimer{service: r.pool(0).Service, prefix: "claim-"}
 	for range r.fleet.members {
-		conns := peer.NewConns(nil, nil)
+		conns := peer.NewConns(nil, nil, nil)
 		defer conns.Close()
 		c.clients = append(c.clients, peer.NewClient(conns, r.fleet.voters()))
 	}
--- a/operator/messages.go
+++ b/operator/messages.go
@@ -131,7 +131,12 @@
 
 // Status is what an instance knows.
 type Status struct {
-	Self          azurestair.InstanceInfo      `json:"self"`
+	Self azurestair.InstanceInfo `json:"self"`
+	// Protocol is the protocol version of the program and the oldest one that it accepts.
+	Protocol azurestair.ProtocolRange `json:"protocol"`
+	// VersionMismatch lists the instances that were refused in the last minute because of their version.
+	VersionMismatch []azurestair.VersionError `json:"versionMismatch"`
+
 	Leader        azurestair.InstanceID        `json:"leader,omitempty"`
 	Term          azurestair.Term              `json:"term"`
 	Commit        azurestair.Index             `json:"commit"`
@@ -157,6 +162,10 @@
 	Members azurestair.Membership                      `json:"members"`
 	Match   map[azurestair.InstanceID]azurestair.Index `json:"match,omitempty"`
 	Claims  int                                        `json:"claims"`
+	// Needs is the newest protocol version that a record of the log has needed.
+	Needs azurestair.ProtocolVersion `json:"needs"`
+	// Versions are the protocol versions that the other members have announced to the leader.
+	Versions map[azurestair.InstanceID]azurestair.ProtocolVersion `json:"versions,omitempty"`
 	// Joining is true until the stored log lists this instance as a learner; it cannot vote before.
 	Joining bool `json:"joining"`
 }
--- a/peer/client.go
+++ b/peer/client.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
 	"azurestair.example/azurestair"
@@ -172,13 +173,17 @@
 		return err
 	}
 	before := cn.answers.Load()
-	err = cn.cc.Invoke(ctx, method, q, a, grpc.WaitForReady(false))
+	var header metadata.MD
+	err = cn.cc.Invoke(c.conns.versions.outgoing(ctx), method, q, a, grpc.WaitForReady(false), grpc.Header(&header))
 	switch code := status.Code(err); {
-	case code == codes.OK || code == codes.FailedPrecondition:
+	case code == codes.OK || code == codes.FailedPrecondition || code == codes.Unimplemented:
 		cn.answers.Add(1)
 	case code == codes.DeadlineExceeded && cn.answers.Load() == before:
 		// Nothing came back meanwhile; otherwise only this call was slow.
 		c.conns.drop(to.ID, cn)
 	}
+	if versionErr := c.conns.versions.checkAnswer(to.ID, header, err); versionErr != nil {
+		return versionErr
+	}
 	return fromStatus(err)
 }
--- a/peer/conns.go
+++ b/peer/conns.go
@@ -23,8 +23,9 @@
 
 // Conns holds one gRPC connection for each instance. It is safe for concurrent use.
 type Conns struct {
-	dial Dialer
-	tls  *tls.Config
+	dial     Dialer
+	tls      *tls.Config
+	versions *Versions
 
 	mu    sync.Mutex
 	conns map[azurestair.InstanceID]*conn
@@ -37,15 +38,18 @@
 	answers atomic.Int64
 }
 
-// NewConns returns a set of connections; dial and tlsCfg may be nil.
-func NewConns(dial Dialer, tlsCfg *tls.Config) *Conns {
+// NewConns returns a set of connections; dial, tlsCfg and versions may be nil.
+func NewConns(dial Dialer, tlsCfg *tls.Config, versions *Versions) *Conns {
+	if versions == nil {
+		versions = NewVersions(VersionOptions{})
+	}
 	if dial == nil {
 		d := &net.Dialer{Timeout: time.Second}
 		dial = func(ctx context.Context, addr string) (net.Conn, error) {
 			return d.DialContext(ctx, "tcp", addr)
 		}
 	}
-	return &Conns{dial: dial, tls: tlsCfg, conns: map[azurestair.InstanceID]*conn{}}
+	return &Conns{dial: dial, tls: tlsCfg, versions: versions, conns: map[azurestair.InstanceID]*conn{}}
 }
 
 // get returns the connection to an instance at addr.
--- a/peer/errors.go
+++ b/peer/errors.go
@@ -31,6 +31,10 @@
 	{codes.OutOfRange, azurestair.ErrTooLarge},
 	// A NotLeaderError has this code too, and a message with its prefix.
 	{codes.FailedPrecondition, azurestair.ErrClosed},
+	// gRPC itself answers a call of an unknown method with this code.
+	{codes.Unimplemented, azurestair.ErrVersion},
+	// The receiver of a command that it does not know has too old a version.
+	{codes.Unimplemented, azurestair.ErrUnknownRecord},
 }
 
 // toStatus turns an error of a Handler into a gRPC status.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -234,10 +234,14 @@
 }
 
 func serve(h peer.Handler, cfg *tls.Config) *listen {
+	GinkgoHelper()
+	return serveWith(peer.NewServer(h, cfg, nil))
+}
+
+func serveWith(s *peer.Server) *listen {
 	GinkgoHelper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	s := peer.NewServer(h, cfg)
 	counted := &listen{Listener: l}
 	go func() { _ = s.Serve(counted) }()
 	DeferCleanup(s.Stop)
@@ -245,7 +249,7 @@
 }
 
 func conns(cfg *tls.Config) *peer.Conns {
-	c := peer.NewConns(nil, cfg)
+	c := peer.NewConns(nil, cfg, nil)
 	DeferCleanup(c.Close)
 	return c
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -44,8 +44,18 @@
 	grpc *grpc.Server
 }
 
-// NewServer returns a server for h; tlsCfg may be nil for plain TCP on a trusted network.
-func NewServer(h Handler, tlsCfg *tls.Config) *Server {
+// service is a Handler whose callers have their version checked first.
+type service struct {
+	Handler
+	versions *Versions
+}
+
+// NewServer returns a server for h; tlsCfg may be nil for plain TCP on a
+// trusted network, and versions may be nil.
+func NewServer(h Handler, tlsCfg *tls.Config, versions *Versions) *Server {
+	if versions == nil {
+		versions = NewVersions(VersionOptions{})
+	}
 	opts := []grpc.ServerOption{
 		grpc.ForceServerCodec(Codec{}),
 		grpc.MaxRecvMsgSize(MaxMessageBytes),
@@ -60,7 +70,7 @@
 		opts = append(opts, grpc.Creds(credentials.NewTLS(tlsCfg)))
 	}
 	s := grpc.NewServer(opts...)
-	s.RegisterService(serviceDesc(), h)
+	s.RegisterService(serviceDesc(), &service{Handler: h, versions: versions})
 	return &Server{grpc: s}
 }
 
@@ -97,15 +107,19 @@
 // unary adapts a method of Handler to gRPC's form.
 func unary[Q, A any](call func(Handler, context.Context, Q) (A, error)) grpc.MethodHandler {
 	return func(srv any, ctx context.Context, dec func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+		s := srv.(*service)
+		if _, err := s.versions.checkCall(ctx); err != nil {
+			return nil, toStatus(err)
+		}
 		var data raw
 		if err := dec(&data); err != nil {
 			return nil, err
 		}
 		q := new(Q)
-		if err := (Codec{}).Unmarshal(data, q); err != nil {
+		if err := decode(data, q); err != nil {
 			return nil, toStatus(err)
 		}
-		a, err := call(srv.(Handler), ctx, *q)
+		a, err := call(s.Handler, ctx, *q)
 		if err != nil {
 			return nil, toStatus(err)
 		}
@@ -113,9 +127,22 @@
 	}
 }
 
+// decode reads a message. A command is a record of the log: an unknown field
+// is refused, since the log would hold another command than its sender meant.
+func decode(data []byte, q any) error {
+	if _, ok := q.(*azurestair.Command); ok {
+		return Codec{}.UnmarshalRecord(data, q)
+	}
+	return Codec{}.Unmarshal(data, q)
+}
+
 func stepStream(srv any, stream grpc.ServerStream) error {
-	h := srv.(Handler)
-	for {
+	s := srv.(*service)
+	theirs, err := s.versions.checkCall(stream.Context())
+	if err != nil {
+		return toStatus(err)
+	}
+	for first := true; ; first = false {
 		var m azurestair.RaftMessage
 		err := stream.RecvMsg(&m)
 		if errors.Is(err, io.EOF) {
@@ -124,7 +151,10 @@
 		if err != nil {
 			return err
 		}
-		if err := h.Step(stream.Context(), m); err != nil {
+		if first {
+			s.versions.announce(m.From, theirs)
+		}
+		if err := s.Step(stream.Context(), m); err != nil {
 			return toStatus(err)
 		}
 	}
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +17,10 @@
 // since the log repeats what matters.
 const sendQueue = 1024
 
+// refusedPause is the same after the peer refused this program's version, which
+// only the start of another program changes.
+const refusedPause = time.Second
+
 // silentAfter is how long a stream may carry messages to a peer that sends
 // none back before the connection is replaced by a fresh one.
 const silentAfter = time.Second
@@ -65,6 +71,12 @@
 	return ""
 }
 
+// Version returns the protocol version that an instance has announced, as
+// Versions.Of does.
+func (t *Transport) Version(id azurestair.InstanceID) azurestair.ProtocolVersion {
+	return t.conns.versions.Of(id)
+}
+
 // Send queues a message; it drops the message when the queue is full.
 func (t *Transport) Send(m azurestair.RaftMessage) {
 	t.mu.Lock()
@@ -106,8 +118,11 @@
 
 func (l *link) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		l.stream(ctx)
-		t := time.NewTimer(pauseBetweenTries)
+		pause := pauseBetweenTries
+		if err := l.stream(ctx); errors.Is(err, azurestair.ErrVersion) {
+			pause = refusedPause
+		}
+		t := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
 		case <-t.C:
@@ -116,34 +131,49 @@
 	}
 }
 
-// stream sends messages until the stream fails or goes silent.
-func (l *link) stream(ctx context.Context) {
+// stream sends messages until the stream fails or goes silent. It returns the
+// peer's error if the peer gave one.
+func (l *link) stream(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	m, ok := l.next(ctx)
 	if !ok {
-		return
+		return nil
 	}
 	cn, err := l.conns.get(l.to.ID, l.to.Addr)
 	if err != nil {
-		return
+		return err
 	}
 	desc := &grpc.StreamDesc{StreamName: "Step", ClientStreams: true}
-	s, err := cn.cc.NewStream(ctx, desc, methodStep)
+	s, err := cn.cc.NewStream(l.conns.versions.outgoing(ctx), desc, methodStep)
 	if err != nil {
-		return
+		return err
 	}
 	var unanswered time.Time
 	for ok {
 		if err := s.SendMsg(&m); err != nil {
-			return
+			return l.ended(s, err)
 		}
 		if unanswered = l.unansweredSince(unanswered); l.clock.Now().Sub(unanswered) > silentAfter {
 			l.conns.drop(l.to.ID, cn)
-			return
+			return nil
 		}
 		m, ok = l.next(ctx)
 	}
+	return nil
+}
+
+// ended returns why the peer ended the stream on which a message could not be sent.
+func (l *link) ended(s grpc.ClientStream, err error) error {
+	if !errors.Is(err, io.EOF) {
+		return err
+	}
+	err = s.RecvMsg(&empty{})
+	header, _ := s.Header()
+	if versionErr := l.conns.versions.checkAnswer(l.to.ID, header, err); versionErr != nil {
+		return versionErr
+	}
+	return fromStatus(err)
 }
 
 func (l *link) next(ctx context.Context) (azurestair.RaftMessage, bool) {
