--- a/disk/identity.go
+++ b/disk/identity.go
@@ -1,6 +1,7 @@
 package disk
 
 import (
+	"bytes"
 	"crypto/rand"
 	"errors"
 	"fmt"
@@ -156,7 +157,8 @@
 		return err
 	}
 	if string(data) != formatText {
-		return fmt.Errorf("%w: data folder has format %.64q; this program reads %q", azurestair.ErrInvalid, data, formatText)
+		return fmt.Errorf("%w: data folder has %.64q; this program reads %q; start the program that wrote the folder",
+			azurestair.ErrInvalid, bytes.TrimSpace(data), strings.TrimSpace(formatText))
 	}
 	return nil
 }
--- a/disk/store_test.go
+++ b/disk/store_test.go
@@ -345,6 +345,14 @@
 		Expect(Init(dir, me)).To(MatchError(azurestair.ErrConflict))
 	})
 
+	// Guards against an operator who takes another format for damage.
+	It("names the format that it has and the one that is read", func() {
+		Expect(Init(dir, me)).To(Succeed())
+		Expect(os.WriteFile(filepath.Join(dir, formatName), []byte("azurestair data format 2\n"), fileMode)).To(Succeed())
+		_, _, err := Open(dir, me)
+		Expect(err).To(MatchError(ContainSubstring(`has "azurestair data format 2"; this program reads "azurestair data format 1"; start the program that wrote`)))
+	})
+
 	DescribeTable("refuses malformed and oversized files",
 		func(name, content string, size int64, want error) {
 			Expect(Init(dir, me)).To(Succeed())
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -107,7 +107,8 @@
 	case errors.Is(err, azurestair.ErrFull):
 		status = http.StatusInsufficientStorage
 	case errors.Is(err, azurestair.ErrNotLeader), errors.Is(err, azurestair.ErrNoQuorum),
-		errors.Is(err, azurestair.ErrDeadline), errors.Is(err, azurestair.ErrClosed), errors.Is(err, context.DeadlineExceeded):
+		errors.Is(err, azurestair.ErrDeadline), errors.Is(err, azurestair.ErrClosed), errors.Is(err, context.DeadlineExceeded),
+		errors.Is(err, azurestair.ErrVersion):
 		status = http.StatusServiceUnavailable
 	}
 	c.JSON(status, ErrorBody{Error: err.Error()})
