--- a/faults/suite_test.go
+++ b/faults/suite_test.go
@@ -16,6 +16,7 @@
 
 var (
 	seedFlag = flag.Uint64("faults.seed", 1, "seed of all random choices")
+	fromFlag = flag.String("faults.from", "", "program that the rolling replacement starts from; empty for the program under test")
 	longFlag = flag.Bool("faults.long", false, "run each case with more seeds")
 )
 
