--- a/control/image.go
+++ b/control/image.go
@@ -27,6 +27,9 @@
 	LastKept uint64 `cbor:"7,keyasint,omitempty" json:"lastKept,omitempty"`
 	// Holders is nil in the image of a state without the list.
 	Holders *HolderList `cbor:"8,keyasint,omitempty" json:"holders,omitempty"`
+	// Needs is the newest protocol version that a log entry before the image
+	// has needed. It is left out while that is ProtocolUnannounced.
+	Needs azurestair.ProtocolVersion `cbor:"16,keyasint,omitempty" json:"needs,omitempty"`
 }
 
 // Image returns the state. It copies references only and may be encoded on
@@ -45,6 +48,7 @@
 		Ledger:   slices.Collect(slices.Chunk(records, ledgerPage)),
 		LastKept: s.ledger.answers.last,
 		Holders:  s.holders,
+		Needs:    s.needs,
 	}
 }
 
@@ -53,7 +57,7 @@
 	if err := i.Validate(); err != nil {
 		return nil, err
 	}
-	s := &State{applied: i.Applied, drains: i.Drains, holders: i.Holders}
+	s := &State{applied: i.Applied, drains: i.Drains, holders: i.Holders, needs: i.Needs}
 	s.history.items = slices.Clip(i.History)
 	s.audit.items = slices.Clip(i.Audit)
 	for _, r := range i.Changes {
