--- a/instance/entry.go
+++ b/instance/entry.go
@@ -194,7 +194,7 @@
 
 func (e *Entry) isReady(now time.Time) bool {
 	v := e.view.Load()
-	return v.isCurrent(now) && !v.leaving
+	return v.isCurrent(now) && !v.leaving && !v.starting
 }
 
 // Ready reports why this entry may not be named in look-ups; nil if it may.
@@ -209,6 +209,8 @@
 		return fmt.Errorf("%w: no configuration yet", azurestair.ErrNotFound)
 	case !v.isCurrent(e.clock.Now()):
 		return fmt.Errorf("%w: the newest configuration is not known", azurestair.ErrNoQuorum)
+	case v.starting:
+		return fmt.Errorf("%w: no budgets yet", azurestair.ErrNoQuorum)
 	}
 	return nil
 }
--- a/instance/member.go
+++ b/instance/member.go
@@ -21,6 +21,9 @@
 	// were seen to take up to 1.45 s. With a report a second some leases ran out
 	// before there was a new leader, which may grant only floors for QuietTime.
 	renewEvery = 200 * time.Millisecond
+	// startWait is how long a new instance stays out of look-ups without
+	// budgets. A new leader gives it none during its quiet time.
+	startWait = control.QuietTime + reportEvery
 	// tickEvery is how often leases, demands and look-up moves are looked at.
 	tickEvery = 100 * time.Millisecond
 	// announceMargin is how much of the control deadline must be left to take an
@@ -48,6 +51,9 @@
 	tableDone       bool
 	announced       map[azurestair.UpstreamID]*announced
 
+	// started is true once the instance has had its first budgets, or startBy has come.
+	started bool
+	startBy time.Time
 	leaving bool
 	// leftKnown is closed when the leader has taken a report that says that
 	// this instance leaves; saidLeaving is true while such a report is on its way.
@@ -155,6 +161,9 @@
 	}
 	m.moveTable(now)
 	m.entry.tick(now)
+	if !m.started {
+		m.publish(now)
+	}
 	if m.entry.isPressed(now) || m.isRenewalDue(now) {
 		m.reportSoon()
 	}
@@ -353,10 +362,16 @@
 		return
 	}
 	wasReady := m.entry.isReady(now)
-	m.entry.publish(&view{
+	v := &view{
 		snapshot: m.snapshot, table: m.table, leases: m.holder.Leases(),
 		controlDeadline: m.controlDeadline, leaving: m.leaving,
-	})
+	}
+	if m.startBy.IsZero() {
+		m.startBy = now.Add(startWait)
+	}
+	m.started = m.started || !now.Before(m.startBy) || v.hasBudgets(m.entry.self.Region, now)
+	v.starting = !m.started
+	m.entry.publish(v)
 	if m.entry.isReady(now) != wasReady {
 		m.reportSoon()
 	}
--- a/instance/member_test.go
+++ b/instance/member_test.go
@@ -159,6 +159,31 @@
 		Expect(m.announce(next, now)).To(Succeed())
 	})
 
+	// Guards against callers that are sent to an instance which has just started
+	// under a new leader, and against one that waits for budgets in vain.
+	ginkgo.It("is not ready without its first budgets, for a while", func() {
+		slots := azurestair.Resource{Kind: azurestair.ResourceSlots, Service: "shop", Region: "kigali"}
+		first := whole(5, 10, 7)
+		first.Snapshot.Upstreams = []azurestair.UpstreamInfo{{Announcement: upstreamOf(1)}}
+		start := func() *memberRig {
+			m := newMemberRig()
+			m.exchange(first)
+			Expect(m.rig.Ready()).To(MatchError(ContainSubstring("no budgets yet")))
+			return m
+		}
+		m := start()
+		m.exchange(azurestair.ReportReply{Term: 5, ControlTTLMs: controlTTL, Grants: []azurestair.Grant{
+			{Resource: slots, Amount: 1, TTLMs: azurestair.MillisOf(control.LeaseTTL)},
+		}})
+		Expect(m.rig.Ready()).To(Succeed())
+		m = start()
+		for range startWait/time.Second + 1 {
+			m.clock.advance(time.Second)
+			m.exchange(azurestair.ReportReply{Term: 5, ControlTTLMs: controlTTL})
+		}
+		Expect(m.rig.Ready()).To(Succeed())
+	})
+
 	// Guards against leases in use that run out before there is a new leader,
 	// which may extend only what has not run out; and against an idle entry
 	// that pays for reports.
--- a/instance/view.go
+++ b/instance/view.go
@@ -18,6 +18,28 @@
 	controlDeadline time.Time
 	// leaving is true once the instance has begun its shutdown.
 	leaving bool
+	// starting is true until the instance has had its first budgets.
+	starting bool
+}
+
+// hasBudgets reports whether requests of a region can be served: there are
+// slots of each service that has upstreams there, and bandwidth on its links.
+func (v *view) hasBudgets(region azurestair.RegionName, now time.Time) bool {
+	for _, u := range v.snapshot.Upstreams {
+		a := u.Announcement
+		drained := a.State != azurestair.StateServing || v.snapshot.IsDrained(azurestair.TargetUpstream, string(a.Upstream)) ||
+			v.snapshot.IsDrained(azurestair.TargetFailureDomain, string(a.FailureDomain))
+		if a.Region == region && !drained && v.slots(a.Service, region, now) <= 0 {
+			return false
+		}
+	}
+	for _, l := range v.snapshot.Config.Links {
+		r := azurestair.Resource{Kind: azurestair.ResourceLink, From: l.From, Region: l.To}
+		if (l.From == region || l.To == region) && v.leases.Limit(r, now) <= 0 {
+			return false
+		}
+	}
+	return true
 }
 
 // slots returns how many requests may be in progress at a service's upstreams in a region.
