--- a/control/allocator.go
+++ b/control/allocator.go
@@ -257,14 +257,10 @@
 
 // floorFor returns the floor of the holder of a share if each gets floor.
 func (b *budget) floorFor(s *share, floor int64) int64 {
-	switch {
-	case s.unlisted:
-		return 0
-	case s.remote:
+	if s.remote {
 		return min(floor, b.limit.RemoteFloor)
-	default:
-		return floor
 	}
+	return floor
 }
 
 // extension returns how much of a lease of the predecessor goes on. While the
@@ -377,7 +373,7 @@
 		}
 	}
 	level, warm, rest := levels(needs, pool, int64(b.holders))
-	b.warm = warm
+	b.warm = warm * max(0, pool-b.spareFloors()) / max(1, pool)
 	for _, s := range b.order {
 		s.level = level
 		if rest > 0 && s.active(now) && s.need(b.floorOf(s)) > level {
--- a/control/places.go
+++ b/control/places.go
@@ -197,6 +197,16 @@
 	return b.unseen
 }
 
+// spareFloors returns the floors of possible holders that are neither listed nor
+// known. They may be leased, but not to keep idle holders warm: the floors of a
+// fleet that starts would wait until such leases run out.
+func (b *budget) spareFloors() int64 {
+	if b.listed == nil {
+		return 0
+	}
+	return max(0, int64(b.holders-len(b.shares))-b.unseen) * b.limit.Floor
+}
+
 // grantedFloor returns the floor that an answer gives. While the allocator is
 // quiet, nobody gets a larger floor than it may have: a listed holder may have
 // been listed just before the predecessor ended, which then had leased the floor
@@ -204,6 +214,8 @@
 func (b *budget) grantedFloor(s *share, d azurestair.Demand, quiet bool) int64 {
 	floor := b.floorOf(s)
 	switch {
+	case s.unlisted:
+		return 0
 	case b.listed == nil && quiet:
 		return min(floor, max(d.Floor, b.inherited))
 	case b.listed != nil && (quiet || b.held+b.reserve() > b.total()):
