--- a/routing/outlier.go
+++ b/routing/outlier.go
@@ -165,8 +165,15 @@
 	w.health = health{}
 }
 
+// ejectLimit is the configured share, rounded down. A single worker counts as
+// its share in whole percent, so that 33% lets one of three be ejected.
 func (p *Weighted) ejectLimit() int {
-	return p.defaults.EjectPercent.Of(p.listed)
+	percent := p.defaults.EjectPercent
+	limit := percent.Of(p.listed)
+	if limit == 0 && p.listed > 0 && int(percent) >= 100/p.listed {
+		return 1
+	}
+	return limit
 }
 
 // keepEjectLimit returns ejected workers, longest out first, after the service has shrunk.
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -403,6 +403,16 @@
 		},
 		Entry("twelve", 12, 3), Entry("six", 6, 1), Entry("two", 2, 0),
 	)
+
+	// Guards against a dead upstream that keeps the work of its region because
+	// 33% of three upstreams was rounded down to none.
+	It("ejects the only upstream of the own region among three", func() {
+		b := newBench(routing.Options{Region: "x", Shift: underFive},
+			slices.Concat(upstreams("x", 1, 9), upstreams("y", 1, 9), upstreams("z", 1, 9))...)
+		b.run(100, broken, "x-0")
+		Expect(b.Ejected()).To(Equal(1))
+		Expect(b.run(100, broken, "x-0")).NotTo(HaveKey(azurestair.UpstreamID("x-0")))
+	})
 })
 
 // randomChange restarts an upstream or changes its state.
