--- a/faults/fleet_test.go
+++ b/faults/fleet_test.go
@@ -49,6 +49,12 @@
 	// relays stand before the upstreams, in the same order.
 	relays []*Relay
 	extra  []*Relay
+	// options are those of the upstreams, in the same order.
+	options []stub.Options
+
+	mu sync.Mutex
+	// past are upstreams that have been replaced; their runs count.
+	past []*stub.Upstream
 }
 
 // fleetOptions change the fleet of a test.
@@ -140,7 +146,7 @@
 				}
 				u, err := stub.Start(opts)
 				Expect(err).NotTo(HaveOccurred())
-				f.upstreams, f.relays = append(f.upstreams, u), append(f.relays, r)
+				f.upstreams, f.relays, f.options = append(f.upstreams, u), append(f.relays, r), append(f.options, opts)
 			}
 		}
 	}
@@ -180,13 +186,25 @@
 }
 
 func (f *fleet) runs(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	n := 0
-	for _, u := range f.upstreams {
+	for _, u := range slices.Concat(f.upstreams, f.past) {
 		n += u.Runs(id)
 	}
 	return n
 }
 
+// restartUpstream starts an upstream that has died again, at the same address.
+func (f *fleet) restartUpstream(i int) {
+	u, err := stub.Start(f.options[i])
+	Expect(err).NotTo(HaveOccurred())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.past = append(f.past, f.upstreams[i])
+	f.upstreams[i] = u
+}
+
 // linksOf returns the relays on all connections from and to an instance.
 func (f *fleet) linksOf(n *node) []*Relay {
 	var out []*Relay
@@ -380,15 +398,21 @@
 	stop   chan struct{}
 	wg     sync.WaitGroup
 	mu     sync.Mutex
-	newest map[*node]azurestair.ConfigVersion
+	newest map[process]azurestair.ConfigVersion
 	faults []string
 	polls  int
 }
 
+// process is one of the processes that an instance has been.
+type process struct {
+	node  *node
+	start int64
+}
+
 // watchVersions starts to poll all instances. The versions of an instance must
 // never go down while its process lives.
 func (f *fleet) watchVersions() *versionWatch {
-	w := &versionWatch{stop: make(chan struct{}), newest: map[*node]azurestair.ConfigVersion{}}
+	w := &versionWatch{stop: make(chan struct{}), newest: map[process]azurestair.ConfigVersion{}}
 	for _, n := range f.nodes {
 		w.wg.Go(func() { w.run(n) })
 	}
@@ -404,21 +428,22 @@
 			return
 		case <-t.C:
 		}
+		p := process{node: n, start: n.starts.Load()}
 		st, err := n.status()
-		if err == nil {
-			w.take(n, st)
+		if err == nil && n.starts.Load() == p.start {
+			w.take(p, st)
 		}
 	}
 }
 
-func (w *versionWatch) take(n *node, st operator.Status) {
+func (w *versionWatch) take(p process, st operator.Status) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.polls++
-	if st.ConfigVersion < w.newest[n] {
-		w.faults = append(w.faults, fmt.Sprintf("%s went from version %d to %d", n.id, w.newest[n], st.ConfigVersion))
+	if st.ConfigVersion < w.newest[p] {
+		w.faults = append(w.faults, fmt.Sprintf("%s went from version %d to %d", p.node.id, w.newest[p], st.ConfigVersion))
 	}
-	w.newest[n] = max(w.newest[n], st.ConfigVersion)
+	w.newest[p] = max(w.newest[p], st.ConfigVersion)
 }
 
 // expectMonotone ends the watch and checks that no version went down.
--- a/faults/node_test.go
+++ b/faults/node_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -44,9 +45,14 @@
 	// links are the relays to the control instances, by their ids.
 	links map[azurestair.InstanceID]*Relay
 
-	cmd  *exec.Cmd
-	done chan error
-	log  *os.File
+	// learner is true for a control instance that has lost its data and joins again.
+	learner bool
+
+	// starts counts the processes that this instance has been.
+	starts atomic.Int64
+	cmd    *exec.Cmd
+	done   chan error
+	log    *os.File
 }
 
 // freeAddrs returns n addresses on which nothing listens. Clients on this
@@ -76,7 +82,7 @@
 	fmt.Fprintf(&b, "[instance]\nid = %q\nregion = %q\nfailureDomain = %q\nroles = [%s]\ndataDir = %q\n",
 		n.id, n.place.region, n.place.domain, roles, n.dataDir())
 	fmt.Fprintf(&b, "[listen]\ncallers = %q\nupstreams = %q\noperators = %q\npeers = %q\n", n.callers, n.upstreams, n.operators, n.peers)
-	b.WriteString("[control]\nvoters = [\n")
+	fmt.Fprintf(&b, "[control]\nlearner = %t\nvoters = [\n", n.learner)
 	for _, v := range voters {
 		addr := v.peers
 		if v != n {
@@ -100,6 +106,7 @@
 	log, err := os.OpenFile(filepath.Join(n.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	Expect(err).NotTo(HaveOccurred())
 	n.log = log
+	n.starts.Add(1)
 	n.cmd = exec.Command(filepath.Join(binaries, "azurestair"), "serve", "--settings", n.settingsPath())
 	n.cmd.Stderr = log
 	// The process ends with the test process, even if that one is killed.
--- a/stub/upstream.go
+++ b/stub/upstream.go
@@ -61,6 +61,7 @@
 	serviceTime time.Duration
 	held        string
 	silent      bool
+	shedding    bool
 	// drained is true while an operator has drained the stub.
 	drained bool
 }
@@ -144,6 +145,13 @@
 	u.silent = silent
 }
 
+// SetShedding has the stub shed every request before it runs.
+func (u *Upstream) SetShedding(shedding bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.shedding = shedding
+}
+
 // Drain announces that the stub takes no more work.
 func (u *Upstream) Drain() { u.setState(azurestair.StateDraining) }
 
@@ -186,6 +194,9 @@
 
 // begin takes a slot; it returns false when the stub sheds.
 func (u *Upstream) begin(ctx context.Context) bool {
+	if u.isShedding() {
+		return false
+	}
 	select {
 	case u.slots <- struct{}{}:
 		return true
@@ -203,6 +214,12 @@
 	}
 }
 
+func (u *Upstream) isShedding() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.shedding
+}
+
 func (u *Upstream) wait(n int) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
