--- a/faults/fleet_test.go
+++ b/faults/fleet_test.go
@@ -50,6 +50,12 @@
 	// relays stand before the upstreams, in the same order.
 	relays []*Relay
 	extra  []*Relay
+	// options are those of the upstreams, in the same order.
+	options []stub.Options
+
+	mu sync.Mutex
+	// past are upstreams that have been replaced; their runs count.
+	past []*stub.Upstream
 }
 
 // fleetOptions change the fleet of a test.
@@ -146,7 +152,7 @@
 				}
 				u, err := stub.Start(opts)
 				Expect(err).NotTo(HaveOccurred())
-				f.upstreams, f.relays = append(f.upstreams, u), append(f.relays, r)
+				f.upstreams, f.relays, f.options = append(f.upstreams, u), append(f.relays, r), append(f.options, opts)
 			}
 		}
 	}
@@ -186,13 +192,25 @@
 }
 
 func (f *fleet) runs(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	n := 0
-	for _, u := range f.upstreams {
+	for _, u := range slices.Concat(f.upstreams, f.past) {
 		n += u.Runs(id)
 	}
 	return n
 }
 
+// restartUpstream starts an upstream that has died again, at the same address.
+func (f *fleet) restartUpstream(i int) {
+	u, err := stub.Start(f.options[i])
+	Expect(err).NotTo(HaveOccurred())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.past = append(f.past, f.upstreams[i])
+	f.upstreams[i] = u
+}
+
 // linksOf returns the relays on all connections from and to an instance.
 func (f *fleet) linksOf(n *node) []*Relay {
 	var out []*Relay
--- a/faults/node_test.go
+++ b/faults/node_test.go
@@ -46,6 +46,9 @@
 	// links are the relays to the control instances, by their ids.
 	links map[azurestair.InstanceID]*Relay
 
+	// learner is true for a control instance that has lost its data and joins again.
+	learner bool
+
 	cmd  *exec.Cmd
 	done chan error
 	log  *os.File
@@ -78,7 +81,7 @@
 	fmt.Fprintf(&b, "[instance]\nid = %q\nregion = %q\nfailureDomain = %q\nroles = [%s]\ndataDir = %q\n",
 		n.id, n.place.region, n.place.domain, roles, n.dataDir())
 	fmt.Fprintf(&b, "[listen]\ncallers = %q\nupstreams = %q\noperators = %q\npeers = %q\n", n.callers, n.upstreams, n.operators, n.peers)
-	b.WriteString("[control]\nvoters = [\n")
+	fmt.Fprintf(&b, "[control]\nlearner = %t\nvoters = [\n", n.learner)
 	for _, v := range voters {
 		addr := v.peers
 		if v != n {
