--- a/faults/fleet.go
+++ b/faults/fleet.go
@@ -43,6 +43,13 @@
 	numInstances = len(controlPlaces) + len(entryPlaces)
 )
 
+// upstreamProcess is the upstream that runs as a process of its own, where the
+// runs of a request are not counted.
+const upstreamProcess = "catalogue-process"
+
+// binaries is the folder of the programs that the suite has built.
+var binaries string
+
 // fleet is seven instances and the stub upstreams.
 type fleet struct {
 	dir       string
--- a/faults/shutdown_test.go
+++ b/faults/shutdown_test.go
@@ -259,10 +259,6 @@
 	}
 }
 
-// upstreamProcess is the upstream that runs as a process of its own, where the
-// runs of a request are not counted.
-const upstreamProcess = "catalogue-process"
-
 // startUpstreamProcess starts an upstream of the catalogue as a process of its own.
 func (f *fleet) startUpstreamProcess(id string) *exec.Cmd {
 	var entries []string
--- a/faults/suite_test.go
+++ b/faults/suite_test.go
@@ -23,9 +23,6 @@
 // longSeeds is the number of seeds of each case in a long run.
 const longSeeds = 5
 
-// binaries is the folder of the programs that the suite has built.
-var binaries string
-
 func TestFaults(t *testing.T) {
 	t.Logf("seed %d", *seedFlag)
 	RegisterFailHandler(Fail)
