--- a/control/lease_property_test.go
+++ b/control/lease_property_test.go
@@ -191,6 +191,20 @@
 	}
 }
 
+// grow has all holders want more than the limit after 10 s, with a change of
+// leader at a time that depends on the seed, and returns what they use.
+func (s *sim) grow(seed uint64, t time.Duration) int64 {
+	if t == time.Duration(seed%100)*simLength/100 {
+		s.elect(t)
+	}
+	if t > 10*time.Second {
+		s.wantAll()
+	}
+	s.step(t)
+	_, used := s.held(t)
+	return used
+}
+
 func (s *sim) step(t time.Duration) {
 	s.limits = append(s.limits, s.limit.Total)
 	for _, h := range s.holders {
@@ -362,20 +376,11 @@
 
 	// Guards against a region that gets more shifted work within one interval
 	// than the cap allows, when another region fails at once, also across
-	// leaders. No reply is lost here: work that was interrupted by a lost lease
-	// and resumes under a later one counts as a rise that the leader cannot see.
+	// leaders.
 	It("let shifted work rise at most by the cap", func() {
 		expectRiseWithin(shift, func(s *sim, seed uint64, t time.Duration) int64 {
 			s.lossless = true
-			if t == time.Duration(seed)*simLength/100 {
-				s.elect(t)
-			}
-			if t > 10*time.Second {
-				s.wantAll()
-			}
-			s.step(t)
-			_, used := s.held(t)
-			return used
+			return s.grow(seed, t)
 		})
 	})
 
@@ -384,18 +389,10 @@
 	It("let resumed work rise at most by the cap", func() {
 		expectRiseWithin(shift, func(s *sim, seed uint64, t time.Duration) int64 {
 			s.bursts = seed%2 == 1
-			if t == time.Duration(seed)*simLength/100 {
-				s.elect(t)
-			}
 			if h := s.holders[s.rng.IntN(len(s.holders))]; s.rng.IntN(100) == 0 {
 				h.cut = t + s.upTo(4*time.Second)
 			}
-			if t > 10*time.Second {
-				s.wantAll()
-			}
-			s.step(t)
-			_, used := s.held(t)
-			return used
+			return s.grow(seed, t)
 		})
 	})
 
--- a/instance/gate.go
+++ b/instance/gate.go
@@ -224,9 +224,10 @@
 }
 
 // pickWhenFree waits until an upstream can be picked within the caps, ctx ends
-// or the time until has come. Hedges and retries take slots beside the admitted requests, and leases
-// can shrink after the admission, most of all when a new leader grants only
-// floors; refusing admitted work would make that visible to callers.
+// or the time until has come. Hedges and retries take slots beside the admitted
+// requests, and leases can shrink after the admission, most of all when a new
+// leader grants only floors; refusing admitted work would make that visible to
+// callers.
 func (g *gate) pickWhenFree(ctx context.Context, w azurestair.Work, avoid []azurestair.UpstreamID, until time.Time) (azurestair.Choice, error) {
 	c, err := g.pick(w, avoid)
 	if !g.isWorthWaiting(err) {
