--- a/faults/suite_test.go
+++ b/faults/suite_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"io/fs"
 	"math/rand/v2"
 	"os"
 	"os/exec"
@@ -36,11 +37,25 @@
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(os.RemoveAll, dir)
 	binaries = dir
+	Expect(readSources()).To(Succeed())
 	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "../cmd/azurestair", "../cmd/azurestair-upstream")
 	build.Stderr = GinkgoWriter
 	Expect(build.Run()).To(Succeed())
 })
 
+// readSources opens the sources of the programs under test. The go command keys
+// a cached result by the files that a test opens, and would otherwise repeat
+// the result of an older program.
+func readSources() error {
+	return filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || filepath.Ext(path) != ".go" && filepath.Ext(path) != ".sum" {
+			return err
+		}
+		_, err = os.ReadFile(filepath.Clean(path))
+		return err
+	})
+}
+
 // eachSeed runs a case with each seed of this run.
 func eachSeed(run func(rng *rand.Rand)) {
 	n := uint64(1)
