--- a/control/allocator.go
+++ b/control/allocator.go
@@ -36,8 +36,8 @@
 // the limit. A lease counts until it expires at the leader, also when a later one
 // is smaller, because the holder may never get the later one. A lease above a
 // smaller floor than the one that is reserved counts only as far as both
-// together exceed that. After the limit
-// was lowered, the invariant holds again one LeaseTTL later.
+// together exceed that. After the limit was lowered, the invariant holds again
+// one LeaseTTL later.
 //
 // Leased amounts follow demand with max-min fairness. What nobody asks for is
 // leased to each holder up to an equal share, so that a burst can start
--- a/instance/backend.go
+++ b/instance/backend.go
@@ -74,9 +74,9 @@
 	st.Instances, st.Drains = s.Instances, s.Drains
 	for _, u := range s.Upstreams {
 		a := u.Announcement
-		drained := s.IsDrained(azurestair.TargetUpstream, string(a.Upstream)) ||
-			s.IsDrained(azurestair.TargetFailureDomain, string(a.FailureDomain))
-		st.Upstreams = append(st.Upstreams, operator.UpstreamStatus{Announcement: a, Confirmed: u.Confirmed, Drained: drained})
+		st.Upstreams = append(st.Upstreams, operator.UpstreamStatus{
+			Announcement: a, Confirmed: u.Confirmed, Drained: s.IsUpstreamDrained(a),
+		})
 	}
 	st.Budgets = budgets(v, now)
 	gates := b.p.entry.allGates()
--- a/instance/entry.go
+++ b/instance/entry.go
@@ -192,13 +192,13 @@
 // isIdle reports whether no request is in progress.
 func (e *Entry) isIdle() bool { return e == nil || e.inFlight.Load() == 0 }
 
-func (e *Entry) isReady(now time.Time) bool {
-	v := e.view.Load()
-	return v.isCurrent(now) && !v.leaving && !v.starting
-}
+// isReady reports whether this entry may be named in look-ups.
+func (e *Entry) isReady(now time.Time) bool { return e.readyAt(now) == nil }
 
 // Ready reports why this entry may not be named in look-ups; nil if it may.
-func (e *Entry) Ready() error {
+func (e *Entry) Ready() error { return e.readyAt(e.clock.Now()) }
+
+func (e *Entry) readyAt(now time.Time) error {
 	v := e.view.Load()
 	switch {
 	case v == nil:
@@ -207,7 +207,7 @@
 		return fmt.Errorf("%w: shutting down", azurestair.ErrClosed)
 	case v.snapshot.ConfigVersion() == 0:
 		return fmt.Errorf("%w: no configuration yet", azurestair.ErrNotFound)
-	case !v.isCurrent(e.clock.Now()):
+	case !v.isCurrent(now):
 		return fmt.Errorf("%w: the newest configuration is not known", azurestair.ErrNoQuorum)
 	case v.starting:
 		return fmt.Errorf("%w: no budgets yet", azurestair.ErrNoQuorum)
@@ -272,8 +272,7 @@
 // isDrained reports whether an operator has drained the upstream.
 func (e *Entry) isDrained(a azurestair.Announcement) bool {
 	v := e.view.Load()
-	return v != nil && (v.snapshot.IsDrained(azurestair.TargetUpstream, string(a.Upstream)) ||
-		v.snapshot.IsDrained(azurestair.TargetFailureDomain, string(a.FailureDomain)))
+	return v != nil && v.snapshot.IsUpstreamDrained(a)
 }
 
 // close waits for the gates to end; the context given to newEntry has ended.
--- a/instance/member.go
+++ b/instance/member.go
@@ -216,7 +216,7 @@
 func (m *Member) send(now time.Time) {
 	r := azurestair.Report{Instance: m.self, Leaving: m.gone != nil}
 	m.lastSent, m.saidLeaving = r.Leaving, m.leaving
-	r.Instance.Ready = m.entry != nil && !m.leaving && m.started && m.isCurrent(now)
+	r.Instance.Ready = m.entry != nil && m.entry.isReady(now)
 	r.Instance.InForce = m.snapshot.ConfigVersion()
 	if m.snapshot != nil {
 		r.HeldTerm, r.HeldRevision = m.snapshot.Term, m.snapshot.Revision
@@ -352,10 +352,6 @@
 	m.entry.update(m.snapshot)
 }
 
-func (m *Member) isCurrent(now time.Time) bool {
-	return m.snapshot.ConfigVersion() > 0 && now.Before(m.controlDeadline)
-}
-
 // publish makes the present state visible to traffic.
 func (m *Member) publish(now time.Time) {
 	if m.entry == nil || m.snapshot == nil {
--- a/instance/suite_test.go
+++ b/instance/suite_test.go
@@ -52,8 +52,8 @@
 		m.entry.view.Store(&view{snapshot: m.snapshot})
 		m.reported(reportedEvent{sent: now, reply: azurestair.ReportReply{Term: 2, ControlTTLMs: 3000}}, now)
 		Expect(p.updates).To(Equal(1))
-		Expect(m.isCurrent(now.Add(2999 * time.Millisecond))).To(BeTrue())
-		Expect(m.isCurrent(now.Add(3 * time.Second))).To(BeFalse())
+		Expect(m.entry.view.Load().isCurrent(now.Add(2999 * time.Millisecond))).To(BeTrue())
+		Expect(m.entry.view.Load().isCurrent(now.Add(3 * time.Second))).To(BeFalse())
 	})
 
 	// Guards against a confirmation without contact.
@@ -69,6 +69,6 @@
 		m, p := memberWithPicker(now)
 		m.reported(reportedEvent{sent: now, reply: azurestair.ReportReply{Term: 1, ControlTTLMs: 3000}}, now)
 		Expect(p.updates).To(BeZero())
-		Expect(m.isCurrent(now)).To(BeFalse())
+		Expect(m.entry.view.Load().isCurrent(now)).To(BeFalse())
 	})
 })
--- a/instance/view.go
+++ b/instance/view.go
@@ -27,9 +27,8 @@
 func (v *view) hasBudgets(region azurestair.RegionName, now time.Time) bool {
 	for _, u := range v.snapshot.Upstreams {
 		a := u.Announcement
-		drained := a.State != azurestair.StateServing || v.snapshot.IsDrained(azurestair.TargetUpstream, string(a.Upstream)) ||
-			v.snapshot.IsDrained(azurestair.TargetFailureDomain, string(a.FailureDomain))
-		if a.Region == region && !drained && v.slots(a.Service, region, now) <= 0 {
+		isServing := a.State == azurestair.StateServing && !v.snapshot.IsUpstreamDrained(a)
+		if a.Region == region && isServing && v.slots(a.Service, region, now) <= 0 {
 			return false
 		}
 	}
--- a/peer/errors.go
+++ b/peer/errors.go
@@ -26,8 +26,6 @@
 	{codes.Aborted, azurestair.ErrConflict},
 	{codes.NotFound, azurestair.ErrNotFound},
 	{codes.Unauthenticated, azurestair.ErrUnauthorized},
-	{codes.Aborted, azurestair.ErrConflict},
-	{codes.NotFound, azurestair.ErrNotFound},
 	{codes.OutOfRange, azurestair.ErrTooLarge},
 	// A NotLeaderError has this code too, and a message with its prefix.
 	{codes.FailedPrecondition, azurestair.ErrClosed},
--- a/routing/baseline.go
+++ b/routing/baseline.go
@@ -25,8 +25,7 @@
 	for _, u := range s.Upstreams {
 		a := u.Announcement
 		if !r.opts.serves(a) || !r.opts.isHome(a.Region) || a.State != azurestair.StateServing ||
-			s.IsDrained(azurestair.TargetUpstream, string(a.Upstream)) ||
-			s.IsDrained(azurestair.TargetFailureDomain, string(a.FailureDomain)) {
+			s.IsUpstreamDrained(a) {
 			continue
 		}
 		m := member{info: a}
--- a/routing/update.go
+++ b/routing/update.go
@@ -143,8 +143,7 @@
 			p.forgetEjection(w)
 			continue
 		}
-		w.drained = s.IsDrained(azurestair.TargetUpstream, string(w.info.Upstream)) ||
-			s.IsDrained(azurestair.TargetFailureDomain, string(w.info.FailureDomain))
+		w.drained = s.IsUpstreamDrained(w.info)
 		w.weight = 1
 		if v, ok := exceptionFor(weights, w.info); ok {
 			w.weight = float64(v) / 100
--- a/snapshot.go
+++ b/snapshot.go
@@ -98,6 +98,12 @@
 	return false
 }
 
+// IsUpstreamDrained reports whether an operator has drained an upstream or its
+// failure domain.
+func (s *Snapshot) IsUpstreamDrained(a Announcement) bool {
+	return s.IsDrained(TargetUpstream, string(a.Upstream)) || s.IsDrained(TargetFailureDomain, string(a.FailureDomain))
+}
+
 // Unheld returns the same snapshot with revision zero, so that the next report
 // asks for a whole snapshot. It returns nil for nil.
 func (s *Snapshot) Unheld() *Snapshot {
