Add routes, highest-version configurations and departures

Cause: the product names a service and an operation in the path of a request and takes a configuration only on its base version. On the platform, host and path select a route, the highest version of a configuration wins, and a worker that leaves relies on the answer to its word.

Change: a configuration may hold routes with splits, attempts and homes. The state machine takes a configuration by highest version, records departures of upstreams and answers reads in the order of the log. The registry keeps departed upstreams out of new work. Records need protocol version 3.

Ruled out: leased reads for the newest configuration. A frozen machine does not count the time of its freeze and would trust a lease that has run out.

--- a/command.go
+++ b/command.go
@@ -15,6 +15,11 @@
 	// ListsHolders is set by a leader that gives floors only to listed holders.
 	// Programs before the list did not set it.
 	ListsHolders bool `cbor:"8,keyasint,omitempty" json:"listsHolders,omitempty"`
+	// Departure ends new work for one incarnation of an upstream.
+	Departure *Departure `cbor:"9,keyasint,omitempty" json:"departure,omitempty"`
+	// Read changes nothing. Its result holds the configuration at its place in
+	// the log, so that no acknowledged change is missed, whatever the clocks do.
+	Read *ConfigRead `cbor:"10,keyasint,omitempty" json:"read,omitempty"`
 }
 
 // Validate checks the command.
@@ -36,6 +41,8 @@
 	check(c.Finish != nil, func() error { return c.Finish.Validate() })
 	check(c.Members != nil, func() error { return c.Members.Validate() })
 	check(c.Holder != nil, func() error { return c.Holder.Validate() })
+	check(c.Departure != nil, func() error { return c.Departure.Validate() })
+	check(c.Read != nil, func() error { return nil })
 	if n != 1 {
 		return fmt.Errorf("%w: a command needs exactly one part, has %d", ErrInvalid, n)
 	}
@@ -60,11 +67,13 @@
 	return CheckReason(c.Reason)
 }
 
-// ConfigChange replaces the configuration if BaseVersion is still current.
+// ConfigChange replaces the configuration if BaseVersion is still current or,
+// with Highest, if the version of Config is higher than the current one.
 type ConfigChange struct {
 	Change      Change        `cbor:"change" json:"change"`
 	BaseVersion ConfigVersion `cbor:"baseVersion" json:"baseVersion"`
 	Config      Config        `cbor:"config" json:"config"`
+	Highest     bool          `cbor:"highest,omitempty" json:"highest,omitempty"`
 }
 
 // Validate checks the change and the configuration that it carries.
@@ -122,6 +131,19 @@
 	return m.Change.Validate()
 }
 
+// Departure records that one incarnation of an upstream takes no more work. It
+// is replicated before the upstream is told so, since the upstream then relies on it.
+type Departure struct {
+	Upstream    UpstreamID  `cbor:"1,keyasint" json:"upstream"`
+	Incarnation Incarnation `cbor:"2,keyasint" json:"incarnation"`
+}
+
+// Validate checks the departure.
+func (d Departure) Validate() error { return CheckName("upstream", string(d.Upstream)) }
+
+// ConfigRead asks for the configuration in the order of the log.
+type ConfigRead struct{}
+
 // HolderChange lists an instance among the holders that may have floors, or
 // removes it. The leader proposes it, not an operator.
 type HolderChange struct {
@@ -161,6 +183,8 @@
 	Record  *ClaimRecord  `cbor:"4,keyasint,omitempty" json:"record,omitempty"`
 	// Diff lists what changed since the base version of a conflicting change.
 	Diff []string `cbor:"5,keyasint,omitempty" json:"diff,omitempty"`
+	// Config is the answer to a ConfigRead; nil before the first configuration.
+	Config *Config `cbor:"6,keyasint,omitempty" json:"config,omitempty"`
 }
 
 // Validate checks the result.
--- a/config.go
+++ b/config.go
@@ -20,8 +20,17 @@
 	Regions    []Region      `cbor:"regions" json:"regions" toml:"regions"`
 	Links      []Link        `cbor:"links,omitempty" json:"links,omitempty" toml:"links"`
 	Exceptions []Exception   `cbor:"exceptions,omitempty" json:"exceptions,omitempty" toml:"exceptions"`
+	// Routes send requests by host and path. With routes, requests are placed by
+	// object and no budgets are leased.
+	Routes []Route `cbor:"routes,omitempty" json:"routes,omitempty" toml:"routes"`
+	// Document is the configuration in the format in which the operator's front
+	// end received it. It is kept to be read back unchanged.
+	Document []byte `cbor:"document,omitempty" json:"document,omitempty" toml:"-"`
 }
 
+// IsLeased reports whether the leader leases budgets under this configuration.
+func (c *Config) IsLeased() bool { return len(c.Routes) == 0 }
+
 // Defaults holds the fleet-wide settings. WithDefaults replaces zero fields by
 // built-in values.
 type Defaults struct {
@@ -110,6 +119,16 @@
 type Service struct {
 	Name       ServiceName `cbor:"name" json:"name" toml:"name"`
 	Operations []Operation `cbor:"operations" json:"operations" toml:"operations"`
+	// HealthPath is where an upstream answers health checks; empty means none.
+	HealthPath string `cbor:"healthPath,omitempty" json:"healthPath,omitempty" toml:"healthPath"`
+	// MaxConns bounds the connections to one upstream from all entries together;
+	// zero leaves it to what the upstream announces.
+	MaxConns Conns `cbor:"maxConns,omitempty" json:"maxConns,omitempty" toml:"maxConns"`
+	// ColdPerSecond is how many requests a second a cold upstream tolerates from
+	// all entries together; zero means no bound.
+	ColdPerSecond float64 `cbor:"coldPerSecond,omitempty" json:"coldPerSecond,omitempty" toml:"coldPerSecond"`
+	// ColdMs is how long an upstream stays cold after its start.
+	ColdMs Millis `cbor:"coldMs,omitempty" json:"coldMs,omitempty" toml:"coldMs"`
 }
 
 // Operation is one kind of request to a service.
@@ -139,7 +158,11 @@
 	if err := CheckName("service name", string(s.Name)); err != nil {
 		return err
 	}
-	if len(s.Operations) == 0 || len(s.Operations) > MaxOperations {
+	if len(s.HealthPath) > MaxPrefixLen || s.MaxConns < 0 || s.MaxConns > MaxConns || s.ColdMs < 0 || s.ColdMs > MaxTimeoutMs ||
+		!(s.ColdPerSecond >= 0 && s.ColdPerSecond <= float64(MaxSlots)) {
+		return fmt.Errorf("%w: service %s: healthPath, maxConns, coldMs or coldPerSecond is out of range", ErrInvalid, s.Name)
+	}
+	if len(s.Operations) > MaxOperations {
 		return fmt.Errorf("%w: service %s has %d operations; allowed 1 to %d", ErrInvalid, s.Name, len(s.Operations), MaxOperations)
 	}
 	seen := map[OperationName]bool{}
@@ -264,6 +287,9 @@
 	if err := c.validateServices(); err != nil {
 		return err
 	}
+	if err := c.validateRoutes(); err != nil {
+		return err
+	}
 	regions, err := c.validateRegions()
 	if err != nil {
 		return err
@@ -289,10 +315,47 @@
 		if err := s.Validate(); err != nil {
 			return err
 		}
+		if len(s.Operations) == 0 && c.IsLeased() {
+			return fmt.Errorf("%w: service %s has 0 operations; allowed 1 to %d", ErrInvalid, s.Name, MaxOperations)
+		}
+	}
+	return nil
+}
+
+// MaxDocument bounds the document that is kept with a configuration.
+const MaxDocument Bytes = 4 << 20
+
+func (c *Config) validateRoutes() error {
+	if len(c.Routes) > MaxRoutes || Bytes(len(c.Document)) > MaxDocument {
+		return fmt.Errorf("%w: more than %d routes or a document of more than %d bytes", ErrInvalid, MaxRoutes, MaxDocument)
+	}
+	services := map[ServiceName]bool{}
+	for _, s := range c.Services {
+		services[s.Name] = true
+	}
+	for _, r := range c.Routes {
+		if err := r.Validate(); err != nil {
+			return err
+		}
+		for _, p := range r.Parts {
+			if !services[p.Service] {
+				return fmt.Errorf("%w: route %s names the unknown service %s", ErrInvalid, r.Name, p.Service)
+			}
+		}
 	}
 	return nil
 }
 
+// Service finds a service by name.
+func (c *Config) Service(name ServiceName) (Service, bool) {
+	for _, s := range c.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Service{}, false
+}
+
 func (c *Config) validateRegions() (map[RegionName]bool, error) {
 	regions := map[RegionName]bool{}
 	domains := map[FailureDomainName]bool{}
@@ -351,3 +414,16 @@
 	}
 	return Operation{}, false
 }
+
+// isRouted reports whether the configuration uses what came with ProtocolRouted.
+func (c *Config) isRouted() bool {
+	if len(c.Routes) > 0 || len(c.Document) > 0 {
+		return true
+	}
+	for _, s := range c.Services {
+		if len(s.Operations) == 0 || s.HealthPath != "" || s.MaxConns > 0 || s.ColdPerSecond > 0 || s.ColdMs > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/control/config.go
+++ b/control/config.go
@@ -48,6 +48,9 @@
 
 func (s *State) applyConfig(c azurestair.Command) azurestair.Result {
 	current := s.Config().Version
+	if c.Config.Highest {
+		return s.applyHighest(c)
+	}
 	if c.Config.BaseVersion != current {
 		return azurestair.Result{
 			Code:    azurestair.ResultConflict,
@@ -71,6 +74,34 @@
 	return azurestair.Result{Code: azurestair.ResultAccepted, Version: next.Version}
 }
 
+// applyHighest takes over a configuration with a higher version than the
+// current one. Any other is overtaken, which is no error: its sender need not
+// send it again.
+func (s *State) applyHighest(c azurestair.Command) azurestair.Result {
+	current := s.Config().Version
+	next := c.Config.Config
+	if next.Version <= current {
+		return azurestair.Result{Code: azurestair.ResultUnchanged, Version: current}
+	}
+	s.history.push(ConfigRecord{
+		Config:   &next,
+		Operator: c.Config.Change.Operator,
+		Reason:   c.Config.Change.Reason,
+		ChangeID: c.Config.Change.ID,
+		At:       c.At,
+	}, MaxHistory)
+	return azurestair.Result{Code: azurestair.ResultAccepted, Version: next.Version}
+}
+
+// readConfig answers a read at its place in the log.
+func (s *State) readConfig() azurestair.Result {
+	r := azurestair.Result{Code: azurestair.ResultAccepted, Version: s.Config().Version}
+	if r.Version > 0 {
+		r.Config = s.Config()
+	}
+	return r
+}
+
 // version finds a configuration that is still held.
 func (s *State) version(v azurestair.ConfigVersion) *azurestair.Config {
 	if v == 0 {
@@ -141,6 +172,11 @@
 			list = append(list, fact{fmt.Sprintf("operation %s/%s", s.Name, o.Name), value})
 		}
 	}
+	for _, r := range c.Routes {
+		value := fmt.Sprintf("rank=%s idempotent=%t timeoutMs=%d maxAttempts=%d parts=%v homes=%v",
+			r.Rank, r.Idempotent, r.TimeoutMs, r.MaxAttempts, r.Parts, r.HomeRegions)
+		list = append(list, fact{fmt.Sprintf("route %s%s", r.Host, r.PathPrefix), value})
+	}
 	for _, r := range c.Regions {
 		list = append(list, fact{fmt.Sprintf("region %s", r.Name), fmt.Sprintf("failureDomains=%v", r.FailureDomains)})
 	}
--- a/control/image.go
+++ b/control/image.go
@@ -27,6 +27,8 @@
 	LastKept uint64 `cbor:"7,keyasint,omitempty" json:"lastKept,omitempty"`
 	// Holders is nil in the image of a state without the list.
 	Holders *HolderList `cbor:"8,keyasint,omitempty" json:"holders,omitempty"`
+	// Departures are in the order of the log.
+	Departures []azurestair.Departure `cbor:"9,keyasint,omitempty" json:"departures,omitempty"`
 	// Needs is the newest protocol version that a log entry before the image
 	// has needed. It is left out while that is ProtocolUnannounced.
 	Needs azurestair.ProtocolVersion `cbor:"16,keyasint,omitempty" json:"needs,omitempty"`
@@ -49,6 +51,8 @@
 		LastKept: s.ledger.answers.last,
 		Holders:  s.holders,
 		Needs:    s.needs,
+
+		Departures: s.departures.order.view(),
 	}
 }
 
@@ -63,6 +67,9 @@
 	for _, r := range i.Changes {
 		s.changes.add(r)
 	}
+	for _, d := range i.Departures {
+		s.departures.add(d)
+	}
 	s.ledger.restore(slices.Concat(i.Ledger...), i.LastKept)
 	return s, nil
 }
@@ -90,7 +97,7 @@
 // Validate checks the image.
 func (i Image) Validate() error {
 	if len(i.History) > MaxHistory || len(i.Drains) > MaxDrains || len(i.Changes) > MaxChanges ||
-		len(i.Audit) > MaxAudit {
+		len(i.Audit) > MaxAudit || len(i.Departures) > MaxDepartures {
 		return fmt.Errorf("%w: image exceeds a limit of the state", azurestair.ErrInvalid)
 	}
 	if err := i.validateHistory(); err != nil {
@@ -113,7 +120,8 @@
 		if err := r.Validate(); err != nil {
 			return err
 		}
-		if r.Config.Version == 0 || (n > 0 && r.Config.Version != i.History[n-1].Config.Version+1) {
+		// Versions that operators choose may leave gaps.
+		if r.Config.Version == 0 || (n > 0 && r.Config.Version <= i.History[n-1].Config.Version) {
 			return fmt.Errorf("%w: image: configuration version %d is out of order", azurestair.ErrInvalid, r.Config.Version)
 		}
 	}
--- a/control/registry.go
+++ b/control/registry.go
@@ -49,14 +49,18 @@
 type Registry struct {
 	// MaxUpstreams and MaxInstances bound the records; zero means the default.
 	MaxUpstreams, MaxInstances int
+	// Lease is how long an upstream stays confirmed; zero means UpstreamLease.
+	Lease time.Duration
 
 	upstreams map[azurestair.UpstreamID]*upstreamRecord
 	instances map[azurestair.InstanceID]*instanceRecord
 	// suspectUntil holds, for a service with a suspect listener, the time
 	// until which its lapsed upstreams are spared.
 	suspectUntil map[azurestair.ServiceName]time.Time
-	warmUntil    time.Time
-	seeded       bool
+	// departed holds the incarnations of upstreams that take no more work.
+	departed  map[azurestair.UpstreamID]azurestair.Incarnation
+	warmUntil time.Time
+	seeded    bool
 	// next is a lower bound of the next deadline; extending a lease leaves it.
 	next time.Time
 	// listing counts changes that are published at once, soft the others.
@@ -79,7 +83,7 @@
 // Seed starts a new leader's registry from the last snapshot that the instance
 // holds, which may be nil. For one lease time the registry is warming up.
 func (r *Registry) Seed(s *azurestair.Snapshot, now time.Time) {
-	r.warmUntil = now.Add(UpstreamLease)
+	r.warmUntil = now.Add(r.lease())
 	r.wakeAt(r.warmUntil)
 	r.listing++
 	if s == nil {
@@ -89,13 +93,20 @@
 	r.init()
 	for _, u := range s.Upstreams {
 		u.Confirmed = false
-		r.upstreams[u.Announcement.Upstream] = &upstreamRecord{info: u, until: now.Add(UpstreamLease), listed: true}
+		r.upstreams[u.Announcement.Upstream] = &upstreamRecord{info: u, until: now.Add(r.lease()), listed: true}
 	}
 	for _, i := range s.Instances {
 		r.instances[i.ID] = &instanceRecord{info: i, until: now.Add(InstanceLease), listed: true}
 	}
 }
 
+func (r *Registry) lease() time.Duration {
+	if r.Lease > 0 {
+		return r.Lease
+	}
+	return UpstreamLease
+}
+
 func (r *Registry) init() {
 	if r.upstreams == nil {
 		r.upstreams = map[azurestair.UpstreamID]*upstreamRecord{}
@@ -119,6 +130,9 @@
 		rec = &upstreamRecord{}
 		r.upstreams[a.Upstream] = rec
 	}
+	if inc, ok := r.departed[a.Upstream]; ok && a.Incarnation <= inc && a.State == azurestair.StateServing {
+		a.State = azurestair.StateDraining
+	}
 	old := rec.info.Announcement
 	if old.Newer(a) || (old.State == azurestair.StateLeaving && !a.Newer(old)) {
 		return nil
@@ -131,11 +145,29 @@
 	}
 	rec.info = azurestair.UpstreamInfo{Announcement: a, Confirmed: true}
 	rec.listed = true
-	rec.until = now.Add(UpstreamLease)
+	rec.until = now.Add(r.lease())
 	r.wakeAt(rec.until)
 	return nil
 }
 
+// Depart ends new work for an upstream, whatever its later announcements say.
+func (r *Registry) Depart(d azurestair.Departure) {
+	r.init()
+	if r.departed == nil {
+		r.departed = map[azurestair.UpstreamID]azurestair.Incarnation{}
+	}
+	if last, ok := r.departed[d.Upstream]; ok && last >= d.Incarnation {
+		return
+	}
+	r.departed[d.Upstream] = d.Incarnation
+	rec := r.upstreams[d.Upstream]
+	if rec == nil || rec.info.Announcement.Incarnation > d.Incarnation || rec.info.Announcement.State != azurestair.StateServing {
+		return
+	}
+	rec.info.Announcement.State = azurestair.StateDraining
+	r.listing++
+}
+
 // sameListing reports whether two announcements differ at most in load and sequence.
 func sameListing(a, b azurestair.Announcement) bool {
 	a.Sequence, a.Load = b.Sequence, b.Load
@@ -180,7 +212,7 @@
 			rec.info.Confirmed = true
 			r.listing++
 		}
-		rec.until = now.Add(UpstreamLease)
+		rec.until = now.Add(r.lease())
 	}
 	return unknown
 }
@@ -297,7 +329,7 @@
 	}
 	for s, n := range lapsed {
 		if 2*n > total[s] {
-			r.suspectUntil[s] = now.Add(UpstreamLease)
+			r.suspectUntil[s] = now.Add(r.lease())
 		}
 	}
 	maps.DeleteFunc(r.suspectUntil, func(_ azurestair.ServiceName, t time.Time) bool { return !now.Before(t) })
@@ -330,7 +362,7 @@
 	if _, ok := r.suspectUntil[a.Service]; ok {
 		return rec.until.Add(SuspectBound)
 	}
-	return rec.until.Add(UpstreamLease)
+	return rec.until.Add(r.lease())
 }
 
 // checkAt returns when a record needs the next check: at the end of its lease,
@@ -339,7 +371,7 @@
 	if now.Before(rec.until) {
 		return rec.until
 	}
-	if recheck := now.Add(UpstreamLease / 2); recheck.Before(bound) {
+	if recheck := now.Add(r.lease() / 2); recheck.Before(bound) {
 		return recheck
 	}
 	return bound
--- a/control/state.go
+++ b/control/state.go
@@ -28,6 +28,8 @@
 	ledger  ledger
 	holders *HolderList
 	needs   azurestair.ProtocolVersion
+
+	departures departures
 }
 
 // Apply applies a log entry that holds one command. The state keeps the
@@ -82,6 +84,10 @@
 		return s.applyChange(c, c.Members.Change, s.applyMembers)
 	case c.Holder != nil:
 		return s.applyHolder(*c.Holder)
+	case c.Departure != nil:
+		return s.applyDeparture(*c.Departure)
+	case c.Read != nil:
+		return s.readConfig()
 	case c.Claim != nil:
 		return s.ledger.claim(c.At, *c.Claim)
 	default:
--- a/interfaces.go
+++ b/interfaces.go
@@ -76,6 +76,27 @@
 	Abandon(c Choice, sent bool, elapsed time.Duration, now time.Time)
 }
 
+// Observation is what an attempt shows of an upstream beside its outcome.
+type Observation struct {
+	// Load is the upstream's own report; nil without one.
+	Load *Load
+	// Shed is true when the upstream refused the attempt itself.
+	Shed bool
+	// Unreachable is true when no connection could be opened.
+	Unreachable bool
+	// Gone is true when another process answers at the upstream's address.
+	Gone bool
+}
+
+// IsFull reports whether the upstream said that all its slots are in use.
+func (o Observation) IsFull(n Slots) bool { return o.Load != nil && o.Load.InFlight >= n }
+
+// Observer is a Picker that takes account of observations. Observe comes
+// before the end of the attempt.
+type Observer interface {
+	Observe(c Choice, o Observation, now time.Time)
+}
+
 // Sharer is a Picker that spreads a leased budget over the upstreams.
 type Sharer interface {
 	// SetShare takes over how many requests into a region may be in flight.
--- a/request.go
+++ b/request.go
@@ -29,6 +29,7 @@
 	ReasonCallerShare       Reason = "callerShare"
 	ReasonDeadline          Reason = "deadline"
 	ReasonNoUpstream        Reason = "noUpstream"
+	ReasonSaturated         Reason = "upstreamsSaturated"
 	ReasonShiftCap          Reason = "shiftCap"
 	ReasonLinkBudget        Reason = "linkBudget"
 	ReasonShed              Reason = "upstreamShed"
@@ -85,6 +86,12 @@
 	Idempotent bool
 	Caller     CallerID
 	Deadline   time.Time
+	// Object is what the request concerns; zero means nothing in particular.
+	Object ObjectKey
+	// Homes are the only regions that may run the request; empty means all.
+	Homes []RegionName
+	// MaxAttempts bounds the attempts; zero leaves it to the retry policy.
+	MaxAttempts int
 }
 
 // Choice is the upstream that a Picker chose for an attempt.
--- /dev/null
+++ b/route.go
@@ -0,0 +1,115 @@
+package azurestair
+
+import (
+	"fmt"
+	"hash/fnv"
+	"strings"
+)
+
+// Limits on routes.
+const (
+	MaxRoutes     = 2048
+	MaxParts      = 16
+	MaxHostLen    = 253
+	MaxPrefixLen  = 1024
+	MaxAttempts   = 16
+	maxPartWeight = 1_000_000
+)
+
+// RouteName names a route within a configuration.
+type RouteName string
+
+// ObjectKey identifies the object that a request concerns; zero means none.
+// Requests for one object go to the same few upstreams, which keep it warm.
+type ObjectKey uint64
+
+// ObjectKeyOf returns the key of an object's name; an empty name has none.
+func ObjectKeyOf(name string) ObjectKey {
+	if name == "" {
+		return 0
+	}
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	return ObjectKey(max(h.Sum64(), 1))
+}
+
+// Route sends the requests for a host and a path prefix to one service, or to
+// several in the proportion of their weights.
+type Route struct {
+	Name       RouteName `cbor:"name" json:"name" toml:"name"`
+	Host       string    `cbor:"host" json:"host" toml:"host"`
+	PathPrefix string    `cbor:"pathPrefix" json:"pathPrefix" toml:"pathPrefix"`
+	Rank       Rank      `cbor:"rank" json:"rank" toml:"rank"`
+	Idempotent bool      `cbor:"idempotent" json:"idempotent" toml:"idempotent"`
+	// TimeoutMs is the longest time for which a caller may be kept waiting.
+	TimeoutMs Millis `cbor:"timeoutMs" json:"timeoutMs" toml:"timeoutMs"`
+	// TargetMs is the latency objective; zero means none.
+	TargetMs Millis `cbor:"targetMs,omitempty" json:"targetMs,omitempty" toml:"targetMs"`
+	// MaxAttempts bounds the upstreams that one request is sent to.
+	MaxAttempts int `cbor:"maxAttempts" json:"maxAttempts" toml:"maxAttempts"`
+	// Sticky routes place requests by the object that they concern.
+	Sticky bool `cbor:"sticky,omitempty" json:"sticky,omitempty" toml:"sticky"`
+	// HomeRegions are the only regions that may run the requests; empty means all.
+	HomeRegions []RegionName `cbor:"homeRegions,omitempty" json:"homeRegions,omitempty" toml:"homeRegions"`
+	Parts       []RoutePart  `cbor:"parts" json:"parts" toml:"parts"`
+	// MaxBodyBytes bounds the request body; zero means 1 MiB.
+	MaxBodyBytes Bytes `cbor:"maxBodyBytes,omitempty" json:"maxBodyBytes,omitempty" toml:"maxBodyBytes"`
+}
+
+// RoutePart is one of the services that a route is split over.
+type RoutePart struct {
+	Service ServiceName `cbor:"service" json:"service" toml:"service"`
+	Weight  float64     `cbor:"weight" json:"weight" toml:"weight"`
+}
+
+// Operation returns what the request path needs to know of the route.
+func (r Route) Operation() Operation {
+	return Operation{
+		Name: OperationName(r.Name), Rank: r.Rank, Idempotent: r.Idempotent, TimeoutMs: r.TimeoutMs, MaxBodyBytes: r.MaxBodyBytes,
+	}
+}
+
+// Validate checks the route by itself; Config checks the services that it names.
+func (r Route) Validate() error {
+	if err := CheckName("route name", string(r.Name)); err != nil {
+		return err
+	}
+	if r.Host == "" || len(r.Host) > MaxHostLen {
+		return fmt.Errorf("%w: route %s: host has %d bytes; allowed 1 to %d", ErrInvalid, r.Name, len(r.Host), MaxHostLen)
+	}
+	if len(r.PathPrefix) > MaxPrefixLen || !strings.HasPrefix(r.PathPrefix, "/") {
+		return fmt.Errorf("%w: route %s: pathPrefix must begin with a slash and have at most %d bytes", ErrInvalid, r.Name, MaxPrefixLen)
+	}
+	if r.MaxAttempts < 1 || r.MaxAttempts > MaxAttempts {
+		return fmt.Errorf("%w: route %s: maxAttempts = %d; allowed 1 to %d", ErrInvalid, r.Name, r.MaxAttempts, MaxAttempts)
+	}
+	if r.TargetMs < 0 || r.TargetMs > MaxTimeoutMs {
+		return fmt.Errorf("%w: route %s: targetMs = %d; allowed 0 to %d", ErrInvalid, r.Name, r.TargetMs, MaxTimeoutMs)
+	}
+	for _, h := range r.HomeRegions {
+		if err := CheckName("home region", string(h)); err != nil {
+			return err
+		}
+	}
+	if err := r.validateParts(); err != nil {
+		return err
+	}
+	return r.Operation().Validate()
+}
+
+func (r Route) validateParts() error {
+	if len(r.Parts) == 0 || len(r.Parts) > MaxParts {
+		return fmt.Errorf("%w: route %s has %d services; allowed 1 to %d", ErrInvalid, r.Name, len(r.Parts), MaxParts)
+	}
+	total := 0.0
+	for _, p := range r.Parts {
+		if !(p.Weight >= 0 && p.Weight <= maxPartWeight) {
+			return fmt.Errorf("%w: route %s: weight of %s = %g; allowed 0 to %d", ErrInvalid, r.Name, p.Service, p.Weight, maxPartWeight)
+		}
+		total += p.Weight
+	}
+	if total <= 0 {
+		return fmt.Errorf("%w: route %s: the weights sum to zero", ErrInvalid, r.Name)
+	}
+	return nil
+}
--- a/settings/schema.go
+++ b/settings/schema.go
@@ -25,6 +25,9 @@
 	case t.Kind() == reflect.Struct:
 		var keys []string
 		for i := range t.NumField() {
+			if tagOf(t.Field(i)) == notInFiles {
+				continue
+			}
 			keys = append(keys, keysOf(join(path, tagOf(t.Field(i))), t.Field(i).Type)...)
 		}
 		return keys
@@ -34,6 +37,9 @@
 	return []string{path}
 }
 
+// notInFiles is the tag of a field that files cannot set.
+const notInFiles = "-"
+
 // tagOf returns the TOML key of a field.
 func tagOf(f reflect.StructField) string { return f.Tag.Get("toml") }
 
@@ -48,9 +54,11 @@
 }
 
 func allowedKeys(t reflect.Type) string {
-	names := make([]string, t.NumField())
-	for i := range names {
-		names[i] = tagOf(t.Field(i))
+	var names []string
+	for i := range t.NumField() {
+		if tag := tagOf(t.Field(i)); tag != notInFiles {
+			names = append(names, tag)
+		}
 	}
 	return strings.Join(names, ", ")
 }
--- a/snapshot.go
+++ b/snapshot.go
@@ -36,6 +36,8 @@
 	Ready bool `cbor:"ready" json:"ready"`
 	// InForce is the configuration version that the instance works from.
 	InForce ConfigVersion `cbor:"inForce" json:"inForce"`
+	// Control is true for an instance that can replicate the log.
+	Control bool `cbor:"control,omitempty" json:"control,omitempty"`
 }
 
 // Validate checks the instance's description.
--- a/upstream.go
+++ b/upstream.go
@@ -65,6 +65,8 @@
 	Incarnation   Incarnation       `cbor:"incarnation" json:"incarnation"`
 	Sequence      Sequence          `cbor:"sequence" json:"sequence"`
 	Load          Load              `cbor:"load" json:"load"`
+	// ColdMs is how much longer the upstream stays cold.
+	ColdMs Millis `cbor:"coldMs,omitempty" json:"coldMs,omitempty"`
 }
 
 // Validate checks the announcement.
@@ -89,6 +91,9 @@
 	if a.MaxConns < 1 || a.MaxConns > MaxConns {
 		return fmt.Errorf("%w: maxConns = %d; allowed 1 to %d", ErrInvalid, a.MaxConns, MaxConns)
 	}
+	if a.ColdMs < 0 || a.ColdMs > MaxTimeoutMs {
+		return fmt.Errorf("%w: coldMs = %d; allowed 0 to %d", ErrInvalid, a.ColdMs, MaxTimeoutMs)
+	}
 	if err := a.State.Validate(); err != nil {
 		return err
 	}
--- a/version.go
+++ b/version.go
@@ -14,8 +14,11 @@
 	// ProtocolAnnounced is the first version whose programs announce it and
 	// refuse records of the log that they do not know.
 	ProtocolAnnounced ProtocolVersion = 2
+	// ProtocolRouted is the first version with routes, configurations of which
+	// the highest version wins, departures and reads in the order of the log.
+	ProtocolRouted ProtocolVersion = 3
 	// ProtocolCurrent is the version of this program.
-	ProtocolCurrent = ProtocolAnnounced
+	ProtocolCurrent = ProtocolRouted
 	// ProtocolOldest is the oldest version with which this program exchanges messages.
 	ProtocolOldest = ProtocolUnannounced
 )
@@ -56,6 +59,9 @@
 // as this one does. A new part, a new field of a part or a new value of a
 // field returns the version that introduced it.
 func (c Command) Needs() ProtocolVersion {
+	if c.Departure != nil || c.Read != nil || (c.Config != nil && (c.Config.Highest || c.Config.Config.isRouted())) {
+		return ProtocolRouted
+	}
 	if c.Holder != nil || c.ListsHolders {
 		return ProtocolAnnounced
 	}
