Place requests by object

Cause: an upstream works faster on an object that it has handled lately, and sampled choices spread an object over all of them.

Change: package placement ranks the upstreams of a region for an object by the same hash on every entry, takes the cheapest of the first two that have room, and then the next of the ranking. Regions keep the share of their objects that their slots carry.

Ruled out: preferring the own region while it has room just then; objects would move with the load of single entries.

--- /dev/null
+++ b/placement/doc.go
@@ -0,0 +1,19 @@
+// Package placement chooses the upstream for each attempt of one service by
+// the object that the request concerns.
+//
+// Model: an upstream works faster on an object that it has handled lately, and
+// remembers few objects. Each entry instance therefore ranks the upstreams for
+// an object by the same hash, so that all entries use the same few upstreams
+// for it without exchanging messages, and a change of the upstreams moves only
+// the objects of those that came or went. The first Copies upstreams of the
+// ranking share the object; the next ones take what these have no room for,
+// which gives an object more copies the more it is asked for.
+//
+// The region comes first: a region keeps the share of its objects that its
+// slots carry, and the others go by hash to regions with room. The plan
+// follows from the upstreams alone and so changes slowly.
+//
+// Invariants: no work goes to an upstream that is drained, draining or
+// leaving; no work leaves the home regions of its request; a cold upstream
+// gets no more requests a second from all entries together than it tolerates.
+package placement
--- a/retry/hedge.go
+++ b/retry/hedge.go
@@ -82,7 +82,7 @@
 	if p.Without.Hedging || !r.work.Idempotent || r.work.Rank != azurestair.RankInteractive {
 		return time.Time{}, false
 	}
-	if r.attempts != 1 || r.attempts >= p.MaxAttempts {
+	if r.attempts != 1 || r.attempts >= p.maxAttempts(r) {
 		return time.Time{}, false
 	}
 	after, ok := l.Percentile(p.HedgePercentile)
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -43,6 +43,8 @@
 	OtherWorker bool
 	// Hedging is the second attempt while the first is in flight.
 	Hedging bool
+	// Reserve is the time that an attempt leaves for a retry after a timeout.
+	Reserve bool
 }
 
 func (p Policy) withDefaults() Policy {
@@ -102,7 +104,7 @@
 	if a.Result == azurestair.AttemptDone {
 		return Decision{Action: Finish, Outcome: azurestair.OutcomeDone}
 	}
-	if r.outstanding > 0 || p.Without.Retries || r.attempts >= p.MaxAttempts || !r.isRepeatable() {
+	if r.outstanding > 0 || p.Without.Retries || r.attempts >= p.maxAttempts(r) || !r.isRepeatable() {
 		return r.Refuse(a.reason())
 	}
 	latest := p.latestStart(r)
@@ -120,6 +122,14 @@
 	}
 }
 
+// maxAttempts returns the bound on the attempts of a request.
+func (p Policy) maxAttempts(r *Request) int {
+	if n := r.work.MaxAttempts; n > 0 {
+		return min(n, p.MaxAttempts)
+	}
+	return p.MaxAttempts
+}
+
 // latestStart returns the time after which another attempt is not worth
 // starting; zero means never.
 func (p Policy) latestStart(r *Request) time.Time {
@@ -181,6 +191,6 @@
 
 // mayRetryTimeout reports whether a retry may follow if the attempt times out.
 func (p Policy) mayRetryTimeout(r *Request, left time.Duration) bool {
-	return r.work.Idempotent && !p.Without.Retries && r.attempts+1 < p.MaxAttempts &&
+	return r.work.Idempotent && !p.Without.Retries && !p.Without.Reserve && r.attempts+1 < p.maxAttempts(r) &&
 		left >= 2*p.MinReserve
 }
--- a/routing/pickerror.go
+++ b/routing/pickerror.go
@@ -24,8 +24,20 @@
 var (
 	errNoUpstream = &PickError{Reason: azurestair.ReasonNoUpstream}
 	errShiftCap   = &PickError{Reason: azurestair.ReasonShiftCap}
+	errSaturated  = &PickError{Reason: azurestair.ReasonSaturated}
 )
 
+// ErrorFor returns the error of a choice that failed for the reason.
+func ErrorFor(r azurestair.Reason) error {
+	switch r {
+	case azurestair.ReasonNoUpstream:
+		return errNoUpstream
+	case azurestair.ReasonSaturated:
+		return errSaturated
+	}
+	return &PickError{Reason: r}
+}
+
 // ReasonOf returns the reason that an error of Pick carries; an error of
 // another kind counts as ReasonNoUpstream, and nil as ReasonNone.
 func ReasonOf(err error) azurestair.Reason {
--- /dev/null
+++ b/routing/routes.go
@@ -0,0 +1,50 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"azurestair.example/azurestair"
+)
+
+// Routes finds the route of a request by host and path. It is immutable. The
+// zero value finds nothing.
+type Routes struct {
+	// byHost holds the routes of each host, the longest prefix first.
+	byHost map[string][]azurestair.Route
+}
+
+// NewRoutes indexes the routes of a configuration.
+func NewRoutes(cfg *azurestair.Config) *Routes {
+	t := &Routes{byHost: map[string][]azurestair.Route{}}
+	for _, r := range cfg.Routes {
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, list := range t.byHost {
+		slices.SortStableFunc(list, func(a, b azurestair.Route) int {
+			return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix))
+		})
+	}
+	return t
+}
+
+// Find returns the route with the longest prefix of the path among those of
+// the host, which may carry a port.
+func (t *Routes) Find(host, path string) (azurestair.Route, bool) {
+	if t == nil {
+		return azurestair.Route{}, false
+	}
+	list, ok := t.byHost[strings.ToLower(host)]
+	if !ok {
+		name, _, _ := strings.Cut(host, ":")
+		list = t.byHost[strings.ToLower(name)]
+	}
+	for _, r := range list {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r, true
+		}
+	}
+	return azurestair.Route{}, false
+}
--- /dev/null
+++ b/routing/split.go
@@ -0,0 +1,35 @@
+package routing
+
+import (
+	"slices"
+
+	"azurestair.example/azurestair"
+)
+
+// Splitter spreads the requests of a route over its parts by smooth weighted
+// round robin, so that each part's share is exact to within one request. The
+// zero value is ready. It is not safe for concurrent use.
+type Splitter struct {
+	parts  []azurestair.RoutePart
+	credit []float64
+}
+
+// Next returns the service of the next request. The parts must not be empty.
+func (s *Splitter) Next(parts []azurestair.RoutePart) azurestair.ServiceName {
+	if len(parts) == 1 {
+		return parts[0].Service
+	}
+	if !slices.Equal(s.parts, parts) {
+		s.parts, s.credit = parts, make([]float64, len(parts))
+	}
+	total, best := 0.0, 0
+	for i, p := range parts {
+		s.credit[i] += p.Weight
+		total += p.Weight
+		if s.credit[i] > s.credit[best] {
+			best = i
+		}
+	}
+	s.credit[best] -= total
+	return parts[best].Service
+}
