Let a front speak another dialect to upstreams

Cause: upstreams of the platform name attempts, deadlines and refusals in headers of their own, and may send an answer late or twice.

Change: a dialect marks requests and reads the heads of answers. The client passes over a late answer to another attempt where the dialect allows it, keeps connections for the idle time that the upstream gives, and tells of loads and of addresses that another process has taken over. The peer client follows the live control instances. A data folder tells its owner.

Ruled out: passing over foreign answers in the product's own dialect. Its upstreams never answer late on a connection, and the tests ask for an end at once.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -197,12 +197,12 @@
 func forwardedHeader(h http.Header) http.Header {
 	// The values are shared, since nobody changes them.
 	out := maps.Clone(h)
-	removeHopByHop(out)
+	RemoveHopByHop(out)
 	return out
 }
 
-// removeHopByHop removes the fields that are not passed on.
-func removeHopByHop(h http.Header) {
+// RemoveHopByHop removes the fields that are not passed on.
+func RemoveHopByHop(h http.Header) {
 	for _, field := range h["Connection"] {
 		for name := range strings.SplitSeq(field, ",") {
 			h.Del(strings.TrimSpace(name))
@@ -264,9 +264,7 @@
 // writeAnswer passes on the upstream's answer. It aborts the connection when
 // the answer breaks off, so that the caller never takes a part for the whole.
 func writeAnswer(c *gin.Context, r Reply) {
-	defer r.Body.Close() //nolint:errcheck // nothing is left to do
 	h := c.Writer.Header()
-	maps.Copy(h, forwardedHeader(r.Header))
 	h.Set(HeaderOutcome, string(azurestair.OutcomeDone))
 	if r.Reason != azurestair.ReasonNone {
 		// A done request whose answer is no longer kept has an empty one.
@@ -275,11 +273,24 @@
 	if r.Replayed {
 		h.Set(HeaderReplayed, "true")
 	}
+	WriteAnswer(c.Writer, r)
+}
+
+// WriteAnswer passes on the header and the body of an upstream's answer. It
+// panics with http.ErrAbortHandler when the answer breaks off.
+func WriteAnswer(w http.ResponseWriter, r Reply) {
+	defer r.Body.Close() //nolint:errcheck // nothing is left to do
+	h := w.Header()
+	maps.Copy(h, forwardedHeader(r.Header))
+	if _, ok := h["Content-Type"]; !ok {
+		// The server would guess one.
+		h["Content-Type"] = nil
+	}
 	if r.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(r.Length, 10))
 	}
-	c.Writer.WriteHeader(r.Status)
-	if err := copyBody(flushWriter{c.Writer}, r.Body); err != nil {
+	w.WriteHeader(r.Status)
+	if err := copyBody(flushWriter{w}, r.Body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -299,12 +310,12 @@
 }
 
 // flushWriter passes each piece of a streamed answer on at once.
-type flushWriter struct{ gin.ResponseWriter }
+type flushWriter struct{ http.ResponseWriter }
 
 func (w flushWriter) Write(p []byte) (int, error) {
 	n, err := w.ResponseWriter.Write(p)
-	if err == nil {
-		w.Flush()
+	if f, ok := w.ResponseWriter.(http.Flusher); ok && err == nil {
+		f.Flush()
 	}
 	return n, err
 }
--- a/caller/request.go
+++ b/caller/request.go
@@ -16,6 +16,14 @@
 	Service   azurestair.ServiceName
 	Operation azurestair.OperationName
 	Method    string
+	// Host is the host that the caller asked for. With it, Service and Operation
+	// follow from the routes of the configuration.
+	Host string
+	// AttemptID is the caller's own id of this attempt, which is passed on in
+	// place of one that the entry makes; empty without one.
+	AttemptID azurestair.RequestID
+	// Object is what the request concerns; zero means nothing in particular.
+	Object azurestair.ObjectKey
 	// Path is the path at the upstream with the query.
 	Path    string
 	Header  http.Header
--- a/disk/identity.go
+++ b/disk/identity.go
@@ -122,30 +122,45 @@
 	return commitTemporary(fs, identityName)
 }
 
+// Owner returns the instance that a data folder belongs to. The error is
+// ErrNoIdentity for a folder that does not exist or has no identity.
+func Owner(dir string) (azurestair.InstanceID, error) {
+	who, err := loadIdentity(osFiles{dir})
+	return who.Instance, err
+}
+
 // readIdentity checks the format and identity files and returns the store's id.
 func readIdentity(fs files, id azurestair.InstanceID) (storeID, error) {
+	who, err := loadIdentity(fs)
+	if err != nil {
+		return storeID{}, err
+	}
+	if who.Instance != id {
+		return storeID{}, fmt.Errorf("%w: it belongs to instance %s, not to %s", azurestair.ErrNoIdentity, who.Instance, id)
+	}
+	return who.Store, nil
+}
+
+func loadIdentity(fs files) (identity, error) {
+	var who identity
 	data, err := fs.read(identityName, maxSmallFile)
 	if errors.Is(err, os.ErrNotExist) {
-		return storeID{}, fmt.Errorf("%w: it has no file %s", azurestair.ErrNoIdentity, identityName)
+		return who, fmt.Errorf("%w: it has no file %s", azurestair.ErrNoIdentity, identityName)
 	}
 	if err != nil {
-		return storeID{}, err
+		return who, err
 	}
 	if err := checkFormat(fs); err != nil {
-		return storeID{}, err
+		return who, err
 	}
 	payload, next, ok := seed(0).readFrame(data, 0)
 	if !ok || next != len(data) {
-		return storeID{}, corrupt(identityName, 0, "checksum does not match")
+		return who, corrupt(identityName, 0, "checksum does not match")
 	}
-	var who identity
 	if err := cbor.Unmarshal(payload, &who); err != nil {
-		return storeID{}, corrupt(identityName, 0, err)
+		return who, corrupt(identityName, 0, err)
 	}
-	if who.Instance != id {
-		return storeID{}, fmt.Errorf("%w: it belongs to instance %s, not to %s", azurestair.ErrNoIdentity, who.Instance, id)
-	}
-	return who.Store, nil
+	return who, nil
 }
 
 func checkFormat(fs files) error {
--- a/peer/client.go
+++ b/peer/client.go
@@ -36,11 +36,55 @@
 	mu     sync.Mutex
 	peers  []Address
 	leader int
+	// first are the peers that the client was made with; they stay known.
+	first []Address
 }
 
 // NewClient returns a client that looks for the leader among control.
 func NewClient(conns *Conns, control []Address) *Client {
-	return &Client{conns: conns, peers: control}
+	return &Client{conns: conns, peers: control, first: control}
+}
+
+// Learn replaces the control instances by those that are known to be alive and
+// those that the client was made with.
+func (c *Client) Learn(alive []Address) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.replace(alive)
+}
+
+// Restart replaces the control instances that the client was made with, as
+// after a change of the settings.
+func (c *Client) Restart(first []Address) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.first = first
+	c.replace(c.peers)
+}
+
+// replace keeps the present target. An instance that the client was made with
+// keeps the address from then, which may lead through a relay. The caller holds mu.
+func (c *Client) replace(alive []Address) {
+	next := slices.Clone(c.first)
+	for _, a := range alive {
+		if slices.ContainsFunc(next, func(f Address) bool { return f.ID == a.ID }) {
+			continue
+		}
+		// A lost disk gives the instance at an address another id.
+		if i := slices.IndexFunc(next, func(f Address) bool { return f.Addr == a.Addr }); i >= 0 {
+			next[i] = a
+			continue
+		}
+		next = append(next, a)
+	}
+	if len(next) == 0 || slices.Equal(next, c.peers) {
+		return
+	}
+	at := 0
+	if n := len(c.peers); n > 0 {
+		at = max(0, slices.Index(next, c.peers[c.leader%n]))
+	}
+	c.peers, c.leader = next, at
 }
 
 // Propose has the leader apply a command. It repeats the command until ctx ends.
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -8,7 +8,6 @@
 	"maps"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,14 +30,18 @@
 
 // Attempt is one try of a request at one upstream.
 type Attempt struct {
-	ID         azurestair.RequestID
-	Method     string
-	Path       string
+	ID     azurestair.RequestID
+	Method string
+	Path   string
+	// Host is the host that the caller asked for; empty stands for the address.
+	Host       string
 	Header     http.Header
 	Body       io.Reader
 	BodyLen    int64
 	Rank       azurestair.Rank
 	Idempotent bool
+	// Upstream is the one that the attempt is meant for.
+	Upstream azurestair.UpstreamID
 	// Fresh asks for a new connection.
 	Fresh    bool
 	Deadline time.Time
@@ -58,6 +61,12 @@
 	// Whole is the body where the owner of the answer has read it already.
 	Whole []byte
 	State azurestair.UpstreamState
+	// Load is the upstream's own report; nil without one.
+	Load *azurestair.Load
+	// Gone is true when another upstream answered at the address.
+	Gone bool
+	// Unreachable is true when no connection could be opened.
+	Unreachable bool
 	// Reused is true for an attempt on a connection that had been used before.
 	Reused bool
 	// Silent is true for a timeout on a reused connection during which no
@@ -67,8 +76,12 @@
 
 // Client sends attempts to upstreams. It is safe for concurrent use.
 type Client struct {
-	dial  Dialer
-	clock azurestair.Clock
+	dial    Dialer
+	clock   azurestair.Clock
+	dialect Dialect
+	// freshIdle is how recently a connection must have answered before it may
+	// carry a request that is not idempotent.
+	freshIdle time.Duration
 	// heard is when an upstream last answered, in nanoseconds since the Unix epoch.
 	heard atomic.Int64
 
@@ -84,7 +97,13 @@
 			return d.DialContext(ctx, "tcp", addr)
 		}
 	}
-	return &Client{dial: dial, clock: clock, pools: map[string]*pool{}}
+	return &Client{dial: dial, clock: clock, dialect: ownDialect{}, freshIdle: freshIdle, pools: map[string]*pool{}}
+}
+
+// Speak has the client use another dialect and reuse connections for requests
+// that are not idempotent up to the given idle time. It comes before any attempt.
+func (c *Client) Speak(d Dialect, freshIdle time.Duration) {
+	c.dialect, c.freshIdle = d, freshIdle
 }
 
 // SetLimit bounds the connections to the upstream at addr.
@@ -130,7 +149,8 @@
 	started := c.clock.Now()
 	uc, err := c.connect(ctx, p, a)
 	if err != nil {
-		return Answer{Result: azurestair.AttemptNotRun, Reason: azurestair.ReasonConnect}, err
+		isFull := errors.Is(err, azurestair.ErrFull)
+		return Answer{Result: azurestair.AttemptNotRun, Reason: azurestair.ReasonConnect, Unreachable: !isFull && ctx.Err() == nil}, err
 	}
 	if a.BeforeSend != nil {
 		if err := a.BeforeSend(); err != nil {
@@ -139,18 +159,18 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = uc.SetDeadline(time.Unix(1, 0)) })
-	resp, err := uc.exchange(a) //nolint:bodyclose // Answer.Body closes it
+	resp, reading, err := c.exchange(uc, a) //nolint:bodyclose // Answer.Body closes it
 	if err != nil {
 		stop()
 		return c.failed(ctx, p, uc, started, err)
 	}
-	return c.answered(p, uc, a, resp, stop)
+	return c.answered(p, uc, a, resp, reading, stop)
 }
 
 func (c *Client) connect(ctx context.Context, p *pool, a Attempt) (*conn, error) {
 	var uc *conn
 	if !a.Fresh {
-		uc = p.take(!a.Idempotent, c.clock.Now())
+		uc = p.take(c.idleLimit(a), c.clock.Now())
 	}
 	if uc == nil {
 		if err := p.reserve(a.Fresh); err != nil {
@@ -174,12 +194,45 @@
 	return uc, nil
 }
 
-// exchange writes the request and reads the head of the answer.
-func (c *conn) exchange(a Attempt) (*http.Response, error) {
-	r, err := newRequest(c.key, a)
+// idleLimit returns how long a connection may have been idle that carries the attempt.
+func (c *Client) idleLimit(a Attempt) time.Duration {
+	if a.Idempotent {
+		return maxIdle
+	}
+	return c.freshIdle
+}
+
+// maxForeign bounds the answers to other attempts that are passed over.
+const maxForeign = 2
+
+// exchange writes the request and reads the head of its answer. An answer to
+// an earlier attempt may come first, late or for the second time.
+func (c *Client) exchange(uc *conn, a Attempt) (*http.Response, Reading, error) {
+	r, err := c.newRequest(uc.key, a)
 	if err != nil {
-		return nil, err
+		return nil, Reading{}, err
+	}
+	resp, err := uc.exchange(r, a)
+	for n := 0; err == nil; n++ {
+		reading := c.dialect.Read(resp, a)
+		if !reading.Late || n == maxForeign || resp.Close {
+			return resp, reading, nil
+		}
+		uc.spoiled = true
+		_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, foreignBytes))
+		_ = resp.Body.Close()
+		if err == nil {
+			resp, err = uc.readHead(r)
+		}
 	}
+	return nil, Reading{}, err
+}
+
+// foreignBytes bounds the body of an answer that is passed over.
+const foreignBytes = 1 << 20
+
+// exchange writes the request and reads the head of the next answer.
+func (c *conn) exchange(r *http.Request, a Attempt) (*http.Response, error) {
 	if a.BodyLen < 0 || a.BodyLen > longBody {
 		return c.exchangeLong(r)
 	}
@@ -213,7 +266,7 @@
 	}
 }
 
-func newRequest(addr string, a Attempt) (*http.Request, error) {
+func (c *Client) newRequest(addr string, a Attempt) (*http.Request, error) {
 	r, err := http.NewRequest(a.Method, "http://"+addr+a.Path, a.Body) //nolint:noctx // the deadline is set on the connection
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", azurestair.ErrInvalid, err)
@@ -223,9 +276,10 @@
 	if r.Header == nil {
 		r.Header = http.Header{}
 	}
-	r.Header[HeaderRequest] = []string{string(a.ID)}
-	r.Header[HeaderDeadline] = []string{strconv.FormatInt(a.Deadline.UnixMilli(), 10)}
-	r.Header[HeaderRank] = []string{a.Rank.String()}
+	if a.Host != "" {
+		r.Host = a.Host
+	}
+	c.dialect.Mark(r.Header, a, c.clock.Now())
 	r.ContentLength = a.BodyLen
 	if a.BodyLen == 0 {
 		r.Body = http.NoBody
@@ -255,26 +309,34 @@
 }
 
 var (
-	errEcho    = errors.New("answer does not name this attempt")
-	errFraming = errors.New("answer has neither a length nor chunks")
+	errEcho     = errors.New("answer does not name this attempt")
+	errUnproved = errors.New("answer says by its status only that the attempt did not run")
+	errFraming  = errors.New("answer has neither a length nor chunks")
 )
 
 // answered checks that the answer belongs to the attempt and can be verified to be whole.
-func (c *Client) answered(p *pool, uc *conn, a Attempt, resp *http.Response, stop func() bool) (Answer, error) {
+func (c *Client) answered(p *pool, uc *conn, a Attempt, resp *http.Response, reading Reading, stop func() bool) (Answer, error) {
 	c.heard.Store(c.clock.Now().UnixNano())
 	ans := Answer{
 		Result: azurestair.AttemptDone,
 		Status: resp.StatusCode,
 		Header: resp.Header,
 		Length: resp.ContentLength,
-		State:  azurestair.UpstreamState(resp.Header.Get(HeaderState)),
+		State:  reading.State,
+		Load:   reading.Load,
+		Gone:   reading.Gone,
 		Reused: uc.reused,
 	}
+	if reading.IdleFor > 0 {
+		uc.idleFor = reading.IdleFor
+	}
 	var err error
 	switch {
-	case resp.Header.Get(HeaderRequest) != string(a.ID):
+	case reading.Foreign:
 		err = errEcho
-	case resp.ContentLength < 0 && resp.Close && len(resp.TransferEncoding) == 0 && a.Method != http.MethodHead:
+	case reading.Unproved:
+		err = errUnproved
+	case !reading.Unframed && resp.ContentLength < 0 && resp.Close && len(resp.TransferEncoding) == 0 && a.Method != http.MethodHead:
 		err = errFraming
 	}
 	if err != nil {
@@ -282,11 +344,11 @@
 		p.discard(uc)
 		return Answer{Result: azurestair.AttemptBroken, Reason: azurestair.ReasonBroken}, fmt.Errorf("attempt at %s: %w", p.addr, err)
 	}
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) == string(a.ID) {
+	if reading.NotRun {
 		ans.Result, ans.Reason = azurestair.AttemptNotRun, azurestair.ReasonShed
 	}
 	ans.Body = &body{ReadCloser: resp.Body, done: func(whole bool) {
-		reusable := stop() && whole && !resp.Close
+		reusable := stop() && whole && !resp.Close && !uc.spoiled
 		if reusable {
 			p.put(uc, c.clock.Now())
 			return
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -37,6 +37,11 @@
 	opened   time.Time
 	lastUsed time.Time
 	reused   bool
+	// idleFor is how long the upstream keeps the connection when it is idle, as
+	// it said; zero when it said nothing.
+	idleFor time.Duration
+	// spoiled is true once bytes came that belong to no attempt of this entry.
+	spoiled bool
 }
 
 func newConn(c net.Conn, key string, now time.Time) *conn {
@@ -45,6 +50,18 @@
 	return uc
 }
 
+// idleMargin is the part of an announced idle time for which a connection is
+// kept, so that a request does not cross the upstream's close.
+const idleMargin = 0.7
+
+// keepFor returns how long the connection may be idle.
+func (c *conn) keepFor() time.Duration {
+	if c.idleFor == 0 {
+		return maxIdle
+	}
+	return min(maxIdle, time.Duration(idleMargin*float64(c.idleFor)))
+}
+
 var errHeadTooLarge = errors.New("head of the answer is too large")
 
 // Read reads from the connection within the bound on the head.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -39,19 +39,20 @@
 	closed bool
 }
 
-// take returns an idle connection that may still be used, newest first, or nil.
-func (p *pool) take(fresh bool, now time.Time) *conn {
+// take returns an idle connection that may still be used and has been idle for
+// at most limit, newest first, or nil.
+func (p *pool) take(limit time.Duration, now time.Time) *conn {
 	for {
 		c := p.popIdle()
 		if c == nil {
 			return nil
 		}
 		idle := now.Sub(c.lastUsed)
-		if idle > maxIdle || p.isSuspect(c) || c.isClosedByPeer() {
+		if idle > c.keepFor() || p.isSuspect(c) || c.isClosedByPeer() {
 			p.discard(c)
 			continue
 		}
-		if fresh && idle > freshIdle {
+		if idle > limit {
 			p.discard(c)
 			continue
 		}
@@ -152,7 +153,7 @@
 	var old []*conn
 	kept := p.idle[:0]
 	for _, c := range p.idle {
-		if now.Sub(c.lastUsed) > maxIdle {
+		if now.Sub(c.lastUsed) > c.keepFor() {
 			old = append(old, c)
 			continue
 		}
