Serve routes without leases or a ledger

Cause: a request without an idempotency key reaches one entry only, so that at most once is a local matter, and a quorum write would use up its latency objective. Budgets that are leased by region do not fit placement by object.

Change: an entry finds the route of a request, splits it, places it by object and sends a request that is not idempotent again only after proof that it did not run. A front replaces the interfaces to callers and upstreams. The leader keeps the membership of the log by a roster where the front asks for it.

--- a/instance/attempt.go
+++ b/instance/attempt.go
@@ -119,7 +119,7 @@
 	}
 	t.next++
 	e := &try{tries: t, choice: choice, ctx: tryCtx, cancel: cancel, sent: now, attempt: upstream.Attempt{
-		ID:     azurestair.RequestID(string(c.req.ID) + "-" + strconv.Itoa(t.next)),
+		ID: t.attemptID(), Upstream: choice.Upstream, Host: c.req.Host,
 		Method: c.req.Method, Path: c.req.Path, Header: c.req.Header, Body: body, BodyLen: n,
 		Rank: c.work.Rank, Idempotent: c.work.Idempotent, Fresh: t.fresh,
 		Deadline: c.gate.attemptDeadline(&t.req, now), BeforeSend: t.before,
@@ -134,6 +134,15 @@
 	return retry.Decision{}, true
 }
 
+// attemptID returns the id of the next attempt: the caller's own or one that
+// this entry makes.
+func (t *tries) attemptID() azurestair.RequestID {
+	if id := t.call.req.AttemptID; id != "" {
+		return id
+	}
+	return azurestair.RequestID(string(t.call.req.ID) + "-" + strconv.Itoa(t.next))
+}
+
 // pickReason tells a region that lacks link budget from one that is at its shift cap.
 func (c *call) pickReason(err error) azurestair.Reason {
 	reason := routing.ReasonOf(err)
--- a/instance/entry.go
+++ b/instance/entry.go
@@ -16,6 +16,7 @@
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/caller"
 	"azurestair.example/azurestair/control"
+	"azurestair.example/azurestair/routing"
 	"azurestair.example/azurestair/upstream"
 )
 
@@ -37,6 +38,10 @@
 	// maxInFlight bounds the requests in progress; zero means no bound.
 	maxInFlight int64
 
+	// splitMu guards splits, which spread the requests of each route over its parts.
+	splitMu sync.Mutex
+	splits  map[azurestair.RouteName]*routing.Splitter
+
 	view     atomic.Pointer[view]
 	gates    atomic.Pointer[map[azurestair.ServiceName]*gate]
 	attempts atomic.Uint64
@@ -61,7 +66,7 @@
 	for _, service := range s.Config.Services {
 		g, ok := gates[service.Name]
 		if !ok {
-			g = e.makeGate(service.Name, e)
+			g = gateFor(service.Name, e, s.Config)
 			gates[service.Name] = g
 			e.wg.Go(func() { g.run(e.ctx) })
 		}
@@ -82,10 +87,22 @@
 // limitConns shares each upstream's connection limit among the entries.
 func (e *Entry) limitConns(s *azurestair.Snapshot) {
 	keep := map[string]bool{}
+	entries := 0
+	for _, i := range s.Instances {
+		if i.CallerAddr != "" {
+			entries++
+		}
+	}
+	// Entries that have just joined or left may be missing from the list.
+	entries = max(entries+1, control.DefaultMaxHolders)
 	for _, u := range s.Upstreams {
 		a := u.Announcement
 		keep[a.Addr] = true
-		e.client.SetLimit(a.Addr, a.MaxConns/azurestair.Conns(control.DefaultMaxHolders))
+		limit := a.MaxConns
+		if service, ok := s.Config.Service(a.Service); ok && service.MaxConns > 0 {
+			limit = service.MaxConns
+		}
+		e.client.SetLimit(a.Addr, limit/azurestair.Conns(entries))
 	}
 	e.client.Retain(keep)
 }
@@ -103,6 +120,10 @@
 		return
 	}
 	for name, g := range e.allGates() {
+		if !v.snapshot.Config.IsLeased() {
+			g.setSlots(azurestair.MaxSlots)
+			continue
+		}
 		var n azurestair.Slots
 		for _, r := range v.snapshot.Config.Regions {
 			usable := v.slots(name, r.Name, now)
@@ -134,7 +155,7 @@
 func (e *Entry) demands(s *azurestair.Snapshot, h *control.Holder, now time.Time) []azurestair.Demand {
 	var out []azurestair.Demand
 	v := e.view.Load()
-	if v == nil {
+	if v == nil || !v.snapshot.Config.IsLeased() {
 		return nil
 	}
 	gates := e.allGates()
@@ -207,6 +228,10 @@
 		return fmt.Errorf("%w: shutting down", azurestair.ErrClosed)
 	case v.snapshot.ConfigVersion() == 0:
 		return fmt.Errorf("%w: no configuration yet", azurestair.ErrNotFound)
+	case !v.snapshot.Config.IsLeased():
+		// Without leases nothing that this entry may use runs out, and what it
+		// serves is better than what callers get elsewhere.
+		return nil
 	case !v.isCurrent(now):
 		return fmt.Errorf("%w: the newest configuration is not known", azurestair.ErrNoQuorum)
 	case v.starting:
--- a/instance/gate.go
+++ b/instance/gate.go
@@ -319,6 +319,15 @@
 	}
 }
 
+// observe tells the picker what an attempt showed beside its outcome.
+func (g *gate) observe(c azurestair.Choice, o azurestair.Observation) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p, ok := g.picker.(azurestair.Observer); ok {
+		p.Observe(c, o, g.clock.Now())
+	}
+}
+
 // probeCandidates returns the upstreams to probe now.
 func (g *gate) probeCandidates() []azurestair.UpstreamID {
 	g.mu.Lock()
--- a/instance/lead.go
+++ b/instance/lead.go
@@ -20,7 +20,10 @@
 	term := r.node.Status().Term
 	if r.leading != term {
 		r.leading = term
-		r.registry = &control.Registry{}
+		r.registry = &control.Registry{Lease: r.lease}
+		if r.roster != nil {
+			r.roster = &control.Roster{Voters: r.roster.Voters}
+		}
 		r.publisher = &control.Publisher{}
 		r.allocator = &control.Allocator{}
 		r.reports = &control.ReportReceiver{}
@@ -31,6 +34,9 @@
 			r.allocator.Quiet(now.Add(control.QuietTime))
 		}
 		r.registry.Seed(held, now)
+		for _, d := range r.state.Departures() {
+			r.registry.Depart(d)
+		}
 		r.allocator.Inherit(inherited)
 		r.limited = nil
 		r.log.Info("leading", "term", term, "commit", r.state.Applied())
@@ -38,6 +44,7 @@
 	r.registry.Expire(now)
 	r.publish(now)
 	r.listHolders(now)
+	r.keepRoster(now)
 }
 
 // listHolders proposes the changes of the list of holders that are due. Nobody
--- a/instance/member.go
+++ b/instance/member.go
@@ -9,6 +9,8 @@
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/control"
 	"azurestair.example/azurestair/lookup"
+	"azurestair.example/azurestair/peer"
+	"azurestair.example/azurestair/routing"
 )
 
 const (
@@ -48,6 +50,7 @@
 	holder          control.Holder
 	reports         control.ReportSender
 	table           *lookup.Table
+	routes          *routing.Routes
 	tableDone       bool
 	announced       map[azurestair.UpstreamID]*announced
 
@@ -68,6 +71,11 @@
 	nextTick  time.Time
 	nextMove  time.Time
 	connected bool
+
+	// learn takes the control instances of each new snapshot; it may be nil.
+	learn func([]peer.Address)
+	// announcedFor is how long an upstream counts as announcing itself here.
+	announcedFor time.Duration
 }
 
 // announced is an upstream that announces itself at this entry.
@@ -81,7 +89,7 @@
 func newMember(self azurestair.InstanceInfo, entry *Entry, rep *reporter, log *slog.Logger) *Member {
 	return &Member{
 		log: log, self: self, entry: entry, reporter: rep, due: true,
-		announced: map[azurestair.UpstreamID]*announced{},
+		announced: map[azurestair.UpstreamID]*announced{}, announcedFor: announcedFor,
 	}
 }
 
@@ -152,7 +160,7 @@
 
 func (m *Member) tick(now time.Time) {
 	for id, a := range m.announced {
-		if now.Sub(a.heard) > announcedFor {
+		if now.Sub(a.heard) > m.announcedFor {
 			delete(m.announced, id)
 		}
 	}
@@ -337,6 +345,12 @@
 
 // changed reacts to a new snapshot.
 func (m *Member) changed(before *azurestair.Snapshot, now time.Time) {
+	if m.learn != nil {
+		m.learn(controlPeers(m.snapshot))
+	}
+	if before == nil || before.Config != m.snapshot.Config {
+		m.routes = routing.NewRoutes(m.snapshot.Config)
+	}
 	if before.ConfigVersion() != m.snapshot.ConfigVersion() {
 		m.log.Info("configuration in force", "version", m.snapshot.ConfigVersion(), "commit", m.snapshot.Commit)
 		m.reportSoon()
@@ -352,6 +366,17 @@
 	m.entry.update(m.snapshot)
 }
 
+// controlPeers lists the control instances of a snapshot.
+func controlPeers(s *azurestair.Snapshot) []peer.Address {
+	var out []peer.Address
+	for _, i := range s.Instances {
+		if i.Control && i.PeerAddr != "" {
+			out = append(out, peer.Address{ID: i.ID, Addr: i.PeerAddr})
+		}
+	}
+	return out
+}
+
 // publish makes the present state visible to traffic.
 func (m *Member) publish(now time.Time) {
 	if m.entry == nil || m.snapshot == nil {
@@ -359,7 +384,7 @@
 	}
 	wasReady := m.entry.isReady(now)
 	v := &view{
-		snapshot: m.snapshot, table: m.table, leases: m.holder.Leases(),
+		snapshot: m.snapshot, table: m.table, routes: m.routes, leases: m.holder.Leases(),
 		controlDeadline: m.controlDeadline, leaving: m.leaving,
 	}
 	if m.startBy.IsZero() {
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -57,6 +57,16 @@
 	}
 }
 
+// Metrics lists a process's metrics.
+type Metrics interface {
+	http.Handler
+	// Each calls f for each metric with its name.
+	Each(f func(name string, metric any))
+}
+
+// Each calls f for each metric with its name.
+func (m *meters) Each(f func(string, any)) { m.registry.Each(f) }
+
 // counters returns the counters whose names start with prefix, without it.
 func (m *meters) counters(prefix string) map[string]int64 {
 	out := map[string]int64{}
--- a/instance/process.go
+++ b/instance/process.go
@@ -37,11 +37,15 @@
 	// Reload delivers changed settings; their tokens and log level take effect
 	// without a restart.
 	Reload <-chan settings.Settings
+	// Seeds delivers changed addresses of control instances.
+	Seeds <-chan []peer.Address
 	// Listen opens a listener.
 	Listen func(network, addr string) (net.Listener, error)
 	// DialPeer and DialUpstream open connections.
 	DialPeer     peer.Dialer
 	DialUpstream upstream.Dialer
+	// Front replaces the interfaces to callers and upstreams; nil stands for the own ones.
+	Front *Front
 }
 
 // SystemClock tells the time of the machine.
@@ -68,9 +72,12 @@
 
 // New returns the fx application of one process. Its Start listens and serves;
 // its Stop shuts down gracefully. Done on it ends when the process fails.
-func New(s settings.Settings, o Options) *fx.App {
+func New(s settings.Settings, o Options) *fx.App { return fx.New(Module(s, o)) }
+
+// Module returns the parts of the application of one process.
+func Module(s settings.Settings, o Options) fx.Option {
 	o = o.withDefaults()
-	return fx.New(
+	return fx.Options(
 		fx.Supply(s, o),
 		fx.StopTimeout(s.Limits.ShutdownGraceMs.Duration()+stopMargin),
 		fx.WithLogger(func(log *slog.Logger) fxevent.Logger {
@@ -126,6 +133,7 @@
 		ID: s.Instance.ID, Incarnation: azurestair.Incarnation(now.UnixNano()), //nolint:gosec // positive
 		CallerAddr: s.Listen.Callers, UpstreamAddr: s.Listen.Upstreams, PeerAddr: s.Listen.Peers,
 		Region: s.Instance.Region, FailureDomain: s.Instance.FailureDomain,
+		Control: s.Instance.Has(settings.RoleControl),
 	}
 }
 
@@ -139,6 +147,9 @@
 		client: upstream.NewClient(o.DialUpstream, o.Clock), makeGate: weightedGate, ctx: context.Background(),
 		maxInFlight: int64(s.Limits.MaxRequestsInFlight),
 	}
+	if o.Front != nil {
+		e.client.Speak(o.Front.Dialect, o.Front.FreshIdle)
+	}
 	e.links = &links{entry: e, meters: map[azurestair.Resource]*routing.LinkMeter{}}
 	return e
 }
@@ -216,14 +227,19 @@
 		p.entry.ctx = ctx
 	}
 	p.reporter = newReporter(p.client, p.options.Clock)
+	p.reporter.proposer = p.client
 	member := newMember(p.self, p.entry, p.reporter, p.log)
+	member.learn = p.client.Learn
+	if f := p.options.Front; f != nil {
+		member.announcedFor = announcedBeats * f.AnnounceEvery
+	}
 	if p.settings.Instance.Has(settings.RoleControl) {
 		p.transport = peer.NewTransport(p.conns, p.options.Clock, otherVoters(p.settings))
 	}
 	p.controller = newController(p.options.Clock, p.log, member, p.transport)
 	p.reporter.post = p.post
 	if p.transport != nil {
-		p.reporter.leader = localFirst{local: p.controller, remote: p.client}
+		p.reporter.leader = localFirst{controller: p.controller, remote: p.client}
 	}
 	if err := p.startReplica(); err != nil {
 		cancel()
@@ -250,6 +266,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case seeds := <-p.options.Seeds:
+			p.client.Restart(seeds)
 		case s := <-p.options.Reload:
 			p.access.set(s.Tokens)
 			if err := p.level.UnmarshalText([]byte(s.Log.Level)); err != nil {
@@ -314,6 +332,9 @@
 	p.writer = &logWriter{store: store, transport: p.transport, jobs: make(chan *storeJob, storeDepth), post: p.post}
 	p.imager = &imager{jobs: make(chan control.Image, 1), post: p.post}
 	p.notifier = newNotifier(p.client, p.self.ID)
+	if f := p.options.Front; f != nil {
+		r.roster, r.peerAddr, r.lease = &control.Roster{Voters: f.Voters}, f.PeerAddr, leaseBeats*f.AnnounceEvery
+	}
 	r.transport, r.writer, r.imager, r.notifier = p.transport, p.writer, p.imager, p.notifier
 	p.controller.replica = r
 	p.writers.Go(p.writer.run)
@@ -347,6 +368,9 @@
 	}
 	p.peers = peer.NewServer(p.controller, tlsCfg, p.versions)
 	p.wg.Go(func() { _ = p.peers.Serve(l) })
+	if p.options.Front != nil {
+		return p.serveSurfaces(p.options.Front.Surfaces(p))
+	}
 	admin := operator.NewHandler(&backend{p}, p.access.operator, p.options.Clock, p.metrics)
 	if err := p.serveHTTP("operators", p.settings.Listen.Operators, admin); err != nil {
 		return err
@@ -361,6 +385,15 @@
 	return p.serveHTTP("callers", p.settings.Listen.Callers, caller.NewHandler(p.entry, p.options.Clock, p.settings.Limits.BodyTimeoutMs.Duration()))
 }
 
+func (p *Process) serveSurfaces(list []Surface) error {
+	for _, s := range list {
+		if err := p.serveHTTP(s.Name, s.Addr, s.Handler); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (p *Process) serveHTTP(name, addr string, h http.Handler) error {
 	l, err := p.options.Listen("tcp", addr)
 	if err != nil {
--- a/instance/record_test.go
+++ b/instance/record_test.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"fmt"
 	"log/slog"
 	"time"
 
@@ -89,8 +90,8 @@
 		ginkgo.Entry("kind of an entry", azurestair.EntryMembership+1, known, "entry kind 3"),
 		ginkgo.Entry("part of a command", azurestair.EntryCommands, map[int]any{1: []any{map[int]any{1: 5, 99: 1}}}, "unknown field"),
 		ginkgo.Entry("field of a part", azurestair.EntryCommands, map[int]any{1: []any{map[int]any{1: 5, 3: map[string]any{"drained": true, "new": 1}}}}, "unknown field"),
-		ginkgo.Entry("version", azurestair.EntryCommands, map[int]any{1: []any{drain}, 2: newer}, "needs protocol version 3 and this program has 2"),
-		ginkgo.Entry("part and version", azurestair.EntryCommands, map[int]any{1: []any{map[int]any{1: 5, 99: 1}}, 2: newer}, "needs protocol version 3"),
+		ginkgo.Entry("version", azurestair.EntryCommands, map[int]any{1: []any{drain}, 2: newer}, fmt.Sprintf("needs protocol version %d and this program has %d", newer, azurestair.ProtocolCurrent)),
+		ginkgo.Entry("part and version", azurestair.EntryCommands, map[int]any{1: []any{map[int]any{1: 5, 99: 1}}, 2: newer}, fmt.Sprintf("needs protocol version %d", newer)),
 	)
 
 	// Guards against a snapshot of which a part is lost without a word.
@@ -108,7 +109,7 @@
 		},
 		ginkgo.Entry("known", map[int]any{16: azurestair.ProtocolCurrent}, ""),
 		ginkgo.Entry("field", map[int]any{99: 1}, "unknown field"),
-		ginkgo.Entry("version", map[int]any{16: newer}, "needs protocol version 3"),
+		ginkgo.Entry("version", map[int]any{16: newer}, fmt.Sprintf("needs protocol version %d", newer)),
 	)
 
 	// Guards against a record that an older voter passes over in silence.
--- a/instance/replica.go
+++ b/instance/replica.go
@@ -84,6 +84,14 @@
 	reports   *control.ReportReceiver
 	// limited is the snapshot from which the budgets' limits were derived.
 	limited *azurestair.Snapshot
+
+	// roster keeps the membership of the log; nil leaves it to operators.
+	roster   *control.Roster
+	rosterAt time.Time
+	// peerAddr returns the address that follows from a member's id; nil when none does.
+	peerAddr func(azurestair.InstanceID) string
+	// lease is how long upstreams stay confirmed; zero means the default.
+	lease time.Duration
 }
 
 // newReplica starts from what the log store holds.
@@ -217,6 +225,7 @@
 	r.maybeCompact()
 	r.maybeJoined()
 	r.meetMembers(m.snapshot)
+	r.meetPeers()
 	return nil
 }
 
@@ -351,6 +360,7 @@
 	}
 	r.state.Require(batch.Needs)
 	results := r.state.ApplyBatch(e.Index, batch.Commands)
+	r.depart(batch.Commands)
 	w, ok := r.waiting[e.Index]
 	if !ok {
 		return nil
@@ -364,6 +374,18 @@
 	return nil
 }
 
+// depart has the leader's registry end new work for upstreams that depart.
+func (r *Replica) depart(commands []azurestair.Command) {
+	if r.registry == nil {
+		return
+	}
+	for _, c := range commands {
+		if c.Departure != nil {
+			r.registry.Depart(*c.Departure)
+		}
+	}
+}
+
 func (r *Replica) stored(job *storeJob) {
 	r.storing--
 	if job.joined {
--- a/instance/reporter.go
+++ b/instance/reporter.go
@@ -14,9 +14,11 @@
 // reporter sends reports to the leader away from the control goroutine.
 type reporter struct {
 	leader azurestair.Reporter
-	clock  azurestair.Clock
-	jobs   chan azurestair.Report
-	post   func(event)
+	// proposer reaches the leader over the network.
+	proposer azurestair.Proposer
+	clock    azurestair.Clock
+	jobs     chan azurestair.Report
+	post     func(event)
 }
 
 func newReporter(leader azurestair.Reporter, clock azurestair.Clock) *reporter {
@@ -38,18 +40,31 @@
 // localFirst reports to this instance while it is the leader, and otherwise
 // over the network.
 type localFirst struct {
-	local, remote azurestair.Reporter
+	controller *Controller
+	remote     azurestair.Reporter
 }
 
 // Report exchanges a report for the leader's reply.
 func (l localFirst) Report(ctx context.Context, q azurestair.Report) (azurestair.ReportReply, error) {
-	reply, err := l.local.Report(ctx, q)
+	reply, err := l.controller.Report(ctx, q)
 	if errors.Is(err, azurestair.ErrNotLeader) {
 		return l.remote.Report(ctx, q)
 	}
 	return reply, err
 }
 
+// propose has the leader apply a command, without the network while this
+// instance leads.
+func (r *reporter) propose(ctx context.Context, c azurestair.Command) (azurestair.Result, error) {
+	if l, ok := r.leader.(localFirst); ok {
+		res, err := l.controller.Propose(ctx, c)
+		if !errors.Is(err, azurestair.ErrNotLeader) {
+			return res, err
+		}
+	}
+	return r.proposer.Propose(ctx, c)
+}
+
 func (r *reporter) exchange(ctx context.Context, q azurestair.Report) reportedEvent {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
--- /dev/null
+++ b/instance/roster.go
@@ -0,0 +1,85 @@
+package instance
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/control"
+	"azurestair.example/azurestair/peer"
+	"azurestair.example/azurestair/raft"
+)
+
+const (
+	// rosterEvery is how often the leader looks at the membership of the log.
+	rosterEvery = 250 * time.Millisecond
+	// caughtUpLag is how many entries a learner may lack when it is promoted.
+	caughtUpLag azurestair.Index = 64
+)
+
+// keepRoster proposes the next change of the log's membership, if the process
+// keeps it by itself.
+func (r *Replica) keepRoster(now time.Time) {
+	if r.roster == nil || now.Before(r.rosterAt) {
+		return
+	}
+	r.rosterAt = now.Add(rosterEvery)
+	st := r.node.Status()
+	action, id, ok := r.roster.Next(st.Membership, r.liveReplicas(st), now)
+	if !ok {
+		return
+	}
+	change := azurestair.MemberChange{
+		Change: azurestair.Change{
+			ID:       azurestair.ChangeID(fmt.Sprintf("roster-%d-%d", st.Term, st.Last)),
+			Operator: rosterName, Reason: "the control instances that are alive have changed",
+		},
+		Action: action, Instance: id,
+	}
+	err := r.changeMembers(&change, now)
+	switch {
+	case err == nil:
+		r.log.Info("membership of the log changed", "action", action, "member", id, "voters", st.Membership.Voters, "term", st.Term)
+		r.propose(proposeEvent{command: azurestair.Command{Members: &change}, reply: make(chan proposeReply, 1)}, now)
+	case !errors.Is(err, azurestair.ErrConflict):
+		r.log.Warn("membership of the log not changed", "action", action, "member", id, "err", err)
+	}
+}
+
+// rosterName is the operator of the changes that the leader makes by itself.
+const rosterName azurestair.OperatorName = "roster"
+
+// liveReplicas lists the control instances that report to this leader.
+func (r *Replica) liveReplicas(st raft.Status) []control.Replica {
+	var out []control.Replica
+	for _, i := range r.registry.Instances() {
+		if !i.Control {
+			continue
+		}
+		a := control.Replica{ID: i.ID, Region: i.Region, FailureDomain: i.FailureDomain}
+		for _, f := range st.Followers {
+			if f.ID == i.ID {
+				a.CaughtUp = f.Learner && f.Match+caughtUpLag >= st.Last
+			}
+		}
+		out = append(out, a)
+	}
+	return out
+}
+
+// meetPeers connects to the members of the log whose address follows from their id.
+func (r *Replica) meetPeers() {
+	if r.peerAddr == nil {
+		return
+	}
+	m := r.node.Status().Membership
+	for _, id := range slices.Concat(m.Voters, m.Learners) {
+		if id != r.self && r.peers.Addr(id) == "" {
+			if addr := r.peerAddr(id); addr != "" {
+				r.peers.AddPeer(peer.Address{ID: id, Addr: addr})
+			}
+		}
+	}
+}
--- a/instance/serve.go
+++ b/instance/serve.go
@@ -6,11 +6,13 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/caller"
+	"azurestair.example/azurestair/routing"
 )
 
 // replayLimit is the largest body of an idempotent request that is kept for a
@@ -25,6 +27,9 @@
 	op     azurestair.Operation
 	work   azurestair.Work
 	config *azurestair.Config
+	// route is the route that the request came by; nil for a request that names
+	// its operation.
+	route *azurestair.Route
 	// body is the whole body, or nil when it is streamed from rest.
 	body []byte
 	rest io.Reader
@@ -88,22 +93,80 @@
 	if v == nil || v.snapshot.ConfigVersion() == 0 {
 		return unkeyedRefusal(r, azurestair.ReasonNotReady)
 	}
-	op, ok := v.snapshot.Config.Operation(r.Service, r.Operation)
+	route, op, ok := e.target(v, r)
 	g := e.allGates()[r.Service]
 	if !ok || g == nil {
 		return withoutProof(r, invalid(azurestair.ReasonUnknownOperation))
 	}
-	c := &call{entry: e, gate: g, req: r, op: op, config: v.snapshot.Config, work: azurestair.Work{
+	c := &call{entry: e, gate: g, req: r, op: op, config: v.snapshot.Config, route: route, work: azurestair.Work{
 		Service: r.Service, Operation: r.Operation, Rank: op.Rank, Idempotent: op.Idempotent, Caller: r.Caller,
 		Deadline: deadlineOf(r, op, now),
 	}}
+	if route != nil {
+		c.work.Homes, c.work.MaxAttempts = route.HomeRegions, route.MaxAttempts
+		if route.Sticky {
+			c.work.Object = r.Object
+		}
+	}
 	ctx, cancel := context.WithDeadline(ctx, c.work.Deadline)
+	if c.isRouted() && r.Key == "" {
+		return releaseOnClose(c.serveOnEntry(ctx), cancel)
+	}
 	if op.Idempotent {
 		return releaseOnClose(withoutProof(r, c.serveIdempotent(ctx)), cancel)
 	}
 	return releaseOnClose(c.serveOnce(ctx), cancel)
 }
 
+// target returns the operation that a request asks for: the one that it names
+// or, for a request with a host, the one of its route, whose service it gets.
+func (e *Entry) target(v *view, r *caller.Request) (*azurestair.Route, azurestair.Operation, bool) {
+	if r.Host == "" {
+		op, ok := v.snapshot.Config.Operation(r.Service, r.Operation)
+		return nil, op, ok
+	}
+	path, _, _ := strings.Cut(r.Path, "?")
+	route, ok := v.routes.Find(r.Host, path)
+	if !ok {
+		return nil, azurestair.Operation{}, false
+	}
+	op := route.Operation()
+	r.Operation, r.Service = op.Name, e.splitService(&route)
+	return &route, op, true
+}
+
+// splitService returns the service of the next request of a route.
+func (e *Entry) splitService(r *azurestair.Route) azurestair.ServiceName {
+	e.splitMu.Lock()
+	defer e.splitMu.Unlock()
+	if e.splits == nil {
+		e.splits = map[azurestair.RouteName]*routing.Splitter{}
+	}
+	s, ok := e.splits[r.Name]
+	if !ok {
+		s = &routing.Splitter{}
+		e.splits[r.Name] = s
+	}
+	return s.Next(r.Parts)
+}
+
+// isRouted reports whether the request came by a route.
+func (c *call) isRouted() bool { return c.route != nil }
+
+// serveOnEntry forwards a request that only this entry ever sends: without a
+// key, a caller's further try is a request of its own. One that is not
+// idempotent is then sent again only after proof that it did not run, which
+// needs no ledger.
+func (c *call) serveOnEntry(ctx context.Context) caller.Reply {
+	if reason := c.readBody(); reason != azurestair.ReasonNone {
+		return invalid(reason)
+	}
+	if reason := c.gate.admit(ctx, c.work); reason != azurestair.ReasonNone {
+		return refused(reason)
+	}
+	return c.freeAfter(c.attempt(ctx, nil))
+}
+
 // deadlineOf returns the caller's deadline, at most the operation's timeout from now.
 func deadlineOf(r *caller.Request, op azurestair.Operation, now time.Time) time.Time {
 	limit := now.Add(op.TimeoutMs.Duration())
--- a/instance/shutdown.go
+++ b/instance/shutdown.go
@@ -107,6 +107,9 @@
 	if v := p.entry.view.Load(); v != nil && wasReady {
 		ttl := v.snapshot.Config.Defaults.WithDefaults().LookupTTLMs
 		deadline = deadline.Add(ttl.Duration() + leaveNotice)
+		if f := p.options.Front; f != nil {
+			deadline = deadline.Add(f.CallerHold)
+		}
 	}
 	ticker := time.NewTicker(leavePoll)
 	defer ticker.Stop()
--- a/instance/try.go
+++ b/instance/try.go
@@ -49,11 +49,15 @@
 	if e.answer.State != "" {
 		c.gate.confirm(e.choice.Upstream, e.answer.State)
 	}
+	c.gate.observe(e.choice, azurestair.Observation{
+		Load: e.answer.Load, Shed: e.answer.Reason == azurestair.ReasonShed,
+		Unreachable: e.answer.Unreachable, Gone: e.answer.Gone,
+	})
 	if e.choice.Shift && e.answer.Body != nil {
 		e.answer.Body = c.entry.links.pacedBody(e.ctx, e.answer.Body, e.choice.Region, c.entry.self.Region)
 	}
 	switch {
-	case e.answer.Result == azurestair.AttemptDone && c.work.Idempotent:
+	case e.answer.Result == azurestair.AttemptDone && (c.work.Idempotent || c.isRouted()):
 		e.readWhole()
 	case e.answer.Result != azurestair.AttemptDone && e.answer.Body != nil:
 		_, _ = io.Copy(io.Discard, io.LimitReader(e.answer.Body, wholeLimit))
--- a/instance/view.go
+++ b/instance/view.go
@@ -6,6 +6,7 @@
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/control"
 	"azurestair.example/azurestair/lookup"
+	"azurestair.example/azurestair/routing"
 )
 
 // view is what traffic works from: the newest snapshot with what follows from
@@ -13,6 +14,7 @@
 type view struct {
 	snapshot *azurestair.Snapshot
 	table    *lookup.Table
+	routes   *routing.Routes
 	leases   control.Leases
 	// controlDeadline is until when this instance may trust that its configuration is the newest.
 	controlDeadline time.Time
@@ -25,6 +27,9 @@
 // hasBudgets reports whether requests of a region can be served: there are
 // slots of each service that has upstreams there, and bandwidth on its links.
 func (v *view) hasBudgets(region azurestair.RegionName, now time.Time) bool {
+	if !v.snapshot.Config.IsLeased() {
+		return true
+	}
 	for _, u := range v.snapshot.Upstreams {
 		a := u.Announcement
 		isServing := a.State == azurestair.StateServing && !v.snapshot.IsUpstreamDrained(a)
