Start a new leader from the upstreams of the log

Entries knew neither configuration nor upstreams meanwhile.

Change: the leader keeps the list of upstreams, without loads, in the log. Errors are logged without their stack, and an instance that cannot reach control says so every 5 s.

--- a/command.go
+++ b/command.go
@@ -20,6 +20,8 @@
 	// Read changes nothing. Its result holds the configuration at its place in
 	// the log, so that no acknowledged change is missed, whatever the clocks do.
 	Read *ConfigRead `cbor:"10,keyasint,omitempty" json:"read,omitempty"`
+	// Listing keeps which upstreams the leader lists, for the next leader.
+	Listing *ListingChange `cbor:"11,keyasint,omitempty" json:"listing,omitempty"`
 }
 
 // Validate checks the command.
@@ -43,6 +45,7 @@
 	check(c.Holder != nil, func() error { return c.Holder.Validate() })
 	check(c.Departure != nil, func() error { return c.Departure.Validate() })
 	check(c.Read != nil, func() error { return nil })
+	check(c.Listing != nil, func() error { return c.Listing.Validate() })
 	if n != 1 {
 		return fmt.Errorf("%w: a command needs exactly one part, has %d", ErrInvalid, n)
 	}
@@ -141,6 +144,28 @@
 // Validate checks the departure.
 func (d Departure) Validate() error { return CheckName("upstream", string(d.Upstream)) }
 
+// ListingChange is how the list of upstreams has changed. A leader whose
+// predecessors have all stopped starts from it, instead of from an empty list.
+type ListingChange struct {
+	Listed  []Announcement `cbor:"1,keyasint,omitempty" json:"listed,omitempty"`
+	Removed []UpstreamID   `cbor:"2,keyasint,omitempty" json:"removed,omitempty"`
+}
+
+// Validate checks the change.
+func (l ListingChange) Validate() error {
+	for _, a := range l.Listed {
+		if err := a.Validate(); err != nil {
+			return err
+		}
+	}
+	for _, id := range l.Removed {
+		if err := CheckName("upstream", string(id)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // ConfigRead asks for the configuration in the order of the log.
 type ConfigRead struct{}
 
--- a/control/image.go
+++ b/control/image.go
@@ -29,6 +29,8 @@
 	Holders *HolderList `cbor:"8,keyasint,omitempty" json:"holders,omitempty"`
 	// Departures are in the order of the log.
 	Departures []azurestair.Departure `cbor:"9,keyasint,omitempty" json:"departures,omitempty"`
+	// Listed are the upstreams of the last listing, in the order of their ids.
+	Listed []azurestair.Announcement `cbor:"10,keyasint,omitempty" json:"listed,omitempty"`
 	// Needs is the newest protocol version that a log entry before the image
 	// has needed. It is left out while that is ProtocolUnannounced.
 	Needs azurestair.ProtocolVersion `cbor:"16,keyasint,omitempty" json:"needs,omitempty"`
@@ -53,6 +55,7 @@
 		Needs:    s.needs,
 
 		Departures: s.departures.order.view(),
+		Listed:     s.Listed(),
 	}
 }
 
@@ -70,6 +73,9 @@
 	for _, d := range i.Departures {
 		s.departures.add(d)
 	}
+	if len(i.Listed) > 0 {
+		s.applyListing(azurestair.ListingChange{Listed: i.Listed})
+	}
 	s.ledger.restore(slices.Concat(i.Ledger...), i.LastKept)
 	return s, nil
 }
@@ -97,7 +103,7 @@
 // Validate checks the image.
 func (i Image) Validate() error {
 	if len(i.History) > MaxHistory || len(i.Drains) > MaxDrains || len(i.Changes) > MaxChanges ||
-		len(i.Audit) > MaxAudit || len(i.Departures) > MaxDepartures {
+		len(i.Audit) > MaxAudit || len(i.Departures) > MaxDepartures || len(i.Listed) > DefaultMaxUpstreams {
 		return fmt.Errorf("%w: image exceeds a limit of the state", azurestair.ErrInvalid)
 	}
 	if err := i.validateHistory(); err != nil {
--- a/control/state.go
+++ b/control/state.go
@@ -30,6 +30,8 @@
 	needs   azurestair.ProtocolVersion
 
 	departures departures
+	// listed is replaced as a whole, because images share it.
+	listed map[azurestair.UpstreamID]azurestair.Announcement
 }
 
 // Apply applies a log entry that holds one command. The state keeps the
@@ -86,6 +88,8 @@
 		return s.applyHolder(*c.Holder)
 	case c.Departure != nil:
 		return s.applyDeparture(*c.Departure)
+	case c.Listing != nil:
+		return s.applyListing(*c.Listing)
 	case c.Read != nil:
 		return s.readConfig()
 	case c.Claim != nil:
--- a/instance/lead.go
+++ b/instance/lead.go
@@ -33,6 +33,9 @@
 		} else {
 			r.allocator.Quiet(now.Add(control.QuietTime))
 		}
+		if held == nil && r.keepsListing {
+			held = r.state.LastListing()
+		}
 		r.registry.Seed(held, now)
 		for _, d := range r.state.Departures() {
 			r.registry.Depart(d)
@@ -45,6 +48,22 @@
 	r.publish(now)
 	r.listHolders(now)
 	r.keepRoster(now)
+	r.keepListing(now)
+}
+
+// listingEvery bounds how often the list of upstreams is written to the log.
+const listingEvery = 250 * time.Millisecond
+
+// keepListing has the log follow which upstreams the registry lists. Nobody
+// waits for it: until it is applied, the next leader misses the latest change.
+func (r *Replica) keepListing(now time.Time) {
+	if !r.keepsListing || now.Before(r.listingAt) || r.registry.WarmingUp(now) {
+		return
+	}
+	r.listingAt = now.Add(listingEvery)
+	if change, ok := r.state.ListingChange(r.registry); ok {
+		r.propose(proposeEvent{command: azurestair.Command{Listing: &change}, reply: make(chan proposeReply, 1)}, now)
+	}
 }
 
 // listHolders proposes the changes of the list of holders that are due. Nobody
--- a/instance/member.go
+++ b/instance/member.go
@@ -34,6 +34,8 @@
 	announceMargin = 1500 * time.Millisecond
 	// announcedFor is how long an upstream counts as announcing itself here.
 	announcedFor = 2 * time.Second
+	// lostEvery is how often the log says that control is still not reached.
+	lostEvery = 5 * time.Second
 )
 
 // Member follows the leader. It belongs to the control goroutine.
@@ -71,6 +73,7 @@
 	nextTick  time.Time
 	nextMove  time.Time
 	connected bool
+	saidLost  time.Time
 
 	// learn takes the control instances of each new snapshot; it may be nil.
 	learn func([]peer.Address)
@@ -256,7 +259,7 @@
 		return
 	}
 	if e.err != nil {
-		m.failed(e.err)
+		m.failed(e.err, now)
 		return
 	}
 	if m.saidLeaving && m.leftKnown != nil {
@@ -291,10 +294,10 @@
 }
 
 // failed keeps what has not reached the leader for the next report.
-func (m *Member) failed(err error) {
-	if m.connected {
-		m.connected = false
-		m.log.Warn("control lost", "err", err)
+func (m *Member) failed(err error, now time.Time) {
+	if m.connected || now.Sub(m.saidLost) >= lostEvery {
+		m.connected, m.saidLost = false, now
+		m.log.Warn("control not reached", "err", err, "term", m.term, "controlUntil", m.controlDeadline)
 	}
 	for _, a := range m.announced {
 		a.unsent = true
--- a/instance/process.go
+++ b/instance/process.go
@@ -99,10 +99,18 @@
 	if err := level.UnmarshalText([]byte(s.Log.Level)); err != nil {
 		return nil, fmt.Errorf("%w: log.level: %w", azurestair.ErrInvalid, err)
 	}
-	h := slog.NewTextHandler(o.LogOutput, &slog.HandlerOptions{Level: level})
+	h := slog.NewTextHandler(o.LogOutput, &slog.HandlerOptions{Level: level, ReplaceAttr: plainError})
 	return slog.New(h).With("instance", s.Instance.ID), nil
 }
 
+// plainError logs the message of an error without its stack.
+func plainError(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		a.Value = slog.StringValue(err.Error())
+	}
+	return a
+}
+
 func newVersions(s settings.Settings, o Options, log *slog.Logger) *peer.Versions {
 	return peer.NewVersions(peer.VersionOptions{Self: s.Instance.ID, Clock: o.Clock, Log: log})
 }
@@ -317,6 +325,9 @@
 		return err
 	}
 	opts := raft.Options{ID: p.settings.Instance.ID, Joining: joining}
+	if p.options.Front != nil {
+		opts.ElectionTimeout = p.options.Front.ElectionTimeout
+	}
 	if !p.settings.Control.Learner {
 		for _, v := range p.settings.Control.Voters {
 			opts.Membership.Voters = append(opts.Membership.Voters, v.ID)
@@ -333,6 +344,7 @@
 	p.imager = &imager{jobs: make(chan control.Image, 1), post: p.post}
 	p.notifier = newNotifier(p.client, p.self.ID)
 	if f := p.options.Front; f != nil {
+		r.keepsListing = true
 		r.roster, r.peerAddr, r.lease = &control.Roster{Voters: f.Voters}, f.PeerAddr, leaseBeats*f.AnnounceEvery
 	}
 	r.transport, r.writer, r.imager, r.notifier = p.transport, p.writer, p.imager, p.notifier
--- a/instance/replica.go
+++ b/instance/replica.go
@@ -90,6 +90,9 @@
 	rosterAt time.Time
 	// peerAddr returns the address that follows from a member's id; nil when none does.
 	peerAddr func(azurestair.InstanceID) string
+	// keepsListing has the leader keep the list of upstreams in the log.
+	keepsListing bool
+	listingAt    time.Time
 	// lease is how long upstreams stay confirmed; zero means the default.
 	lease time.Duration
 }
@@ -427,13 +430,19 @@
 func (r *Replica) nextDeadline() time.Time {
 	next := r.node.NextDeadline()
 	if r.registry != nil && r.node.IsLeader() {
-		if d := r.registry.NextDeadline(); !d.IsZero() && d.Before(next) {
-			next = d
-		}
+		next = earlier(next, r.registry.NextDeadline())
 	}
 	return next
 }
 
+// earlier returns the earlier of two deadlines, of which zero means none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
+		return b
+	}
+	return a
+}
+
 func (r *Replica) status() ReplicaStatus {
 	st := ReplicaStatus{
 		Raft: r.node.Status(), Claims: r.state.Claims(), Needs: r.state.Needs(),
--- a/instance/surface.go
+++ b/instance/surface.go
@@ -34,6 +34,9 @@
 	PeerAddr func(azurestair.InstanceID) string
 	// Voters is how many voters the leader keeps in the log.
 	Voters int
+	// ElectionTimeout is how long control instances wait for a silent leader;
+	// zero stands for the default. It must be the same on all of them.
+	ElectionTimeout time.Duration
 	// AnnounceEvery is how often upstreams announce themselves.
 	AnnounceEvery time.Duration
 	// CallerHold is how long callers use a look-up answer beyond its time to live.
--- a/version.go
+++ b/version.go
@@ -59,7 +59,7 @@
 // as this one does. A new part, a new field of a part or a new value of a
 // field returns the version that introduced it.
 func (c Command) Needs() ProtocolVersion {
-	if c.Departure != nil || c.Read != nil || (c.Config != nil && (c.Config.Highest || c.Config.Config.isRouted())) {
+	if c.Departure != nil || c.Read != nil || c.Listing != nil || (c.Config != nil && (c.Config.Highest || c.Config.Config.isRouted())) {
 		return ProtocolRouted
 	}
 	if c.Holder != nil || c.ListsHolders {
