Report an accepted configuration that the log has lost

The test cut a record of the killed leader's log that was synced and, with the copy of one other voter, made the majority. That is beyond what a log bears.

Ruled out: an acknowledgement before the sync.

Change: before the tear, the test waits until all voters hold the same entries; its other checks are as before.

--- a/faults/storage_test.go
+++ b/faults/storage_test.go
@@ -34,6 +34,10 @@
 			victim := f.voters()[rng.IntN(len(controlPlaces))]
 			other := f.others(victim)[0]
 
+			// The torn record was synced. With a copy of it on the other voters, the
+			// log bears its loss; a change that only the victim and one other voter
+			// hold would be lost, which no log can prevent.
+			Eventually(f.sameLog, "20s").Should(Succeed())
 			victim.kill()
 			tear(rng, victim)
 			victim.start()
@@ -61,6 +65,34 @@
 		})
 	})
 
+	// Guards against an instance that is ahead of the log and rejects every
+	// snapshot without saying why. Two of three voters held the change, and the
+	// synced copies of both are cut, which the log does not bear.
+	It("that loses an accepted change is reported by the instances that have it", func() {
+		eachSeed(func(rng *rand.Rand) {
+			f := newFleet(fleetOptions{})
+			v := f.applyMany(1, 3)
+			leader := f.leader()
+			behind := shuffled(rng, f.others(append([]*node{leader}, f.entriesOnly()...)...))[0]
+			Eventually(f.sameLog, "20s").Should(Succeed())
+			behind.freeze()
+			at := f.entriesOnly()[0]
+			v = f.apply(at, v, "lost")
+			Eventually(f.inForce, "20s").WithArguments(v, at).Should(Succeed())
+			holders := f.others(append([]*node{behind}, f.entriesOnly()...)...)
+			for _, n := range holders {
+				n.kill()
+			}
+			for _, n := range holders {
+				tear(rng, n)
+				n.start()
+			}
+			behind.thaw()
+			Eventually(at.logText, "20s").Should(ContainSubstring("the log has lost an accepted configuration"))
+			Expect(at.ready()).NotTo(Succeed())
+		})
+	})
+
 	// Guards against changes that are lost or come back in part when every
 	// instance restarts after hundreds of changes, and against the loss of a
 	// second instance right after a first one has come back.
@@ -147,6 +179,25 @@
 	wg.Wait()
 }
 
+// sameLog reports whether all voters have applied the same entries.
+func (f *fleet) sameLog() error {
+	var applied []azurestair.Index
+	for _, n := range f.voters() {
+		st, err := n.admin().Status(context.Background())
+		if err != nil {
+			return err
+		}
+		if st.Replica == nil {
+			return fmt.Errorf("%s has no replica", n.id)
+		}
+		applied = append(applied, st.Replica.Applied)
+	}
+	if slices.Min(applied) != slices.Max(applied) {
+		return fmt.Errorf("applied entries differ: %v", applied)
+	}
+	return nil
+}
+
 // lastSegment returns the newest segment of the log in a data folder.
 func lastSegment(n *node) string {
 	names, err := filepath.Glob(filepath.Join(n.dataDir(), "log-*"))
--- a/instance/member.go
+++ b/instance/member.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"slices"
@@ -277,7 +278,7 @@
 	}
 	before := m.snapshot
 	if err := m.adopt(e.reply); err != nil {
-		m.log.Warn("snapshot rejected", "err", err)
+		m.rejected(err, now)
 		return
 	}
 	if d := e.sent.Add(e.reply.ControlTTLMs.Duration()); d.After(m.controlDeadline) {
@@ -304,6 +305,23 @@
 	}
 }
 
+// rejected logs a snapshot that was not taken over. One that is older than what
+// is in force here says that the log has lost an accepted change, which only an
+// operator can mend.
+func (m *Member) rejected(err error, now time.Time) {
+	if !errors.Is(err, errConfigLost) {
+		m.log.Warn("snapshot rejected", "err", err)
+		return
+	}
+	if now.Sub(m.saidLost) >= lostEvery {
+		m.saidLost = now
+		m.log.Error("the log has lost an accepted configuration; apply it again", "inForce", m.snapshot.ConfigVersion(), "err", err)
+	}
+}
+
+// errConfigLost reports a leader whose configuration is older than the one in force.
+var errConfigLost = fmt.Errorf("%w: the leader has an older configuration than this instance", azurestair.ErrConflict)
+
 // resend repeats announcements that the leader does not know.
 func (m *Member) resend(unknown []azurestair.UpstreamID) {
 	for _, id := range unknown {
@@ -339,8 +357,10 @@
 		return nil
 	case next.Config == nil:
 		return fmt.Errorf("%w: snapshot without configuration", azurestair.ErrInvalid)
-	case next.ConfigVersion() < m.snapshot.ConfigVersion() || next.Term < m.term:
+	case next.Term < m.term:
 		return azurestair.ErrConflict
+	case next.ConfigVersion() < m.snapshot.ConfigVersion():
+		return fmt.Errorf("%w: %d", errConfigLost, next.ConfigVersion())
 	}
 	m.snapshot, m.term = next, reply.Term
 	return nil
