Place an object on two upstreams at most

Cause: work that found its first upstreams full went to up to eight others, which handled it cold: three times the work, and another object forgotten for it.

Change: one copy of an object; a second upstream takes over when the first holds more than all its slots in waiting work. What finds no room there is refused.

--- a/placement/doc.go
+++ b/placement/doc.go
@@ -6,8 +6,9 @@
 // an object by the same hash, so that all entries use the same few upstreams
 // for it without exchanging messages, and a change of the upstreams moves only
 // the objects of those that came or went. The first Copies upstreams of the
-// ranking share the object; the next ones take what these have no room for,
-// which gives an object more copies the more it is asked for.
+// ranking share the object; the next Reach ones take what these have no room
+// for. Work that finds no room there is refused: spread further, it would make
+// objects cold everywhere, and cold objects need more room.
 //
 // The region comes first: a region keeps the share of its objects that its
 // slots carry, and the others go by hash to regions with room. The plan
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -12,15 +12,18 @@
 // Defaults of Options.
 const (
 	// DefaultCopies is how many upstreams share an object while they have room.
-	DefaultCopies = 2
-	// DefaultReach is how many upstreams of the ranking are considered beyond
-	// the copies before work is refused.
-	DefaultReach = 8
+	DefaultCopies = 1
+	// DefaultReach is how many upstreams of the ranking take what the copies have
+	// no room for. Each further one handles the object cold, which costs three
+	// times the work and makes it forget another object: with a reach of 8, an
+	// overload kept itself up long after its cause had gone.
+	DefaultReach = 1
 	// rankCost is what each place in the ranking costs against load: an
 	// upstream further down handles the object cold.
 	rankCost = 0.1
-	// spillCost is the same beyond the copies.
-	spillCost = 0.5
+	// spillCost is the load above which an upstream beyond the copies is better:
+	// cold work there lasts about as long as a queue of all slots here.
+	spillCost = 1.0
 	// slowFactor is how much slower than the service a worker must be for its
 	// latency to count as load.
 	slowFactor = 1.5
