Model load patterns, log decisions, and test the new packages

On-call engineers have logs and metrics only.

Change: package model plays load patterns with the product's own picker and upstreams that remember objects; azurestair model prints a table.

--- a/caller/request.go
+++ b/caller/request.go
@@ -53,6 +53,9 @@
 	Deadline time.Time
 	// Replayed is true for an answer from the ledger.
 	Replayed bool
+	// Attempts counts the attempts at upstreams; Upstream is the last of them.
+	Attempts int
+	Upstream azurestair.UpstreamID
 }
 
 // Entry is one instance in a look-up answer.
--- a/cmd/azurestair/main.go
+++ b/cmd/azurestair/main.go
@@ -102,7 +102,7 @@
 		Name:       "azurestair",
 		ShortUsage: "azurestair <command> [flags]",
 		Subcommands: []*ffcli.Command{
-			serveCommand(), platformCommand(), tryCommand(), checkCommand(), initCommand(), configCommand(),
+			serveCommand(), platformCommand(), modelCommand(), tryCommand(), checkCommand(), initCommand(), configCommand(),
 			drainCommand("drain", "take an upstream, an entry or a failure domain out of service"),
 			drainCommand("undrain", "return a target to service"),
 			membersCommand(), statusCommand(), auditCommand(),
--- a/instance/attempt.go
+++ b/instance/attempt.go
@@ -42,7 +42,12 @@
 func (c *call) attempt(ctx context.Context, before func() error) caller.Reply {
 	t := &tries{call: c, before: before, req: retry.NewRequest(c.work), ended: make(chan *try, maxTries)}
 	c.gate.countRequest()
-	return t.serve(ctx)
+	reply := t.serve(ctx)
+	reply.Attempts = t.req.Attempts()
+	if tried := t.req.Avoid(); len(tried) > 0 && reply.Upstream == "" {
+		reply.Upstream = tried[len(tried)-1]
+	}
+	return reply
 }
 
 // maxTries bounds the attempts of one request, so that none waits to report its end.
--- a/instance/entry.go
+++ b/instance/entry.go
@@ -38,6 +38,8 @@
 	// maxInFlight bounds the requests in progress; zero means no bound.
 	maxInFlight int64
 
+	lines requestLog
+
 	// splitMu guards splits, which spread the requests of each route over its parts.
 	splitMu sync.Mutex
 	splits  map[azurestair.RouteName]*routing.Splitter
--- a/instance/gate.go
+++ b/instance/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"maps"
 	"slices"
 	"sync"
@@ -11,6 +12,7 @@
 	"azurestair.example/azurestair/admission"
 	"azurestair.example/azurestair/control"
 	"azurestair.example/azurestair/operator"
+	"azurestair.example/azurestair/placement"
 	"azurestair.example/azurestair/retry"
 	"azurestair.example/azurestair/routing"
 )
@@ -19,6 +21,8 @@
 // the traffic side's own state, guarded by its own lock.
 type gate struct {
 	clock azurestair.Clock
+	// log tells of upstreams that are taken out or are back; nil for none.
+	log *slog.Logger
 
 	mu       sync.Mutex
 	admitter azurestair.Admitter
@@ -277,6 +281,7 @@
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	g.picker.Done(c, r, latency, now)
+	g.logEvents()
 	if r == azurestair.AttemptDone {
 		g.latency.Observe(latency)
 	}
@@ -326,6 +331,23 @@
 	if p, ok := g.picker.(azurestair.Observer); ok {
 		p.Observe(c, o, g.clock.Now())
 	}
+	g.logEvents()
+}
+
+// logEvents logs what the picker has come to believe of upstreams. The caller holds mu.
+func (g *gate) logEvents() {
+	p, ok := g.picker.(*placement.Picker)
+	if !ok || g.log == nil {
+		return
+	}
+	for _, e := range p.Events() {
+		if e.Out {
+			g.log.Warn("upstream taken out", "upstream", e.Upstream, "cause", e.Cause, "inRow", e.InRow, "rate", e.Rate,
+				"forMs", e.Until.Sub(g.clock.Now()).Milliseconds())
+			continue
+		}
+		g.log.Info("upstream is back", "upstream", e.Upstream)
+	}
 }
 
 // probeCandidates returns the upstreams to probe now.
--- a/instance/member.go
+++ b/instance/member.go
@@ -50,6 +50,7 @@
 	// term is the newest term of a leader whose reply was taken over.
 	term            azurestair.Term
 	controlDeadline time.Time
+	heardAt         time.Time
 	holder          control.Holder
 	reports         control.ReportSender
 	table           *lookup.Table
@@ -284,6 +285,7 @@
 	if d := e.sent.Add(e.reply.ControlTTLMs.Duration()); d.After(m.controlDeadline) {
 		m.controlDeadline = d
 	}
+	m.heardAt = e.sent
 	m.holder.Apply(grants, e.sent, now)
 	m.resend(e.reply.Unknown)
 	if m.snapshot != before {
@@ -408,7 +410,7 @@
 	wasReady := m.entry.isReady(now)
 	v := &view{
 		snapshot: m.snapshot, table: m.table, routes: m.routes, leases: m.holder.Leases(),
-		controlDeadline: m.controlDeadline, leaving: m.leaving,
+		controlDeadline: m.controlDeadline, heardAt: m.heardAt, leaving: m.leaving,
 	}
 	if m.startBy.IsZero() {
 		m.startBy = now.Add(startWait)
--- a/instance/placed.go
+++ b/instance/placed.go
@@ -23,6 +23,7 @@
 	seed := rand.NewPCG(rand.Uint64(), rand.Uint64())
 	p := placement.New(placement.Options{Service: s, Region: e.self.Region, Self: e.self.ID, LateSlot: lateFor, Rand: seed})
 	g := newGate(e.clock, admission.New(admission.Options{Rand: seed}), p, seed)
+	g.log = e.log.With("service", s)
 	// An attempt that is cut off to leave time for another one loses the work
 	// that its upstream has done on it.
 	g.policy.Without = retry.Mechanisms{Reserve: true, Hedging: true}
--- a/instance/serve.go
+++ b/instance/serve.go
@@ -64,28 +64,16 @@
 		reply = e.serve(ctx, r, started)
 	}
 	reply = releaseOnClose(reply, func() { e.inFlight.Add(-1) })
-	e.metrics.reply(reply, e.clock.Now().Sub(started))
-	e.logReply(r, reply)
+	took := e.clock.Now().Sub(started)
+	e.metrics.reply(reply, took)
+	e.logReply(r, reply, took)
 	return reply
 }
 
 // Rejected counts a reply that was given without Serve.
 func (e *Entry) Rejected(r *caller.Request, reply caller.Reply) {
 	e.metrics.count(reply)
-	e.logReply(r, reply)
-}
-
-// logReply logs a reply that has a reason.
-func (e *Entry) logReply(r *caller.Request, reply caller.Reply) {
-	if reply.Reason == azurestair.ReasonNone {
-		return
-	}
-	msg := "request not done"
-	if reply.Outcome == azurestair.OutcomeDone {
-		msg = "answer not repeated"
-	}
-	e.log.Info(msg, "request", r.ID, "service", r.Service, "operation", r.Operation,
-		"outcome", reply.Outcome, "reason", reply.Reason, "notRun", reply.NotRun, "caller", r.Caller)
+	e.logReply(r, reply, 0)
 }
 
 func (e *Entry) serve(ctx context.Context, r *caller.Request, now time.Time) caller.Reply {
--- a/instance/try.go
+++ b/instance/try.go
@@ -135,7 +135,7 @@
 // reply passes the answer on; the attempt stays open until its body is closed.
 func (e *try) reply() caller.Reply {
 	r := caller.Reply{
-		Outcome: azurestair.OutcomeDone, Status: e.answer.Status, Header: e.answer.Header, Length: e.answer.Length,
+		Outcome: azurestair.OutcomeDone, Upstream: e.choice.Upstream, Status: e.answer.Status, Header: e.answer.Header, Length: e.answer.Length,
 	}
 	if e.answer.Body == nil {
 		r.Body = io.NopCloser(bytes.NewReader(e.answer.Whole))
--- a/instance/view.go
+++ b/instance/view.go
@@ -18,6 +18,8 @@
 	leases   control.Leases
 	// controlDeadline is until when this instance may trust that its configuration is the newest.
 	controlDeadline time.Time
+	// heardAt is when the report was sent that the leader answered last.
+	heardAt time.Time
 	// leaving is true once the instance has begun its shutdown.
 	leaving bool
 	// starting is true until the instance has had its first budgets.
--- a/placement/health.go
+++ b/placement/health.go
@@ -65,13 +65,3 @@
 	h.outUntil, h.lastOut = now.Add(d), now.Add(d)
 	h.inRow, h.outcomes, h.rate, h.trial = 0, 0, 0, false
 }
-
-// endTrial takes the outcome of the request after an ejection.
-func (h *health) endTrial(ok bool, now time.Time) {
-	h.trial = false
-	if !ok {
-		h.eject(now)
-		return
-	}
-	h.outUntil = time.Time{}
-}
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -61,6 +61,7 @@
 	// latency is the mean over the service's answers.
 	latency float64
 	ranked  []candidate
+	events  []Event
 }
 
 type candidate struct {
@@ -284,12 +285,12 @@
 	switch {
 	case o.Gone:
 		if !w.health.isOut(now) || w.health.trial {
-			p.eject(w, now)
+			p.eject(w, CauseGone, now)
 		}
 	case o.Unreachable, o.Shed && !o.IsFull(w.info.Slots):
 		p.judge(w, false, now)
 	case o.Shed && w.health.trial:
-		w.health.endTrial(true, now)
+		p.judge(w, true, now)
 	}
 }
 
@@ -310,15 +311,22 @@
 // judge takes an outcome into account; too many workers are never out at once.
 func (p *Picker) judge(w *worker, ok bool, now time.Time) {
 	if w.health.trial {
-		w.health.endTrial(ok, now)
+		w.health.trial = false
+		if !ok {
+			w.health.eject(now)
+			p.note(Event{Upstream: w.info.Upstream, Out: true, Until: w.health.outUntil, Cause: CauseTrial})
+			return
+		}
+		w.health.outUntil = time.Time{}
+		p.note(Event{Upstream: w.info.Upstream})
 		return
 	}
 	if w.health.count(ok) {
-		p.eject(w, now)
+		p.eject(w, CauseFailures, now)
 	}
 }
 
-func (p *Picker) eject(w *worker, now time.Time) {
+func (p *Picker) eject(w *worker, cause Cause, now time.Time) {
 	out := 0
 	for _, list := range p.byRegion {
 		for _, other := range list {
@@ -328,7 +336,10 @@
 		}
 	}
 	if float64(out+1) <= max(1, outShare*float64(p.usable)) {
+		e := Event{Upstream: w.info.Upstream, Out: true, Cause: cause, InRow: w.health.inRow, Rate: w.health.rate}
 		w.health.eject(now)
+		e.Until = w.health.outUntil
+		p.note(e)
 	}
 }
 
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,303 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/placement"
+	"azurestair.example/azurestair/routing"
+)
+
+func TestPlacement(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "placement")
+}
+
+var start = time.Unix(1_700_000_000, 0)
+
+const (
+	latency = 100 * time.Millisecond
+	done    = azurestair.AttemptDone
+)
+
+// upstreams returns n serving upstreams of a region.
+func upstreams(region azurestair.RegionName, n int) []azurestair.Announcement {
+	list := make([]azurestair.Announcement, n)
+	for i := range list {
+		list[i] = azurestair.Announcement{
+			Upstream: azurestair.UpstreamID(fmt.Sprintf("%s-%d", region, i)), Service: "desk", Addr: fmt.Sprintf("127.0.0.1:%d", 8000+i),
+			Region: region, FailureDomain: azurestair.FailureDomainName(fmt.Sprintf("%s-%c", region, 'a'+i%2)),
+			Slots: 4, MaxConns: 330, State: azurestair.StateServing, Incarnation: 1, Sequence: 1,
+		}
+	}
+	return list
+}
+
+// bench drives the pickers of several entries in virtual time.
+type bench struct {
+	now     time.Time
+	pickers []*placement.Picker
+	snap    azurestair.Snapshot
+}
+
+func newBench(entries int, region azurestair.RegionName, list ...azurestair.Announcement) *bench {
+	b := &bench{now: start}
+	b.snap.Config = &azurestair.Config{Version: 1, Services: []azurestair.Service{{Name: "desk", ColdPerSecond: 9.7}}}
+	for i := range entries {
+		id := azurestair.InstanceID(fmt.Sprintf("entry-%d", i))
+		b.pickers = append(b.pickers, placement.New(placement.Options{
+			Service: "desk", Region: region, Self: id, LateSlot: time.Second, Rand: rand.NewPCG(1, uint64(i)),
+		}))
+		b.snap.Instances = append(b.snap.Instances, azurestair.InstanceInfo{ID: id, CallerAddr: "127.0.0.1:1", Region: region})
+	}
+	b.set(list...)
+	return b
+}
+
+// set publishes the upstreams to all entries.
+func (b *bench) set(list ...azurestair.Announcement) {
+	snap := b.snap
+	snap.Upstreams = nil
+	for _, a := range list {
+		snap.Upstreams = append(snap.Upstreams, azurestair.UpstreamInfo{Announcement: a, Confirmed: true})
+	}
+	b.snap = snap
+	for _, p := range b.pickers {
+		p.Update(&snap, b.now)
+	}
+}
+
+func objectOf(n int) azurestair.ObjectKey { return azurestair.ObjectKeyOf(fmt.Sprint(n)) }
+
+func workOn(n int) azurestair.Work {
+	return azurestair.Work{Service: "desk", Rank: azurestair.RankInteractive, Idempotent: true, Object: objectOf(n)}
+}
+
+// place returns where an entry sends work and ends the attempt.
+func (b *bench) place(entry int, w azurestair.Work) azurestair.Choice {
+	GinkgoHelper()
+	c, err := b.pickers[entry].Pick(w, nil, b.now)
+	Expect(err).NotTo(HaveOccurred())
+	b.pickers[entry].Done(c, done, latency, b.now)
+	return c
+}
+
+// places returns where an entry sends work on each of n objects.
+func (b *bench) places(entry, n int) map[int]azurestair.UpstreamID {
+	GinkgoHelper()
+	out := map[int]azurestair.UpstreamID{}
+	for i := range n {
+		out[i] = b.place(entry, workOn(i)).Upstream
+	}
+	return out
+}
+
+func moved(a, b map[int]azurestair.UpstreamID) int {
+	n := 0
+	for i := range a {
+		if a[i] != b[i] {
+			n++
+		}
+	}
+	return n
+}
+
+// expectRefused checks that no upstream may take the work.
+func expectRefused(p *placement.Picker, w azurestair.Work, now time.Time, reason azurestair.Reason) {
+	GinkgoHelper()
+	_, err := p.Pick(w, nil, now)
+	Expect(routing.ReasonOf(err)).To(Equal(reason))
+}
+
+var _ = Describe("an object", func() {
+	// Guards against objects that are warm at one entry's upstream only.
+	It("goes to the same upstream from every entry", func() {
+		b := newBench(3, "huye", upstreams("huye", 12)...)
+		Expect(moved(b.places(0, 200), b.places(1, 200))).To(BeZero())
+		Expect(moved(b.places(0, 200), b.places(2, 200))).To(BeZero())
+	})
+
+	// Guards against a change of one upstream that makes all objects cold.
+	It("moves only if its upstream came or went", func() {
+		list := upstreams("huye", 12)
+		b := newBench(1, "huye", list...)
+		before := b.places(0, 600)
+		gone := list[5].Upstream
+		b.set(append(append([]azurestair.Announcement{}, list[:5]...), list[6:]...)...)
+		after := b.places(0, 600)
+		for i, u := range before {
+			if u != gone {
+				Expect(after[i]).To(Equal(u))
+			}
+		}
+		b.set(list...)
+		Expect(moved(before, b.places(0, 600))).To(BeZero())
+	})
+
+	// Guards against a burst of one object that spreads over all upstreams and
+	// makes them forget theirs.
+	It("is held by its first upstreams in an overload, and then refused", func() {
+		b := newBench(1, "huye", upstreams("huye", 12)...)
+		used := map[azurestair.UpstreamID]bool{}
+		var err error
+		for range 200 {
+			var c azurestair.Choice
+			if c, err = b.pickers[0].Pick(workOn(1), nil, b.now); err != nil {
+				break
+			}
+			used[c.Upstream] = true
+		}
+		Expect(routing.ReasonOf(err)).To(Equal(azurestair.ReasonSaturated))
+		Expect(used).To(HaveLen(placement.DefaultCopies + placement.DefaultReach))
+	})
+
+	// Guards against a route without objects whose work meets at one upstream.
+	It("is not needed to spread work", func() {
+		b := newBench(1, "huye", upstreams("huye", 12)...)
+		used := map[azurestair.UpstreamID]bool{}
+		for range 200 {
+			used[b.place(0, azurestair.Work{Service: "desk", Rank: azurestair.RankInteractive}).Upstream] = true
+		}
+		Expect(len(used)).To(BeNumerically(">=", 10))
+	})
+})
+
+var _ = Describe("regions", func() {
+	both := func(a, b int) []azurestair.Announcement {
+		return append(upstreams("huye", a), upstreams("kigali", b)...)
+	}
+
+	// Guards against a region with few upstreams that keeps all its objects.
+	It("keep the share of their objects that their slots carry", func() {
+		b := newBench(1, "huye", both(2, 6)...)
+		kept := 0
+		for i := range 1000 {
+			if b.place(0, workOn(i)).Region == "huye" {
+				kept++
+			}
+		}
+		Expect(kept).To(BeNumerically("~", 500, 60), "a quarter of the slots for half of the requests")
+		b = newBench(1, "kigali", both(2, 6)...)
+		for i := range 100 {
+			Expect(b.place(0, workOn(i)).Region).To(BeEquivalentTo("kigali"))
+		}
+	})
+
+	// Guards against a request that runs outside its home regions.
+	It("never take work away from its homes", func() {
+		b := newBench(1, "kigali", both(2, 6)...)
+		for i := range 200 {
+			w := workOn(i)
+			w.Homes = []azurestair.RegionName{"huye"}
+			Expect(b.place(0, w).Region).To(BeEquivalentTo("huye"))
+		}
+		w := workOn(1)
+		w.Homes = []azurestair.RegionName{"musanze"}
+		expectRefused(b.pickers[0], w, b.now, azurestair.ReasonNoUpstream)
+	})
+
+	// Guards against work for an evacuated failure domain.
+	It("leave out a drained failure domain", func() {
+		b := newBench(1, "huye", upstreams("huye", 6)...)
+		b.snap.Drains = []azurestair.Drain{{Target: azurestair.Target{Kind: azurestair.TargetFailureDomain, Name: "huye-a"}}}
+		b.set(upstreams("huye", 6)...)
+		for i := range 100 {
+			Expect(b.place(0, workOn(i)).Upstream).To(BeElementOf(azurestair.UpstreamID("huye-1"), azurestair.UpstreamID("huye-3"), azurestair.UpstreamID("huye-5")))
+		}
+	})
+})
+
+var _ = Describe("an upstream", func() {
+	// Guards against entries that together crash a cold upstream.
+	It("that is cold gets what it tolerates from all entries together", func() {
+		list := upstreams("huye", 1)
+		list[0].ColdMs = 3000
+		b := newBench(7, "huye", list...)
+		var sent []time.Time
+		for range 30 {
+			for e := range b.pickers {
+				if c, err := b.pickers[e].Pick(workOn(e), nil, b.now); err == nil {
+					sent = append(sent, b.now)
+					b.pickers[e].Done(c, done, latency, b.now)
+				}
+			}
+			b.now = b.now.Add(50 * time.Millisecond)
+		}
+		for i, at := range sent {
+			n := 0
+			for _, other := range sent[i:] {
+				if other.Sub(at) < time.Second {
+					n++
+				}
+			}
+			Expect(n).To(BeNumerically("<=", 9))
+		}
+		Expect(len(sent)).To(BeNumerically(">=", 9))
+	})
+
+	// Guards against work for an upstream that fails fast, and against one that
+	// is never tried again.
+	It("that fails is taken out and tried again", func() {
+		b := newBench(1, "huye", upstreams("huye", 6)...)
+		p := b.pickers[0]
+		bad := b.place(0, workOn(1)).Upstream
+		for range 3 {
+			c, err := p.Pick(workOn(1), nil, b.now)
+			Expect(err).NotTo(HaveOccurred())
+			p.Done(c, azurestair.AttemptBroken, latency, b.now)
+		}
+		Expect(b.place(0, workOn(1)).Upstream).NotTo(Equal(bad))
+		b.now = b.now.Add(1100 * time.Millisecond)
+		Expect(b.place(0, workOn(1)).Upstream).To(Equal(bad))
+	})
+
+	// Guards against an address that another process has taken over.
+	It("that is gone is taken out at once", func() {
+		b := newBench(1, "huye", upstreams("huye", 6)...)
+		p := b.pickers[0]
+		c, err := p.Pick(workOn(1), nil, b.now)
+		Expect(err).NotTo(HaveOccurred())
+		p.Observe(c, azurestair.Observation{Shed: true, Gone: true}, b.now)
+		p.Done(c, azurestair.AttemptNotRun, 0, b.now)
+		Expect(b.place(0, workOn(1)).Upstream).NotTo(Equal(c.Upstream))
+	})
+
+	// Guards against a failure of all upstreams that takes away all capacity.
+	It("is not taken out when too many are already", func() {
+		b := newBench(1, "huye", upstreams("huye", 5)...)
+		p := b.pickers[0]
+		for i := range 200 {
+			c, err := p.Pick(workOn(i), nil, b.now)
+			Expect(err).NotTo(HaveOccurred())
+			p.Done(c, azurestair.AttemptBroken, latency, b.now)
+		}
+		out := 0
+		for _, s := range p.Status(nil, b.now) {
+			if s.Standing == routing.StandingEjected {
+				out++
+			}
+		}
+		Expect(out).To(Equal(2))
+	})
+
+	// Guards against slots that stay counted after a timeout, or are freed while
+	// the upstream may still be working.
+	It("counts a cut-off attempt until its bound", func() {
+		b := newBench(1, "huye", upstreams("huye", 1)...)
+		p := b.pickers[0]
+		for range 6 {
+			c, err := p.Pick(workOn(1), nil, b.now)
+			Expect(err).NotTo(HaveOccurred())
+			p.Abandon(c, true, latency, b.now)
+		}
+		expectRefused(p, workOn(1), b.now, azurestair.ReasonSaturated)
+		b.now = b.now.Add(time.Second)
+		b.place(0, workOn(1))
+	})
+})
