Open connections with more time behind a full link

Behind the full links of its entries a connection takes longer than the 300 ms that it may take, so that none opened, and one upstream after the other was taken out for it.

The registry forgets departures with their upstreams.

Ruled out: upstreams without power, which were a fifth of the service and back by then.

--- a/control/registry.go
+++ b/control/registry.go
@@ -350,6 +350,7 @@
 			r.listing++
 		default:
 			delete(r.upstreams, id)
+			delete(r.departed, id)
 		}
 	}
 }
--- a/instance/lead.go
+++ b/instance/lead.go
@@ -78,7 +78,7 @@
 func (r *Replica) publish(now time.Time) {
 	prev := r.publisher.Current()
 	snap, changed := r.publisher.Publish(control.Source{
-		Term: r.leading, Commit: r.state.Applied(), Config: r.state.Config(), Drains: r.state.Drains(), Registry: r.registry,
+		Term: r.leading, Commit: r.state.Applied(), Config: r.publishedConfig(), Drains: r.state.Drains(), Registry: r.registry,
 	}, now)
 	if snap != nil && snap != r.limited {
 		r.setLimits(snap, now)
@@ -88,6 +88,22 @@
 	}
 }
 
+// publishedConfig returns the configuration in effect without its document,
+// which only reads at the leader need. One version has one pointer, by which
+// the publisher tells versions apart.
+func (r *Replica) publishedConfig() *azurestair.Config {
+	cfg := r.state.Config()
+	if len(cfg.Document) == 0 {
+		return cfg
+	}
+	if r.published == nil || r.published.Version != cfg.Version {
+		c := *cfg
+		c.Document = nil
+		r.published = &c
+	}
+	return r.published
+}
+
 // grants answers the demands of a report. What a report says of held leases
 // counts only if its sender has heard this leader before: then the predecessor
 // had stopped to grant when the report was sent. Until then the sender keeps
--- a/instance/replica.go
+++ b/instance/replica.go
@@ -84,6 +84,8 @@
 	reports   *control.ReportReceiver
 	// limited is the snapshot from which the budgets' limits were derived.
 	limited *azurestair.Snapshot
+	// published is the configuration in effect without its document.
+	published *azurestair.Config
 
 	// roster keeps the membership of the log; nil leaves it to operators.
 	roster   *control.Roster
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -24,10 +24,6 @@
 	HeaderNotRun   = "Azurestair-Not-Run"
 )
 
-// dialTimeout bounds the opening of a connection, which normally takes about 1 ms
-// plus a round trip between regions.
-const dialTimeout = 300 * time.Millisecond
-
 // Attempt is one try of a request at one upstream.
 type Attempt struct {
 	ID     azurestair.RequestID
@@ -82,6 +78,7 @@
 	// freshIdle is how recently a connection must have answered before it may
 	// carry a request that is not idempotent.
 	freshIdle time.Duration
+	dialTime  dialTime
 	// heard is when an upstream last answered, in nanoseconds since the Unix epoch.
 	heard atomic.Int64
 
@@ -149,8 +146,9 @@
 	started := c.clock.Now()
 	uc, err := c.connect(ctx, p, a)
 	if err != nil {
-		isFull := errors.Is(err, azurestair.ErrFull)
-		return Answer{Result: azurestair.AttemptNotRun, Reason: azurestair.ReasonConnect, Unreachable: !isFull && ctx.Err() == nil}, err
+		return Answer{
+			Result: azurestair.AttemptNotRun, Reason: azurestair.ReasonConnect, Unreachable: errors.Is(err, errUnreachable),
+		}, err
 	}
 	if a.BeforeSend != nil {
 		if err := a.BeforeSend(); err != nil {
@@ -176,12 +174,10 @@
 		if err := p.reserve(a.Fresh); err != nil {
 			return nil, err
 		}
-		dctx, cancel := context.WithTimeout(ctx, dialTimeout)
-		defer cancel()
-		nc, err := c.dial(dctx, p.addr)
+		nc, err := c.open(ctx, p)
 		if err != nil {
 			p.release()
-			return nil, fmt.Errorf("connect to %s: %w", p.addr, err)
+			return nil, err
 		}
 		uc = newConn(nc, p.addr, c.clock.Now())
 	}
@@ -194,6 +190,29 @@
 	return uc, nil
 }
 
+// errUnreachable reports an upstream that does not open a connection, although
+// this instance's own link is not the likely cause.
+var errUnreachable = errors.New("no connection")
+
+// open opens a connection.
+func (c *Client) open(ctx context.Context, p *pool) (net.Conn, error) {
+	dctx, cancel := context.WithTimeout(ctx, c.dialTime.timeout())
+	defer cancel()
+	started := c.clock.Now()
+	nc, err := c.dial(dctx, p.addr)
+	if err != nil && ctx.Err() != nil {
+		return nil, fmt.Errorf("connect to %s: %w", p.addr, err)
+	}
+	blamed := c.dialTime.observe(err == nil, c.clock.Now().Sub(started))
+	switch {
+	case blamed:
+		return nil, fmt.Errorf("connect to %s: %w: %w", p.addr, errUnreachable, err)
+	case err != nil:
+		return nil, fmt.Errorf("connect to %s: %w", p.addr, err)
+	}
+	return nc, nil
+}
+
 // idleLimit returns how long a connection may have been idle that carries the attempt.
 func (c *Client) idleLimit(a Attempt) time.Duration {
 	if a.Idempotent {
