Keep SIGHUP caught while a process shuts down

The reader of settings ends first in a shutdown and gave the signal back its default action, which ends the process.

Change: the signal stays caught. The error of a lost configuration has a limit of its own in the log, and the two ways of taking a configuration share their end.

--- a/cmd/azurestair/local.go
+++ b/cmd/azurestair/local.go
@@ -46,8 +46,9 @@
 
 func (r *reloader) run(ctx context.Context) {
 	hup := make(chan os.Signal, 1)
+	// The signal stays caught after the end of run: it would otherwise end a
+	// process that is still shutting down.
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	for {
 		select {
 		case <-ctx.Done():
--- a/control/config.go
+++ b/control/config.go
@@ -64,8 +64,13 @@
 	if current == 0 && c.ListsHolders {
 		s.holders = &HolderList{}
 	}
+	return s.pushConfig(c, &next)
+}
+
+// pushConfig makes a configuration the one in effect.
+func (s *State) pushConfig(c azurestair.Command, next *azurestair.Config) azurestair.Result {
 	s.history.push(ConfigRecord{
-		Config:   &next,
+		Config:   next,
 		Operator: c.Config.Change.Operator,
 		Reason:   c.Config.Change.Reason,
 		ChangeID: c.Config.Change.ID,
@@ -83,14 +88,7 @@
 	if next.Version <= current {
 		return azurestair.Result{Code: azurestair.ResultUnchanged, Version: current}
 	}
-	s.history.push(ConfigRecord{
-		Config:   &next,
-		Operator: c.Config.Change.Operator,
-		Reason:   c.Config.Change.Reason,
-		ChangeID: c.Config.Change.ID,
-		At:       c.At,
-	}, MaxHistory)
-	return azurestair.Result{Code: azurestair.ResultAccepted, Version: next.Version}
+	return s.pushConfig(c, &next)
 }
 
 // readConfig answers a read at its place in the log.
--- a/instance/member.go
+++ b/instance/member.go
@@ -76,6 +76,8 @@
 	nextMove  time.Time
 	connected bool
 	saidLost  time.Time
+	// saidAhead is when the log last said that the leader has an older configuration.
+	saidAhead time.Time
 
 	// learn takes the control instances of each new snapshot; it may be nil.
 	learn func([]peer.Address)
@@ -315,8 +317,8 @@
 		m.log.Warn("snapshot rejected", "err", err)
 		return
 	}
-	if now.Sub(m.saidLost) >= lostEvery {
-		m.saidLost = now
+	if now.Sub(m.saidAhead) >= lostEvery {
+		m.saidAhead = now
 		m.log.Error("the log has lost an accepted configuration; apply it again", "inForce", m.snapshot.ConfigVersion(), "err", err)
 	}
 }
