Stop the voter that must not hold the lost change

Cause: the case of an accepted change that is lost froze one voter while the change was made. The leader had already written the change to that voter's connection, so the thawed voter read and stored it, won the election and kept it: the log of the failed run shows control-1 leading with version 5. Nothing was lost, and no instance had to say so.

Change: the voter is killed instead, so the change reaches two voters only. The checks and their bounds are as before.

Ruled out: load that delays the message beyond 20 s; in each failed run the new leader had version 5 within 2 s.

Conclusion: a frozen process is not a process without the messages sent to it; the case tests what it names now.

--- a/faults/storage_test.go
+++ b/faults/storage_test.go
@@ -80,7 +80,9 @@
 			leader := f.leader()
 			behind := shuffled(rng, f.others(append([]*node{leader}, f.entriesOnly()...)...))[0]
 			Eventually(f.sameLog, "20s").Should(Succeed())
-			behind.freeze()
+			// A frozen voter would read the change from its connection once it runs
+			// again, and the change would not be lost.
+			behind.kill()
 			at := f.entriesOnly()[0]
 			v = f.apply(at, v, "lost")
 			Eventually(f.inForce, "20s").WithArguments(v, at).Should(Succeed())
@@ -92,7 +94,7 @@
 				tear(rng, n)
 				n.start()
 			}
-			behind.thaw()
+			behind.start()
 			Eventually(at.logText, "20s").Should(ContainSubstring("the log has lost an accepted configuration"))
 			// The leader publishes nothing in its quiet time; its answers until then
 			// let the instance trust its configuration for the control deadline.
