--- a/budget.go
+++ b/budget.go
@@ -83,6 +83,8 @@
 	Answered ReportNumber `cbor:"9,keyasint,omitempty" json:"answered,omitempty"`
 	// Repeat stands for Instance, Alive and Demands of an earlier report.
 	Repeat *Repeat `cbor:"10,keyasint,omitempty" json:"repeat,omitempty"`
+	// Traffic is what the requests that reach the instance ask for.
+	Traffic []Traffic `cbor:"11,keyasint,omitempty" json:"traffic,omitempty"`
 }
 
 // ReportNumber counts the reports of an instance, starting at 1.
@@ -108,6 +110,9 @@
 			return err
 		}
 	}
+	if err := validateAll("elements of traffic", r.Traffic, MaxTraffic); err != nil {
+		return err
+	}
 	for _, d := range r.Demands {
 		if d.InUse < 0 || d.Want < 0 || d.Floor < 0 || d.Held < 0 {
 			return fmt.Errorf("%w: demand for %s is negative", ErrInvalid, d.Resource)
@@ -168,6 +173,8 @@
 	RemovedInstances []InstanceID   `cbor:"7,keyasint,omitempty" json:"removedInstances,omitempty"`
 	Upstreams        []UpstreamInfo `cbor:"8,keyasint,omitempty" json:"upstreams,omitempty"`
 	RemovedUpstreams []UpstreamID   `cbor:"9,keyasint,omitempty" json:"removedUpstreams,omitempty"`
+	// Plans replaces the held ones; nil when they have not changed.
+	Plans []RegionPlan `cbor:"11,keyasint,omitempty" json:"plans,omitempty"`
 }
 
 // Validate checks the delta.
@@ -175,6 +182,6 @@
 	if d.Revision <= d.Base {
 		return fmt.Errorf("%w: delta from revision %d to %d", ErrInvalid, d.Base, d.Revision)
 	}
-	s := Snapshot{Config: d.Config, Instances: d.Instances, Upstreams: d.Upstreams}
+	s := Snapshot{Config: d.Config, Instances: d.Instances, Upstreams: d.Upstreams, Plans: d.Plans}
 	return s.Validate()
 }
--- /dev/null
+++ b/control/plan_test.go
@@ -0,0 +1,303 @@
+package control_test
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/control"
+)
+
+// planRig steps a planner once a second. The regions have 2, 10 and 12
+// upstreams of 9 slots, as one service of the deployments of today.
+type planRig struct {
+	planner control.Planner
+	snap    azurestair.Snapshot
+	now     time.Time
+	// busy is what all requests take, in slots.
+	busy float64
+}
+
+var planRegions = []azurestair.RegionName{"huye", "kigali", "musanze"}
+
+func newPlanRig() *planRig {
+	r := &planRig{now: start, busy: 150}
+	r.snap.Config = &azurestair.Config{Version: 1, Services: []azurestair.Service{{Name: "desk"}}}
+	r.setUpstreams(10, 2, 12)
+	return r
+}
+
+// setUpstreams sets how many upstreams the regions have, in their order.
+func (r *planRig) setUpstreams(counts ...int) {
+	r.snap.Upstreams = nil
+	for i, n := range counts {
+		for w := range n {
+			r.snap.Upstreams = append(r.snap.Upstreams, azurestair.UpstreamInfo{Confirmed: true, Announcement: azurestair.Announcement{
+				Upstream: azurestair.UpstreamID(fmt.Sprintf("%s-%d", planRegions[i], w)), Service: "desk", Region: planRegions[i], Slots: 9,
+				State: azurestair.StateServing,
+			}})
+		}
+	}
+}
+
+// step gives the planner a second of traffic, by region, and takes over its plans.
+func (r *planRig) step(rates ...float64) {
+	total := 0.0
+	for _, n := range rates {
+		total += n
+	}
+	traffic := map[azurestair.RegionName][]azurestair.Traffic{}
+	for i, n := range rates {
+		traffic[planRegions[i]] = []azurestair.Traffic{{
+			Service: "desk", Rate: azurestair.PerSecond(n), Slots: azurestair.MeanSlots(r.busy * n / max(total, 1)),
+		}}
+	}
+	r.now = r.now.Add(time.Second)
+	r.snap.Plans = r.planner.Step(&r.snap, traffic, r.now)
+}
+
+// share returns the part of the objects of home that is placed in region.
+func (r *planRig) share(home, region azurestair.RegionName) float64 {
+	for _, p := range r.snap.PlanOf("desk") {
+		if p.Region == home {
+			for _, s := range p.Shares {
+				if s.Region == region {
+					return s.Share
+				}
+			}
+		}
+	}
+	return 0
+}
+
+func (r *planRig) shares() map[azurestair.RegionName]map[azurestair.RegionName]float64 {
+	out := map[azurestair.RegionName]map[azurestair.RegionName]float64{}
+	for _, home := range planRegions {
+		out[home] = map[azurestair.RegionName]float64{}
+		for _, region := range planRegions {
+			out[home][region] = r.share(home, region)
+		}
+	}
+	return out
+}
+
+// worstLoad returns the highest load of a region under rates, against that of all.
+func (r *planRig) worstLoad(rates ...float64) float64 {
+	slots := []float64{90, 18, 108}
+	worst, all := 0.0, 0.0
+	for _, n := range rates {
+		all += n
+	}
+	for i, region := range planRegions {
+		carried := 0.0
+		for j, home := range planRegions {
+			carried += rates[j] * r.share(home, region)
+		}
+		worst = max(worst, carried/slots[i]*216/all)
+	}
+	return worst
+}
+
+// wave returns the rates of the regions at a time, whose busy hours differ.
+func wave(second int) []float64 {
+	rates := make([]float64, len(planRegions))
+	for i := range rates {
+		rates[i] = 150 * (1 + 0.55*math.Sin(2*math.Pi*(float64(second)/36+float64(i)/3)))
+	}
+	return rates
+}
+
+// expectSums checks that the shares of each region add up to 1.
+func expectSums(r *planRig) {
+	GinkgoHelper()
+	for home, shares := range r.shares() {
+		sum := 0.0
+		for _, s := range shares {
+			sum += s
+		}
+		Expect(sum).To(BeNumerically("~", 1, 0.003), "shares of %s", home)
+	}
+}
+
+// moved returns the largest part of a region's requests that two plans place differently.
+func moved(a, b map[azurestair.RegionName]map[azurestair.RegionName]float64) float64 {
+	most := 0.0
+	for home := range a {
+		sum := 0.0
+		for region, s := range a[home] {
+			sum += math.Abs(s-b[home][region]) / 2
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+var _ = Describe("the plan of regions", func() {
+	// Guards against a region with few upstreams that keeps all its objects.
+	It("counts on the same traffic everywhere before there is any", func() {
+		r := newPlanRig()
+		r.step(0, 0, 0)
+		Expect(r.share("kigali", "kigali")).To(BeNumerically("~", 0.25, 0.01))
+		Expect(r.share("kigali", "huye")).To(BeNumerically("~", 0.25, 0.01))
+		Expect(r.share("huye", "huye")).To(BeEquivalentTo(1))
+		expectSums(r)
+	})
+
+	// Guards against a region that refuses work at its busy hour while others have room.
+	It("follows busy hours that differ, within the limit on shifts", func() {
+		r, fixed := newPlanRig(), newPlanRig()
+		r.step(0, 0, 0)
+		fixed.step(0, 0, 0)
+		worst, worstFixed := 0.0, 0.0
+		history := []map[azurestair.RegionName]map[azurestair.RegionName]float64{}
+		for s := range 108 {
+			r.step(wave(s)...)
+			expectSums(r)
+			if s > 36 {
+				worst = max(worst, r.worstLoad(wave(s)...))
+				worstFixed = max(worstFixed, fixed.worstLoad(wave(s)...))
+			}
+			history = append(history, r.shares())
+			if s >= 2 {
+				Expect(moved(history[s-2], history[s])).To(BeNumerically("<=", 0.15))
+			}
+		}
+		Expect(worstFixed).To(BeNumerically(">", 1.5))
+		Expect(worst).To(BeNumerically("<", 1.4))
+	})
+
+	// Guards against objects that move, and are cold once more, without need.
+	It("stays as it is while the load is even", func() {
+		r := newPlanRig()
+		r.step(0, 0, 0)
+		first := r.shares()
+		for s := range 30 {
+			r.step(150+10*float64(s%3), 150, 150-10*float64(s%3))
+		}
+		Expect(moved(first, r.shares())).To(BeZero())
+	})
+
+	// Guards against a plan that takes the restart of a region's entries for less traffic.
+	It("bears entries that count nothing for some seconds", func() {
+		r := newPlanRig()
+		r.step(0, 0, 0)
+		r.step(150, 150, 150)
+		first := r.shares()
+		for range 3 {
+			r.step(150, 0, 150)
+		}
+		Expect(moved(first, r.shares())).To(BeZero())
+	})
+
+	// Guards against objects that stay away for ever from a region that has room for them.
+	It("brings objects back slowly when the load is small", func() {
+		r := newPlanRig()
+		r.step(0, 0, 0)
+		r.busy = 20
+		for range 60 {
+			before := r.shares()
+			r.step(150, 150, 150)
+			Expect(moved(before, r.shares())).To(BeNumerically("<=", 0.012))
+		}
+		Expect(r.share("kigali", "kigali")).To(BeNumerically(">=", 0.65))
+	})
+
+	// Guards against the upstreams that are left after the loss of a zone and
+	// refuse what other regions have room for.
+	It("changes at once when a region loses room that is needed", func() {
+		r := newPlanRig()
+		r.step(0, 0, 0)
+		r.step(150, 150, 150)
+		r.setUpstreams(5, 2, 12)
+		r.step(150, 150, 150)
+		Expect(r.share("huye", "huye")).To(BeNumerically("~", 0.79, 0.02), "45 of 171 slots for a third of the requests")
+		expectSums(r)
+	})
+
+	// Guards against objects that move because of room that nobody needs.
+	It("stays as it is when a region loses room that is not needed", func() {
+		r := newPlanRig()
+		r.step(0, 0, 0)
+		r.busy = 60
+		r.step(150, 150, 150)
+		first := r.shares()
+		r.setUpstreams(5, 2, 12)
+		r.step(150, 150, 150)
+		Expect(moved(first, r.shares())).To(BeNumerically("<=", 0.012))
+	})
+
+	// Guards against objects that all move when the leader changes.
+	It("is continued by the next leader", func() {
+		r := newPlanRig()
+		r.step(0, 0, 0)
+		for s := range 20 {
+			r.step(wave(s)...)
+		}
+		before := r.shares()
+		r.planner = control.Planner{}
+		r.step(wave(20)...)
+		Expect(moved(before, r.shares())).To(BeNumerically("<=", 0.05))
+	})
+})
+
+var _ = Describe("traffic", func() {
+	// Guards against a plan that sees less work where more is refused.
+	It("counts refused requests like those that are served", func() {
+		var m control.TrafficMeter
+		counts := control.TrafficCount{}
+		var got []azurestair.Traffic
+		for s := range 20 {
+			counts.Asked += 100
+			counts.Ended += 50
+			counts.Busy += 50 * 300 * time.Millisecond
+			got = m.Traffic(map[azurestair.ServiceName]control.TrafficCount{"desk": counts}, at(1000*(s+1)))
+		}
+		Expect(got).To(HaveLen(1))
+		Expect(float64(got[0].Rate)).To(BeNumerically("~", 100, 1))
+		Expect(float64(got[0].Slots)).To(BeNumerically("~", 30, 0.5), "100 a second of 0.3 s")
+	})
+
+	// Guards against a plan from the entries that happened to report first to a new leader.
+	It("is not known to a new leader before all entries have reported", func() {
+		r := &control.Registry{}
+		r.Seed(&azurestair.Snapshot{Instances: []azurestair.InstanceInfo{entry(1), entry(2)}}, at(0))
+		report := func(n, ms int) {
+			Expect(r.Instance(entry(n), at(ms))).To(Succeed())
+			r.SetTraffic(entry(n).ID, []azurestair.Traffic{{Service: "desk", Rate: 10, Slots: 3}})
+		}
+		report(1, 100)
+		Expect(r.Traffic()).To(BeNil())
+		report(2, 200)
+		Expect(r.Traffic()).To(Equal(map[azurestair.RegionName][]azurestair.Traffic{"kigali": {{Service: "desk", Rate: 20, Slots: 6}}}))
+	})
+})
+
+var _ = Describe("published plans", func() {
+	// Guards against entries of one region that place the same object differently.
+	It("reach the holders of earlier snapshots", func() {
+		r := &control.Registry{}
+		announce(r, 0, 1, 2)
+		Expect(r.Instance(entry(1), at(0))).To(Succeed())
+		src := source(r)
+		src.Config = &azurestair.Config{
+			Version: 1, Services: []azurestair.Service{{Name: "catalogue"}}, Routes: []azurestair.Route{{Name: "all"}},
+		}
+		p := &control.Publisher{}
+		first := expectPublishing(true, p, src, 0)
+		Expect(first.PlanOf("catalogue")).To(HaveLen(1))
+		far := worker(3)
+		far.Region, far.Slots = "huye", 20
+		Expect(r.Announce(far, at(1500))).To(Succeed())
+		next := expectPublishing(true, p, src, 1500)
+		Expect(next.PlanOf("catalogue")).To(HaveLen(2))
+		d, whole := p.Delta(first.Term, first.Revision)
+		Expect(whole).To(BeNil())
+		held, err := control.ApplyDelta(first, d)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(held).To(Equal(next))
+	})
+})
--- a/control/publisher.go
+++ b/control/publisher.go
@@ -53,17 +53,21 @@
 	listing, loads, refreshed uint64
 	// loadsAt and refreshAt are the earliest times of the next one.
 	loadsAt, refreshAt time.Time
+	planner            Planner
+	// planAt is the earliest time of the next step of the plans.
+	planAt time.Time
 }
 
 // revisionChange names what a revision changed; the values are in the current snapshot.
 type revisionChange struct {
-	config, drains bool
-	upstreams      []azurestair.UpstreamID
-	instances      []azurestair.InstanceID
+	config, drains, plans bool
+
+	upstreams []azurestair.UpstreamID
+	instances []azurestair.InstanceID
 }
 
 func (c revisionChange) empty() bool {
-	return !c.config && !c.drains && len(c.upstreams) == 0 && len(c.instances) == 0
+	return !c.config && !c.drains && !c.plans && len(c.upstreams) == 0 && len(c.instances) == 0
 }
 
 // depth says which changes of the registry a comparison takes over.
@@ -101,20 +105,39 @@
 		next.Upstreams, c.upstreams = mergeSorted(next.Upstreams, src.Registry.Upstreams(), upstreamKey, d.keepsUpstream)
 		next.Instances, c.instances = mergeSorted(next.Instances, src.Registry.Instances(), instanceKey, d.keepsInstance)
 	}
-	if c.empty() {
-		return p.current, false
-	}
 	next.Config = src.Config
 	if c.drains {
 		// Never nil, so that an encoded delta tells no drains from unchanged ones.
 		next.Drains = append([]azurestair.Drain{}, src.Drains...)
 	}
+	c.plans = p.plan(&next, src.Registry, now)
+	if c.empty() {
+		return p.current, false
+	}
 	next.Commit = src.Commit
 	next.Revision++
 	p.record(&next, c)
 	return p.current, true
 }
 
+// plan takes a step of the plans when one is due and reports whether s has new ones.
+func (p *Publisher) plan(s *azurestair.Snapshot, r *Registry, now time.Time) bool {
+	if s.Config.IsLeased() || now.Before(p.planAt) {
+		return false
+	}
+	p.planAt = now.Add(planStep)
+	traffic := r.Traffic()
+	if traffic == nil {
+		return false
+	}
+	plans := p.planner.Step(s, traffic, now)
+	if !plansDiffer(s.Plans, plans) {
+		return false
+	}
+	s.Plans = plans
+	return true
+}
+
 // NextDeadline returns when Publish must be called although the registry has
 // not changed again; zero if never.
 func (p *Publisher) NextDeadline(r *Registry) time.Time {
@@ -133,10 +156,14 @@
 	s := &azurestair.Snapshot{
 		Term: src.Term, Revision: 1, Commit: src.Commit, Config: src.Config, Drains: slices.Clone(src.Drains),
 		Upstreams: src.Registry.Upstreams(), Instances: src.Registry.Instances(),
+		Plans: src.Registry.seededPlans,
 	}
 	if p.current != nil {
 		s.Revision = p.current.Revision + 1
 	}
+	if s.Plans == nil && !s.Config.IsLeased() {
+		s.Plans = p.planner.Step(s, nil, now)
+	}
 	p.current, p.changes, p.deltas = s, nil, nil
 	p.compared(src.Registry, depthAll, now)
 }
@@ -238,6 +265,7 @@
 	for _, c := range p.changes[len(p.changes)-int(s.Revision-held):] {
 		all.config = all.config || c.config
 		all.drains = all.drains || c.drains
+		all.plans = all.plans || c.plans
 		all.upstreams = append(all.upstreams, c.upstreams...)
 		all.instances = append(all.instances, c.instances...)
 	}
@@ -247,6 +275,9 @@
 	if all.drains {
 		d.Drains = &s.Drains
 	}
+	if all.plans {
+		d.Plans = s.Plans
+	}
 	d.Upstreams, d.RemovedUpstreams = collectKeys(s.Upstreams, all.upstreams, upstreamKey)
 	d.Instances, d.RemovedInstances = collectKeys(s.Instances, all.instances, instanceKey)
 	return d
@@ -271,6 +302,9 @@
 	if d.Drains != nil {
 		next.Drains = *d.Drains
 	}
+	if d.Plans != nil {
+		next.Plans = d.Plans
+	}
 	next.Upstreams = patchSorted(s.Upstreams, d.Upstreams, d.RemovedUpstreams, upstreamKey)
 	next.Instances = patchSorted(s.Instances, d.Instances, d.RemovedInstances, instanceKey)
 	return &next, nil
--- a/control/registry.go
+++ b/control/registry.go
@@ -61,6 +61,8 @@
 	departed  map[azurestair.UpstreamID]azurestair.Incarnation
 	warmUntil time.Time
 	seeded    bool
+	// seededPlans is what the predecessor published.
+	seededPlans []azurestair.RegionPlan
 	// next is a lower bound of the next deadline; extending a lease leaves it.
 	next time.Time
 	// listing counts changes that are published at once, soft the others.
@@ -75,9 +77,13 @@
 }
 
 type instanceRecord struct {
-	info   azurestair.InstanceInfo
-	until  time.Time
-	listed bool
+	info azurestair.InstanceInfo
+	// traffic is what the requests that reach the instance ask for.
+	traffic []azurestair.Traffic
+	until   time.Time
+	listed  bool
+	// seeded is true until the instance reports to this leader.
+	seeded bool
 }
 
 // Seed starts a new leader's registry from the last snapshot that the instance
@@ -89,14 +95,14 @@
 	if s == nil {
 		return
 	}
-	r.seeded = true
+	r.seeded, r.seededPlans = true, s.Plans
 	r.init()
 	for _, u := range s.Upstreams {
 		u.Confirmed = false
 		r.upstreams[u.Announcement.Upstream] = &upstreamRecord{info: u, until: now.Add(r.lease()), listed: true}
 	}
 	for _, i := range s.Instances {
-		r.instances[i.ID] = &instanceRecord{info: i, until: now.Add(InstanceLease), listed: true}
+		r.instances[i.ID] = &instanceRecord{info: i, until: now.Add(InstanceLease), listed: true, seeded: true}
 	}
 }
 
@@ -240,7 +246,7 @@
 	case rec.info != info:
 		r.soft++
 	}
-	rec.info, rec.listed = info, true
+	rec.info, rec.listed, rec.seeded = info, true, false
 	rec.until = now.Add(InstanceLease)
 	r.wakeAt(rec.until)
 	return nil
--- a/control/repeat.go
+++ b/control/repeat.go
@@ -28,7 +28,7 @@
 	return azurestair.Report{
 		Repeat: &azurestair.Repeat{Instance: r.Instance.ID, Incarnation: r.Instance.Incarnation, Base: s.base},
 		Number: r.Number, Answered: r.Answered,
-		Announcements: r.Announcements, HeldTerm: r.HeldTerm, HeldRevision: r.HeldRevision,
+		Announcements: r.Announcements, Traffic: r.Traffic, HeldTerm: r.HeldTerm, HeldRevision: r.HeldRevision,
 	}
 }
 
@@ -91,7 +91,7 @@
 		delete(r.last, q.Instance.ID)
 		return
 	}
-	q.Announcements = nil
+	q.Announcements, q.Traffic = nil, nil
 	r.last[q.Instance.ID] = &received{whole: q}
 }
 
--- /dev/null
+++ b/control/traffic.go
@@ -0,0 +1,102 @@
+package control
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"azurestair.example/azurestair"
+)
+
+// trafficMemory is the time constant of the smoothing, long against the interval
+// of reports.
+const trafficMemory = 2 * time.Second
+
+// TrafficCount counts the requests for a service since its start.
+type TrafficCount struct {
+	Asked, Ended uint64
+	// Busy is the time of all ended attempts together.
+	Busy time.Duration
+}
+
+// TrafficMeter turns growing counts into the slots that the requests take. The
+// zero value has counted nothing.
+type TrafficMeter struct {
+	at     time.Time
+	counts map[azurestair.ServiceName]TrafficCount
+	rates  map[azurestair.ServiceName]trafficRates
+}
+
+// trafficRates holds smoothed rates in events, or seconds of work, a second.
+type trafficRates struct{ asked, ended, busy float64 }
+
+// Traffic returns what follows from the counts until now, in the order of the services.
+func (m *TrafficMeter) Traffic(counts map[azurestair.ServiceName]TrafficCount, now time.Time) []azurestair.Traffic {
+	if elapsed := now.Sub(m.at); !m.at.IsZero() && elapsed > 0 {
+		m.learn(counts, elapsed)
+	}
+	m.at, m.counts = now, counts
+	var out []azurestair.Traffic
+	for s, r := range m.rates {
+		n := 0.0
+		if r.ended > 0 {
+			n = r.asked * r.busy / r.ended
+		}
+		out = append(out, azurestair.Traffic{
+			Service: s, Rate: azurestair.PerSecond(math.Round(r.asked*100) / 100), Slots: azurestair.MeanSlots(math.Round(n*100) / 100),
+		})
+	}
+	slices.SortFunc(out, func(a, b azurestair.Traffic) int { return cmp.Compare(a.Service, b.Service) })
+	return out
+}
+
+func (m *TrafficMeter) learn(counts map[azurestair.ServiceName]TrafficCount, elapsed time.Duration) {
+	gain := 1 - math.Exp(-float64(elapsed)/float64(trafficMemory))
+	rates := map[azurestair.ServiceName]trafficRates{}
+	for s, c := range counts {
+		last, r := m.counts[s], m.rates[s]
+		towards := func(rate *float64, events float64) { *rate += gain * (events/elapsed.Seconds() - *rate) }
+		towards(&r.asked, float64(c.Asked-last.Asked))
+		towards(&r.ended, float64(c.Ended-last.Ended))
+		towards(&r.busy, (c.Busy - last.Busy).Seconds())
+		rates[s] = r
+	}
+	m.rates = rates
+}
+
+// SetTraffic takes over what the requests that reach an instance ask for.
+func (r *Registry) SetTraffic(id azurestair.InstanceID, t []azurestair.Traffic) {
+	if rec := r.instances[id]; rec != nil && rec.listed {
+		rec.traffic = t
+	}
+}
+
+// Traffic returns what the requests of each region ask for. It is nil until all
+// instances of the predecessor have reported or lapsed.
+func (r *Registry) Traffic() map[azurestair.RegionName][]azurestair.Traffic {
+	out := map[azurestair.RegionName][]azurestair.Traffic{}
+	for _, rec := range r.instances {
+		if rec.seeded {
+			return nil
+		}
+		if rec.listed {
+			out[rec.info.Region] = addTraffic(out[rec.info.Region], rec.traffic)
+		}
+	}
+	return out
+}
+
+// addTraffic adds the traffic of one more instance to a sum.
+func addTraffic(sum, more []azurestair.Traffic) []azurestair.Traffic {
+	for _, t := range more {
+		i := slices.IndexFunc(sum, func(s azurestair.Traffic) bool { return s.Service == t.Service })
+		if i < 0 {
+			sum = append(sum, t)
+			continue
+		}
+		sum[i].Rate += t.Rate
+		sum[i].Slots += t.Slots
+	}
+	return sum
+}
--- a/instance/entry.go
+++ b/instance/entry.go
@@ -185,6 +185,15 @@
 	return append(out, e.links.demands(s, h, now)...)
 }
 
+// trafficCounts counts the requests for each service that have reached this entry.
+func (e *Entry) trafficCounts() map[azurestair.ServiceName]control.TrafficCount {
+	counts := map[azurestair.ServiceName]control.TrafficCount{}
+	for name, g := range e.allGates() {
+		counts[name] = g.trafficCount()
+	}
+	return counts
+}
+
 // demandMargin is what an entry wants beyond its present use, so that a
 // growing load need not wait for the next report.
 const demandMargin = 4
--- a/instance/gate.go
+++ b/instance/gate.go
@@ -32,6 +32,7 @@
 	policy   retry.Policy
 	budget   retry.Budget
 	latency  retry.Latency
+	traffic  control.TrafficCount
 	rand     azurestair.Rand
 	// slots is what the leases allow; late attempts are taken off it.
 	slots azurestair.Slots
@@ -285,6 +286,9 @@
 	if r == azurestair.AttemptDone {
 		g.latency.Observe(latency)
 	}
+	if r == azurestair.AttemptDone || r == azurestair.AttemptTimeout {
+		g.countEnded(latency)
+	}
 	g.free(c, r == azurestair.AttemptTimeout, now)
 	g.signalFreed()
 }
@@ -299,6 +303,9 @@
 	} else {
 		g.picker.Done(c, azurestair.AttemptDone, elapsed, now)
 	}
+	if sent {
+		g.countEnded(elapsed)
+	}
 	g.free(c, sent, now)
 	g.signalFreed()
 }
@@ -361,6 +368,25 @@
 	return slices.Clone(p.ProbeCandidates(g.clock.Now()))
 }
 
+// countAsked counts a request that has come for the service.
+func (g *gate) countAsked() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.traffic.Asked++
+}
+
+func (g *gate) trafficCount() control.TrafficCount {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.traffic
+}
+
+// countEnded counts an attempt that took up its upstream. The caller holds mu.
+func (g *gate) countEnded(took time.Duration) {
+	g.traffic.Ended++
+	g.traffic.Busy += took
+}
+
 // countRequest adds a request's share to the retry budget.
 func (g *gate) countRequest() {
 	g.mu.Lock()
--- a/instance/lead.go
+++ b/instance/lead.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"azurestair.example/azurestair"
@@ -83,11 +84,32 @@
 	if snap != nil && snap != r.limited {
 		r.setLimits(snap, now)
 	}
-	if changed && isUrgent(prev, snap) {
+	if !changed {
+		return
+	}
+	r.logPlans(snap)
+	if isUrgent(prev, snap) {
 		r.notifier.notify(snap.Instances)
 	}
 }
 
+// logPlans logs the plans of regions when they have changed, at most once a
+// second as the planner steps.
+func (r *Replica) logPlans(s *azurestair.Snapshot) {
+	var b strings.Builder
+	for _, p := range s.Plans {
+		fmt.Fprintf(&b, "%s/%s:", p.Service, p.Region)
+		for _, share := range p.Shares {
+			fmt.Fprintf(&b, " %s=%.2f", share.Region, share.Share)
+		}
+		b.WriteString("; ")
+	}
+	if text := strings.TrimSuffix(b.String(), "; "); text != r.saidPlans {
+		r.saidPlans = text
+		r.log.Info("plan of regions changed", "shares", text, "revision", s.Revision)
+	}
+}
+
 // publishedConfig returns the configuration in effect without its document,
 // which only reads at the leader need. One version has one pointer, by which
 // the publisher tells versions apart.
@@ -178,6 +200,7 @@
 	} else if err := r.registry.Instance(q.Instance, now); err != nil {
 		return reply, err
 	}
+	r.registry.SetTraffic(q.Instance.ID, q.Traffic)
 	for _, a := range q.Announcements {
 		if err := r.registry.Announce(a, now); err != nil {
 			r.log.Warn("announcement rejected", "upstream", a.Upstream, "from", q.Instance.ID, "err", err)
--- a/instance/member.go
+++ b/instance/member.go
@@ -53,6 +53,7 @@
 	heardAt         time.Time
 	holder          control.Holder
 	reports         control.ReportSender
+	traffic         control.TrafficMeter
 	table           *lookup.Table
 	routes          *routing.Routes
 	tableDone       bool
@@ -245,6 +246,9 @@
 		r.Alive = append(r.Alive, id)
 	}
 	slices.Sort(r.Alive)
+	if m.entry != nil && m.snapshot != nil && !m.snapshot.Config.IsLeased() {
+		r.Traffic = m.traffic.Traffic(m.entry.trafficCounts(), now)
+	}
 	if m.entry != nil && m.snapshot != nil {
 		r.Demands = m.entry.demands(m.snapshot, &m.holder, now)
 		for i, d := range r.Demands {
--- a/instance/replica.go
+++ b/instance/replica.go
@@ -86,6 +86,8 @@
 	limited *azurestair.Snapshot
 	// published is the configuration in effect without its document.
 	published *azurestair.Config
+	// saidPlans is how the log last described the plans of regions.
+	saidPlans string
 
 	// roster keeps the membership of the log; nil leaves it to operators.
 	roster   *control.Roster
--- a/instance/serve.go
+++ b/instance/serve.go
@@ -90,6 +90,7 @@
 	if !ok || g == nil {
 		return withoutProof(r, invalid(azurestair.ReasonUnknownOperation))
 	}
+	g.countAsked()
 	c := &call{entry: e, gate: g, req: r, op: op, config: v.snapshot.Config, route: route, work: azurestair.Work{
 		Service: r.Service, Operation: r.Operation, Rank: op.Rank, Idempotent: op.Idempotent, Caller: r.Caller,
 		Deadline: deadlineOf(r, op, now),
--- a/model/doc.go
+++ b/model/doc.go
@@ -5,8 +5,8 @@
 // refusal. Each entry runs its own placement.Picker, as the product does. An
 // upstream has slots, a queue and a memory of the objects that it handled last;
 // a remembered object takes a fraction of the work. Upstreams can be lost and
-// come back without memory, and the rate can burst. A Result counts what
-// clients see.
+// come back without memory, the rate can burst, and the regions can have their
+// busy hours at different times. A Result counts what clients see.
 //
 // The model leaves out what does not depend on placement: connections, bytes,
 // processor time, configuration and the delays between regions.
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -59,6 +59,22 @@
 		})
 	})
 
+	// Guards against a region that refuses work at its busy hour while the others
+	// have room.
+	It("shares the room of regions whose busy hours differ", func() {
+		s := pattern("busyHours")
+		fixed := s
+		fixed.FixedPlan = true
+		var without []model.Result
+		eachSeed(fixed, func(r model.Result) { without = append(without, r) })
+		eachSeed(s, func(r model.Result) {
+			before := without[0].Total()
+			without = without[1:]
+			Expect(r.Total().Refused).To(BeNumerically("<", before.Refused))
+			Expect(r.Total().Credit()).To(BeNumerically(">", before.Credit()))
+		})
+	})
+
 	// Guards against the loss of half a region's upstreams that makes the others
 	// forget their objects, and against a crash of those that come back cold.
 	It("bears the loss of a zone and its cold return", func() {
--- a/model/run.go
+++ b/model/run.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/control"
 	"azurestair.example/azurestair/placement"
 )
 
@@ -58,6 +59,11 @@
 	upstreams map[azurestair.UpstreamID]*upstream
 	order     []*upstream
 	pickers   [][]*placement.Picker
+	planner   control.Planner
+	plans     []azurestair.RegionPlan
+	// meters and counts hold the traffic of each region.
+	meters    []control.TrafficMeter
+	counts    []control.TrafficCount
 	result    Result
 	warm, all float64
 }
@@ -71,7 +77,7 @@
 	w := &world{Scenario: s, rng: rand.New(rand.NewPCG(s.Seed, s.Seed)), upstreams: map[azurestair.UpstreamID]*upstream{}}
 	w.result.Windows = make([]Window, int(s.Length/windowLength)+1)
 	w.build()
-	w.publish()
+	w.publishAgain()
 	for region := range s.Regions {
 		w.arrive(region)
 	}
@@ -112,6 +118,8 @@
 			}))
 		}
 		w.pickers = append(w.pickers, list)
+		w.meters = append(w.meters, control.TrafficMeter{})
+		w.counts = append(w.counts, control.TrafficCount{})
 	}
 }
 
@@ -137,6 +145,9 @@
 			s.Instances = append(s.Instances, azurestair.InstanceInfo{ID: entryID(r, i), CallerAddr: "127.0.0.1:81", Region: region(r)})
 		}
 	}
+	s.Plans = w.plans
+	s.Plans = w.planner.Step(s, w.traffic(), w.time())
+	w.plans = s.Plans
 	for _, list := range w.pickers {
 		for _, p := range list {
 			p.Update(s, w.time())
@@ -144,6 +155,28 @@
 	}
 }
 
+// traffic returns what the requests of each region ask for.
+func (w *world) traffic() map[azurestair.RegionName][]azurestair.Traffic {
+	out := map[azurestair.RegionName][]azurestair.Traffic{}
+	for r := range w.counts {
+		list := w.meters[r].Traffic(map[azurestair.ServiceName]control.TrafficCount{service: w.counts[r]}, w.time())
+		if !w.FixedPlan {
+			out[region(r)] = list
+		}
+	}
+	return out
+}
+
+// publishEvery is the interval of snapshots while the traffic changes.
+const publishEvery = time.Second
+
+func (w *world) publishAgain() {
+	if w.now < w.Length {
+		w.publish()
+		w.after(publishEvery, w.publishAgain)
+	}
+}
+
 func (w *world) planLoss() {
 	if w.Loss.Upstreams == 0 {
 		return
@@ -168,6 +201,10 @@
 // arrive plans the next request of a region.
 func (w *world) arrive(r int) {
 	rate := w.Rate
+	if w.Wave.Period > 0 {
+		phase := float64(w.now)/float64(w.Wave.Period) + float64(r)/float64(w.Regions)
+		rate *= 1 + w.Wave.Swing*math.Sin(2*math.Pi*phase)
+	}
 	if w.now >= w.Burst.From && w.now < w.Burst.To {
 		rate *= w.Burst.Factor
 	}
@@ -192,11 +229,13 @@
 	region int
 	object azurestair.ObjectKey
 	asked  time.Duration
+	sent   time.Duration
 	tries  int
 }
 
 func (q *request) try() {
 	q.tries++
+	q.counts[q.region].Asked++
 	p := q.pickers[q.region][q.rng.IntN(q.Entries)]
 	work := azurestair.Work{Service: service, Rank: azurestair.RankInteractive, Idempotent: true, Object: q.object}
 	c, err := p.Pick(work, nil, q.time())
@@ -206,6 +245,7 @@
 	}
 	u := q.upstreams[c.Upstream]
 	sent := q.now
+	q.sent = sent
 	end := func(r azurestair.AttemptResult) {
 		load := azurestair.Load{InFlight: azurestair.Slots(u.running), Queued: azurestair.Slots(len(u.waiting))}
 		p.Observe(c, azurestair.Observation{Load: &load, Shed: r == azurestair.AttemptNotRun, Unreachable: u.gone}, q.time())
@@ -264,6 +304,8 @@
 			next()
 		}
 		end(azurestair.AttemptDone)
+		q.counts[q.region].Ended++
+		q.counts[q.region].Busy += q.now - q.sent
 		q.done()
 	})
 }
--- a/model/scenario.go
+++ b/model/scenario.go
@@ -32,6 +32,9 @@
 
 	Burst Burst
 	Loss  Loss
+	Wave  Wave
+	// FixedPlan keeps the plan of regions as it is without traffic.
+	FixedPlan bool
 
 	// Copies and Reach are those of placement.Options.
 	Copies, Reach int
@@ -43,6 +46,13 @@
 	Factor   float64
 }
 
+// Wave lets the rate of each region swing round its mean, the busy hours of the
+// regions evenly apart.
+type Wave struct {
+	Swing  float64
+	Period time.Duration
+}
+
 // Loss takes upstreams of the first region away for a time; they come back
 // without memory, and cold for as long as Cold.
 type Loss struct {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -39,6 +39,9 @@
 		Upstream: "u1", Service: "shop", Addr: "127.0.0.1:80", Region: "kigali", FailureDomain: "kigali-a", Slots: 9, MaxConns: 330,
 		State: azurestair.StateServing,
 	}
+	plan = azurestair.RegionPlan{
+		Service: "desk", Region: "kigali", Slots: 18, Shares: []azurestair.RegionShare{{Region: "kigali", Share: 0.25}},
+	}
 	claim  = azurestair.Claim{Service: "shop", Operation: "pay", Key: "k", Instance: "e1", Deadline: 1}
 	member = azurestair.Membership{Voters: []azurestair.InstanceID{"c1"}}
 )
@@ -47,6 +50,8 @@
 var valid = []any{
 	&azurestair.Report{Instance: instance, Announcements: []azurestair.Announcement{worker}, Demands: []azurestair.Demand{{Want: 3}}},
 	&azurestair.ReportReply{Term: 1, Delta: &azurestair.Delta{Base: 1, Revision: 2, Upstreams: []azurestair.UpstreamInfo{{Announcement: worker}}}},
+	&azurestair.Report{Instance: instance, Traffic: []azurestair.Traffic{{Service: "desk", Rate: 3, Slots: 1.5}}},
+	&azurestair.ReportReply{Term: 1, Delta: &azurestair.Delta{Base: 1, Revision: 2, Plans: []azurestair.RegionPlan{plan}}},
 	&azurestair.Command{Claim: &claim},
 	&azurestair.RaftMessage{Kind: azurestair.RaftAppend, From: "c1", To: "c2", Entries: []azurestair.LogEntry{{Index: 1, Term: 1, Data: []byte("x")}}},
 	&control.Query{Claim: &azurestair.ClaimQuery{Service: "shop", Key: "k"}},
@@ -62,13 +67,21 @@
 	"report with NaN": &azurestair.Report{Instance: instance, Announcements: []azurestair.Announcement{
 		changed(worker, func(a *azurestair.Announcement) { a.Load.CPU = math.NaN() }),
 	}},
+	"report with negative traffic": &azurestair.Report{Instance: instance, Traffic: []azurestair.Traffic{{Service: "desk", Rate: -1}}},
+	"report with NaN in traffic": &azurestair.Report{Instance: instance, Traffic: []azurestair.Traffic{{
+		Service: "desk", Slots: azurestair.MeanSlots(math.NaN()),
+	}}},
+	"report with much traffic":    &azurestair.Report{Instance: instance, Traffic: make([]azurestair.Traffic, azurestair.MaxTraffic+1)},
 	"report with negative demand": &azurestair.Report{Instance: instance, Demands: []azurestair.Demand{{Want: -1}}},
 	"report with many upstreams":  &azurestair.Report{Instance: instance, Alive: make([]azurestair.UpstreamID, azurestair.MaxReportUpstreams+1)},
 	"reply with two updates":      &azurestair.ReportReply{Snapshot: &azurestair.Snapshot{}, Delta: &azurestair.Delta{Revision: 1}},
 	"reply with backward delta":   &azurestair.ReportReply{Delta: &azurestair.Delta{Base: 2, Revision: 2}},
-	"empty command":               &azurestair.Command{},
-	"command with two parts":      &azurestair.Command{Claim: &claim, Drain: &azurestair.DrainChange{}},
-	"claim without deadline":      &azurestair.Command{Claim: new(changed(claim, func(c *azurestair.Claim) { c.Deadline = 0 }))},
+	"reply with a share above 1": &azurestair.ReportReply{Delta: &azurestair.Delta{Revision: 1, Plans: []azurestair.RegionPlan{
+		changed(plan, func(p *azurestair.RegionPlan) { p.Shares = []azurestair.RegionShare{{Region: "kigali", Share: 2}} }),
+	}}},
+	"empty command":          &azurestair.Command{},
+	"command with two parts": &azurestair.Command{Claim: &claim, Drain: &azurestair.DrainChange{}},
+	"claim without deadline": &azurestair.Command{Claim: new(changed(claim, func(c *azurestair.Claim) { c.Deadline = 0 }))},
 	"done without answer": &azurestair.Command{Finish: &azurestair.ClaimFinish{
 		Service: "shop", Key: "k", Instance: "e1", State: azurestair.ClaimDone,
 	}},
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -11,8 +11,10 @@
 // objects cold everywhere, and cold objects need more room.
 //
 // The region comes first: a region keeps the share of its objects that its
-// slots carry, and the others go by hash to regions with room. The plan
-// follows from the upstreams alone and so changes slowly.
+// slots carry, and the others go by hash to regions with room. The plan follows
+// from the upstreams and from the traffic of all regions, as the leader
+// publishes it, so that regions whose busy hours differ share their room. It
+// changes slowly, unless a region loses much of its room.
 //
 // Invariants: no work goes to an upstream that is drained, draining or
 // leaving; no work leaves the home regions of its request; a cold upstream
--- a/placement/health.go
+++ b/placement/health.go
@@ -37,6 +37,9 @@
 
 func (h *health) isOut(now time.Time) bool { return now.Before(h.outUntil) || h.trial }
 
+// isSuspect reports whether the worker was taken out and has not done well since.
+func (h *health) isSuspect() bool { return !h.outUntil.IsZero() }
+
 // needsTrial reports whether the next request decides if the worker is back.
 func (h *health) needsTrial(now time.Time) bool {
 	return !h.outUntil.IsZero() && !now.Before(h.outUntil) && !h.trial
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -87,7 +87,7 @@
 	return &Picker{opts: o, workers: map[azurestair.UpstreamID]*worker{}, plan: &plan{}}
 }
 
-// Update takes over the upstreams of the service.
+// Update takes over the upstreams and the plan of the service.
 func (p *Picker) Update(s *azurestair.Snapshot, now time.Time) {
 	if s == p.snapshot {
 		return
@@ -95,11 +95,10 @@
 	p.snapshot = s
 	service, _ := s.Config.Service(p.opts.Service)
 	entries := entriesOf(s)
-	slots := map[azurestair.RegionName]azurestair.Slots{}
 	listed := map[azurestair.UpstreamID]bool{}
 	p.byRegion = map[azurestair.RegionName][]*worker{}
 	p.usable = 0
-	skip := skipsUnconfirmed(s, p.opts.Service)
+	skip := s.SkipsUnconfirmed(p.opts.Service)
 	for _, u := range s.Upstreams {
 		a := u.Announcement
 		if a.Service != p.opts.Service {
@@ -116,7 +115,6 @@
 		if a.State != azurestair.StateServing || s.IsUpstreamDrained(a) || (skip && !u.Confirmed) {
 			continue
 		}
-		slots[a.Region] += a.Slots
 		p.usable++
 		p.byRegion[a.Region] = append(p.byRegion[a.Region], w)
 	}
@@ -125,28 +123,28 @@
 			delete(p.workers, id)
 		}
 	}
-	p.plan = newPlan(slots, nil)
+	p.replan()
 }
 
-// confirmedShare is the share of a service's upstreams that must be confirmed
-// for the others to get no work. After a change of the leader few are for a
-// moment, and these must not get all the work.
-const confirmedShare = 2.0 / 3
+// suspectRoom is the part of its slots that a worker counts for while it is
+// suspect, so that a region of such workers still gets the requests that try them.
+const suspectRoom = 0.1
 
-// skipsUnconfirmed reports whether upstreams that have ceased to announce
-// themselves are left out.
-func skipsUnconfirmed(s *azurestair.Snapshot, service azurestair.ServiceName) bool {
-	confirmed, all := 0, 0
-	for _, u := range s.Upstreams {
-		if u.Announcement.Service != service {
-			continue
-		}
-		all++
-		if u.Confirmed {
-			confirmed++
+// replan fits the leader's plan to the room that this entry sees. Workers that
+// it has taken out hardly count: here their loss is known seconds before their
+// lease lapses.
+func (p *Picker) replan() {
+	slots := map[azurestair.RegionName]float64{}
+	for r, list := range p.byRegion {
+		for _, w := range list {
+			n := float64(w.info.Slots)
+			if w.health.isSuspect() {
+				n *= suspectRoom
+			}
+			slots[r] += n
 		}
 	}
-	return float64(confirmed) >= confirmedShare*float64(all)
+	p.plan = newPlan(p.opts.Region, slots, p.snapshot.PlanOf(p.opts.Service))
 }
 
 func entriesOf(s *azurestair.Snapshot) []azurestair.InstanceID {
@@ -177,7 +175,7 @@
 	if object == 0 {
 		object = p.opts.Rand.Uint64()
 	}
-	region, ok := p.plan.choose(object, p.opts.Region, func(r azurestair.RegionName) bool { return isHome(work.Homes, r) })
+	region, ok := p.plan.choose(object, func(r azurestair.RegionName) bool { return isHome(work.Homes, r) })
 	if !ok {
 		return azurestair.Choice{}, routing.ErrorFor(azurestair.ReasonNoUpstream)
 	}
@@ -364,6 +362,7 @@
 		}
 		w.health.outUntil = time.Time{}
 		p.note(Event{Upstream: w.info.Upstream})
+		p.replan()
 		return
 	}
 	if w.health.isOut(now) {
@@ -389,6 +388,7 @@
 		w.health.eject(now)
 		e.Until = w.health.outUntil
 		p.note(e)
+		p.replan()
 	}
 }
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/control"
 	"azurestair.example/azurestair/placement"
 	"azurestair.example/azurestair/routing"
 )
@@ -60,19 +62,32 @@
 	return b
 }
 
-// set publishes the upstreams to all entries.
+// set publishes the upstreams to all entries, with the plans that they call for.
 func (b *bench) set(list ...azurestair.Announcement) {
 	snap := b.snap
-	snap.Upstreams = nil
-	for _, a := range list {
-		snap.Upstreams = append(snap.Upstreams, azurestair.UpstreamInfo{Announcement: a, Confirmed: true})
-	}
+	snap.Upstreams = infos(list)
+	var planner control.Planner
+	b.setWithPlans(planner.Step(&snap, nil, b.now), list...)
+}
+
+// setWithPlans publishes the upstreams with given plans.
+func (b *bench) setWithPlans(plans []azurestair.RegionPlan, list ...azurestair.Announcement) {
+	snap := b.snap
+	snap.Upstreams, snap.Plans = infos(list), plans
 	b.snap = snap
 	for _, p := range b.pickers {
 		p.Update(&snap, b.now)
 	}
 }
 
+func infos(list []azurestair.Announcement) []azurestair.UpstreamInfo {
+	out := make([]azurestair.UpstreamInfo, len(list))
+	for i, a := range list {
+		out[i] = azurestair.UpstreamInfo{Announcement: a, Confirmed: true}
+	}
+	return out
+}
+
 func objectOf(n int) azurestair.ObjectKey { return azurestair.ObjectKeyOf(fmt.Sprint(n)) }
 
 func workOn(n int) azurestair.Work {
@@ -189,6 +204,48 @@
 		}
 	})
 
+	// Guards against the upstreams that are left in a region after the loss of a
+	// zone and refuse what other regions have room for, until the leases lapse.
+	It("give up at once what they cannot carry without the upstreams that are out", func() {
+		list := both(10, 10)
+		b := newBench(1, "huye", list...)
+		plans := slices.Clone(b.snap.Plans)
+		for i := range plans {
+			plans[i].Carries, plans[i].Fill = 32, 1
+		}
+		b.setWithPlans(plans, list...)
+		inHuye := func() int {
+			n := 0
+			for i := range 500 {
+				if b.place(0, workOn(i)).Region == "huye" {
+					n++
+				}
+			}
+			return n
+		}
+		Expect(inHuye()).To(Equal(500))
+		b.now = b.now.Add(time.Second)
+		for i := range 5 {
+			b.pickers[0].Observe(azurestair.Choice{Upstream: list[i].Upstream}, azurestair.Observation{Unreachable: true}, b.now)
+		}
+		Expect(inHuye()).To(BeNumerically("~", 345, 40), "22 slots for 32")
+		b.now = b.now.Add(20 * time.Second)
+		for range 3 {
+			inHuye()
+		}
+		Expect(inHuye()).To(Equal(500))
+	})
+
+	// Guards against requests that are refused because the plan is older than the
+	// loss of a region.
+	It("take the objects of a region that has no upstream left", func() {
+		list := both(10, 10)
+		b := newBench(1, "huye", list...)
+		Expect(b.place(0, workOn(1)).Region).To(BeEquivalentTo("huye"))
+		b.setWithPlans(b.snap.Plans, list[10:]...)
+		Expect(b.place(0, workOn(1)).Region).To(BeEquivalentTo("kigali"))
+	})
+
 	// Guards against a request that runs outside its home regions.
 	It("never take work away from its homes", func() {
 		b := newBench(1, "kigali", both(2, 6)...)
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -1,90 +1,101 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 
 	"azurestair.example/azurestair"
 )
 
-// plan says in which region objects are placed. It is immutable.
+// plan says in which regions the objects of this region's callers are placed. It
+// is immutable.
 type plan struct {
-	// regions are those with usable upstreams, in the order of their names.
 	regions []regionPlan
 }
 
 type regionPlan struct {
 	name azurestair.RegionName
 	seed uint64
-	// keep is the share of its own objects that the region places itself.
-	keep float64
-	// room weighs the region for objects of others.
-	room float64
+	// slots are those of usable upstreams.
+	slots float64
+	// share is the part of the objects that is placed here.
+	share float64
 }
 
-// spareRoom is the part of a region's slots beyond its own demand below which
-// the region still takes some objects of others, so that every object has a
-// second region. It is small against any region that has room.
-const spareRoom = 0.001
-
-// newPlan derives the plan from the usable slots and the demand of each region.
-// A region keeps what its part of all slots carries of its part of the demand.
-func newPlan(slots map[azurestair.RegionName]azurestair.Slots, demand map[azurestair.RegionName]float64) *plan {
-	total, wanted := 0.0, 0.0
-	for r, n := range slots {
-		total += float64(n)
-		wanted += demand[r]
-	}
+// newPlan returns the leader's plan for the callers of home, fitted to the slots
+// that are usable here: a region without room for what it carries gives up the
+// surplus to those with room. Without a plan, the region keeps its objects.
+func newPlan(home azurestair.RegionName, slots map[azurestair.RegionName]float64, plans []azurestair.RegionPlan) *plan {
 	p := &plan{}
+	shares := sharesOf(home, plans)
+	room, rooms, lost := map[azurestair.RegionName]float64{}, 0.0, 1.0
 	for r, n := range slots {
-		part, share := float64(n)/total, 1/float64(len(slots))
-		if wanted > 0 {
-			share = demand[r] / wanted
+		carries, limit := loadOf(r, n, plans)
+		if carries > limit {
+			shares[r] *= limit / carries
 		}
-		one := regionPlan{name: r, seed: hashOf("region/" + string(r)), keep: 1, room: max(part-share, spareRoom*part)}
-		if share > part {
-			one.keep = part / share
-		}
-		p.regions = append(p.regions, one)
+		room[r] = max(0, limit-carries)
+		rooms += room[r]
+		lost -= shares[r]
 	}
-	slices.SortFunc(p.regions, func(a, b regionPlan) int {
-		if a.name < b.name {
-			return -1
+	for r, n := range slots {
+		share := shares[r]
+		if rooms > 0 {
+			share += max(0, lost) * room[r] / rooms
 		}
-		return 1
-	})
+		p.regions = append(p.regions, regionPlan{name: r, seed: hashOf("region/" + string(r)), slots: n, share: share})
+	}
+	slices.SortFunc(p.regions, func(a, b regionPlan) int { return cmp.Compare(a.name, b.name) })
 	return p
 }
 
-// choose returns the region for an object of home among the allowed ones; allowed
-// is nil for all.
-func (p *plan) choose(object uint64, home azurestair.RegionName, allowed func(azurestair.RegionName) bool) (azurestair.RegionName, bool) {
-	best, found := azurestair.RegionName(""), false
-	top := 0.0
-	for _, r := range p.regions {
-		if !allowed(r.name) {
-			continue
-		}
-		if r.name == home && unit(mix(object, keepSeed)) < r.keep {
-			return home, true
+// loadOf returns how many slots of a region the plans take and how many of the
+// usable ones they may take; zero for both when the load is not known. What the
+// plans take beyond the limit without any loss is the leader's to move.
+func loadOf(r azurestair.RegionName, usable float64, plans []azurestair.RegionPlan) (carries, limit float64) {
+	for _, p := range plans {
+		if p.Region == r {
+			return min(float64(p.Carries), p.Fill*float64(p.Slots)), p.Fill * usable
 		}
-		if r.name == home && p.hasOther(home, allowed) {
-			continue
-		}
-		if score := weighted(mix(object, r.seed), r.room); !found || score > top {
-			best, top, found = r.name, score, true
+	}
+	return 0, 0
+}
+
+func sharesOf(home azurestair.RegionName, plans []azurestair.RegionPlan) map[azurestair.RegionName]float64 {
+	shares := map[azurestair.RegionName]float64{}
+	for _, p := range plans {
+		if p.Region == home {
+			for _, s := range p.Shares {
+				shares[s.Region] = s.Share
+			}
+			return shares
 		}
 	}
-	return best, found
+	shares[home] = 1
+	return shares
 }
 
-// keepSeed makes the choice to keep an object independent of its other hashes.
-const keepSeed = 0x9e3779b97f4a7c15
+// choose returns the region for an object among the allowed ones. Regions
+// without a share get what is allowed nowhere else.
+func (p *plan) choose(object uint64, allowed func(azurestair.RegionName) bool) (azurestair.RegionName, bool) {
+	best, ok := p.best(object, allowed, func(r regionPlan) float64 { return r.share })
+	if !ok {
+		best, ok = p.best(object, allowed, func(r regionPlan) float64 { return r.slots })
+	}
+	return best, ok
+}
 
-func (p *plan) hasOther(home azurestair.RegionName, allowed func(azurestair.RegionName) bool) bool {
+// best returns the allowed region that wins by the weights.
+func (p *plan) best(object uint64, allowed func(azurestair.RegionName) bool, weight func(regionPlan) float64) (azurestair.RegionName, bool) {
+	var best azurestair.RegionName
+	top := 0.0
 	for _, r := range p.regions {
-		if r.name != home && allowed(r.name) {
-			return true
+		if !allowed(r.name) {
+			continue
+		}
+		if score := weighted(mix(object, r.seed), weight(r)); score > top {
+			best, top = r.name, score
 		}
 	}
-	return false
+	return best, top > 0
 }
--- a/snapshot.go
+++ b/snapshot.go
@@ -1,6 +1,9 @@
 package azurestair
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // Snapshot is the control state that an instance works from. It is immutable
 // once published; a newer one replaces it as a whole.
@@ -13,6 +16,8 @@
 	Drains    []Drain        `cbor:"5,keyasint,omitempty" json:"drains,omitempty"`
 	Instances []InstanceInfo `cbor:"6,keyasint,omitempty" json:"instances,omitempty"`
 	Upstreams []UpstreamInfo `cbor:"7,keyasint,omitempty" json:"upstreams,omitempty"`
+	// Plans is sorted by service and region.
+	Plans []RegionPlan `cbor:"8,keyasint,omitempty" json:"plans,omitempty"`
 }
 
 // Drain is a target that is out of service on an operator's word.
@@ -87,7 +92,7 @@
 			return fmt.Errorf("upstream %s: %w", u.Announcement.Upstream, err)
 		}
 	}
-	return nil
+	return validateAll("plans", s.Plans, MaxPlans)
 }
 
 // IsDrained reports whether an operator has drained the target.
@@ -124,3 +129,37 @@
 	}
 	return s.Config.Version
 }
+
+// PlanOf returns the plans of a service, by region.
+func (s *Snapshot) PlanOf(service ServiceName) []RegionPlan {
+	from := slices.IndexFunc(s.Plans, func(p RegionPlan) bool { return p.Service == service })
+	if from < 0 {
+		return nil
+	}
+	to := from
+	for to < len(s.Plans) && s.Plans[to].Service == service {
+		to++
+	}
+	return s.Plans[from:to]
+}
+
+// confirmedShare is the share of a service's upstreams that must be confirmed
+// for the others to get no work. After a change of the leader few are for a
+// moment, and these must not get all the work.
+const confirmedShare = 2.0 / 3
+
+// SkipsUnconfirmed reports whether upstreams of the service that have ceased to
+// announce themselves get no work.
+func (s *Snapshot) SkipsUnconfirmed(service ServiceName) bool {
+	confirmed, all := 0, 0
+	for _, u := range s.Upstreams {
+		if u.Announcement.Service != service {
+			continue
+		}
+		all++
+		if u.Confirmed {
+			confirmed++
+		}
+	}
+	return float64(confirmed) >= confirmedShare*float64(all)
+}
