Ask callers of an entry without a configuration to come back later

Cause: after all processes were killed, an entry refused requests with a Retry-After of 0.5 s, but the next leader is elected 1 to 1.5 s later, so that callers who did as told were refused once more.

Change: such a refusal asks for 1.5 s. The test failed before.

--- a/instance/reason_test.go
+++ b/instance/reason_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"log/slog"
 	"net/http"
@@ -80,3 +81,14 @@
 	ginkgo.Entry("link budget left", int64(0), int64(10), azurestair.ReasonShiftCap),
 	ginkgo.Entry("at the cap", int64(5), int64(0), azurestair.ReasonShiftCap),
 )
+
+// Guards against callers that come back before an entry that has just started
+// can have heard a leader, and are refused for the second time.
+var _ = ginkgo.It("a request at an entry without a configuration is told to come back after an election", func() {
+	clock := &fixedClock{now: time.Unix(1_700_000_000, 0)}
+	e := &Entry{clock: clock, metrics: newMeters(), log: slog.New(slog.DiscardHandler)}
+	reply := e.Serve(context.Background(), &caller.Request{ID: "1", Host: "shop.example", Path: "/"})
+	Expect(reply.Reason).To(Equal(azurestair.ReasonNotReady))
+	Expect(reply.NotRun).To(BeTrue())
+	Expect(reply.RetryAfter).To(BeNumerically(">=", 1500), "ms")
+})
--- a/instance/serve.go
+++ b/instance/serve.go
@@ -198,15 +198,24 @@
 }
 
 func refused(reason azurestair.Reason) caller.Reply {
-	return caller.Reply{Outcome: azurestair.OutcomeRefused, Reason: reason, NotRun: true, RetryAfter: retryAfter}
+	after := retryAfter
+	if reason == azurestair.ReasonNotReady {
+		after = notReadyRetryAfter
+	}
+	return caller.Reply{Outcome: azurestair.OutcomeRefused, Reason: reason, NotRun: true, RetryAfter: after}
 }
 
 func unknown(reason azurestair.Reason) caller.Reply {
 	return caller.Reply{Outcome: azurestair.OutcomeUnknown, Reason: reason, RetryAfter: retryAfter}
 }
 
-// retryAfter is what a caller is asked to wait before it tries again.
-const retryAfter azurestair.Millis = 500
+const (
+	// retryAfter is what a caller is asked to wait before it tries again.
+	retryAfter azurestair.Millis = 500
+	// notReadyRetryAfter is the same at an entry without a configuration: after
+	// all processes were killed, one with a leader was seen 1 to 1.5 s later.
+	notReadyRetryAfter azurestair.Millis = 1500
+)
 
 // unkeyedRefusal refuses a request; one with a key may have run through
 // another entry, so that only the ledger can tell.
