--- a/control/scale_bench_test.go
+++ b/control/scale_bench_test.go
@@ -170,3 +170,30 @@
 		})
 	}
 }
+
+// BenchmarkScalePlan measures a step of the plans of regions at the leader, with
+// the sizes of the traffic in a report and of changed plans in a delta.
+func BenchmarkScalePlan(b *testing.B) {
+	for _, size := range [][2]int{{7, 40}, {690, 240}} {
+		b.Run(fmt.Sprintf("instances=%d/upstreams=%d", size[0], size[1]), func(b *testing.B) {
+			s := newScaled(size[0], size[1])
+			traffic := make([]azurestair.Traffic, scaleServices)
+			for n := range traffic {
+				traffic[n] = azurestair.Traffic{Service: azurestair.ServiceName(fmt.Sprintf("service-%d", n)), Rate: 12.34, Slots: 5.67}
+			}
+			now := start
+			for i := range s.reports {
+				s.exchange(i, now)
+				s.registry.SetTraffic(s.reports[i].Instance.ID, traffic)
+			}
+			snap := *s.publisher.Current()
+			var planner control.Planner
+			for b.Loop() {
+				now = now.Add(time.Second)
+				snap.Plans = planner.Step(&snap, s.registry.Traffic(), now)
+			}
+			b.ReportMetric(sizeOf(traffic), "B/traffic")
+			b.ReportMetric(sizeOf(snap.Plans), "B/plans")
+		})
+	}
+}
