--- a/config.go
+++ b/config.go
@@ -1,6 +1,9 @@
 package azurestair
 
-import "fmt"
+import (
+	"cmp"
+	"fmt"
+)
 
 // Limits on the size of a configuration.
 const (
@@ -61,25 +64,18 @@
 	if d.RankFloors == ([NumRanks]Percent{}) {
 		d.RankFloors = [NumRanks]Percent{RankDeferred: 10, RankInteractive: 20, RankUrgent: 30}
 	}
-	setZero(&d.QueueLimit, 512)
-	setZero(&d.RetryPercent, 10)
-	setZero(&d.EjectPercent, 33)
-	setZero(&d.SlowStartMs, 10_000)
-	setZero(&d.ShiftPercent, 20)
-	setZero(&d.ShiftIntervalMs, 5_000)
-	setZero(&d.LookupTTLMs, 5_000)
-	setZero(&d.LookupMovePercent, 20)
-	setZero(&d.ProbePercent, 2)
+	d.QueueLimit = cmp.Or(d.QueueLimit, 512)
+	d.RetryPercent = cmp.Or(d.RetryPercent, 10)
+	d.EjectPercent = cmp.Or(d.EjectPercent, 33)
+	d.SlowStartMs = cmp.Or(d.SlowStartMs, 10_000)
+	d.ShiftPercent = cmp.Or(d.ShiftPercent, 20)
+	d.ShiftIntervalMs = cmp.Or(d.ShiftIntervalMs, 5_000)
+	d.LookupTTLMs = cmp.Or(d.LookupTTLMs, 5_000)
+	d.LookupMovePercent = cmp.Or(d.LookupMovePercent, 20)
+	d.ProbePercent = cmp.Or(d.ProbePercent, 2)
 	return d
 }
 
-func setZero[T comparable](p *T, v T) {
-	var zero T
-	if *p == zero {
-		*p = v
-	}
-}
-
 // Validate checks the defaults.
 func (d Defaults) Validate() error {
 	total := Percent(0)
--- a/instance/member.go
+++ b/instance/member.go
@@ -370,10 +370,22 @@
 	case next.ConfigVersion() < m.snapshot.ConfigVersion():
 		return fmt.Errorf("%w: %d", errConfigLost, next.ConfigVersion())
 	}
-	m.snapshot, m.term = next, reply.Term
+	m.snapshot, m.term = planned(next), reply.Term
 	return nil
 }
 
+// planned returns the snapshot with plans of regions. A leader of an earlier
+// version publishes none; they are those for the same traffic everywhere then.
+func planned(s *azurestair.Snapshot) *azurestair.Snapshot {
+	if len(s.Plans) > 0 || s.Config.IsLeased() {
+		return s
+	}
+	var planner control.Planner
+	next := *s
+	next.Plans = planner.Step(s, nil, time.Time{})
+	return &next
+}
+
 // changed reacts to a new snapshot.
 func (m *Member) changed(before *azurestair.Snapshot, now time.Time) {
 	if m.learn != nil {
--- a/instance/member_test.go
+++ b/instance/member_test.go
@@ -115,6 +115,21 @@
 		ginkgo.Entry("no configuration", azurestair.ReportReply{Term: 6, Snapshot: &azurestair.Snapshot{Term: 6, Revision: 1}}),
 	)
 
+	// Guards against a region with few upstreams that keeps all its objects while
+	// the leader still runs a version without plans.
+	ginkgo.It("plans regions itself under a leader without plans", func() {
+		reply := whole(5, 11, 8)
+		reply.Snapshot.Config.Routes = []azurestair.Route{{Name: "all"}}
+		near, far := upstreamOf(1), upstreamOf(1)
+		far.Upstream, far.Region, far.Slots = "u2", "huye", 27
+		reply.Snapshot.Upstreams = []azurestair.UpstreamInfo{{Announcement: near, Confirmed: true}, {Announcement: far, Confirmed: true}}
+		m.exchange(reply)
+		plans := m.snapshot.PlanOf("shop")
+		Expect(plans).To(HaveLen(2))
+		Expect(plans[1].Shares).To(ContainElement(azurestair.RegionShare{Region: "kigali", Share: 0.5}))
+		Expect(reply.Snapshot.Plans).To(BeNil(), "a published snapshot is immutable")
+	})
+
 	// Guards against a member that stays at a snapshot to which no delta fits.
 	ginkgo.It("asks for a whole snapshot after a delta that does not fit", func() {
 		for _, wrong := range []azurestair.ReportReply{delta(5, 3, 8), delta(6, 10, 8)} {
--- a/model/scenario.go
+++ b/model/scenario.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"cmp"
 	"time"
 
 	"azurestair.example/azurestair"
@@ -66,30 +67,23 @@
 // withDefaults follows the sizes of the two deployments of today: six zones in
 // three regions, a service of 20 to 24 upstreams, work of half a second.
 func (s Scenario) withDefaults() Scenario {
-	setZero(&s.Length, 40*time.Second)
-	setZero(&s.Regions, 3)
-	setZero(&s.Upstreams, 8)
-	setZero(&s.Entries, 2)
-	setZero(&s.Objects, 100)
-	setZero(&s.Slots, 6)
-	setZero(&s.Queue, 18)
-	setZero(&s.Memory, 40)
-	setZero(&s.Work, 500*time.Millisecond)
-	setZero(&s.WarmPart, 0.3)
-	setZero(&s.Rate, 120)
-	setZero(&s.Target, 400*time.Millisecond)
-	setZero(&s.Deadline, 2500*time.Millisecond)
-	setZero(&s.Seed, 1)
+	s.Length = cmp.Or(s.Length, 40*time.Second)
+	s.Regions = cmp.Or(s.Regions, 3)
+	s.Upstreams = cmp.Or(s.Upstreams, 8)
+	s.Entries = cmp.Or(s.Entries, 2)
+	s.Objects = cmp.Or(s.Objects, 100)
+	s.Slots = cmp.Or(s.Slots, 6)
+	s.Queue = cmp.Or(s.Queue, 18)
+	s.Memory = cmp.Or(s.Memory, 40)
+	s.Work = cmp.Or(s.Work, 500*time.Millisecond)
+	s.WarmPart = cmp.Or(s.WarmPart, 0.3)
+	s.Rate = cmp.Or(s.Rate, 120)
+	s.Target = cmp.Or(s.Target, 400*time.Millisecond)
+	s.Deadline = cmp.Or(s.Deadline, 2500*time.Millisecond)
+	s.Seed = cmp.Or(s.Seed, 1)
 	return s
 }
 
-func setZero[T comparable](p *T, v T) {
-	var zero T
-	if *p == zero {
-		*p = v
-	}
-}
-
 // windowLength is the span of the windows that a Result tells apart.
 const windowLength = 2 * time.Second
 
--- a/raft/options.go
+++ b/raft/options.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
@@ -56,24 +57,17 @@
 	KeepBytes   azurestair.Bytes
 }
 
-func setZero[T comparable](p *T, v T) {
-	var zero T
-	if *p == zero {
-		*p = v
-	}
-}
-
 func (o Options) withDefaults(now time.Time) Options {
-	setZero(&o.ElectionTimeout, DefaultElectionTimeout)
-	setZero(&o.HeartbeatInterval, min(DefaultHeartbeatInterval, o.ElectionTimeout/4))
-	setZero(&o.ClockDrift, o.ElectionTimeout/10)
-	setZero(&o.InflightMessages, DefaultInflightMessages)
-	setZero(&o.InflightBytes, DefaultInflightBytes)
-	setZero(&o.MessageBytes, DefaultMessageBytes)
-	setZero(&o.MaxUncommittedBytes, DefaultMaxUncommittedBytes)
-	setZero(&o.MaxSnapshotBytes, DefaultMaxSnapshotBytes)
-	setZero(&o.KeepEntries, DefaultKeepEntries)
-	setZero(&o.KeepBytes, DefaultKeepBytes)
+	o.ElectionTimeout = cmp.Or(o.ElectionTimeout, DefaultElectionTimeout)
+	o.HeartbeatInterval = cmp.Or(o.HeartbeatInterval, min(DefaultHeartbeatInterval, o.ElectionTimeout/4))
+	o.ClockDrift = cmp.Or(o.ClockDrift, o.ElectionTimeout/10)
+	o.InflightMessages = cmp.Or(o.InflightMessages, DefaultInflightMessages)
+	o.InflightBytes = cmp.Or(o.InflightBytes, DefaultInflightBytes)
+	o.MessageBytes = cmp.Or(o.MessageBytes, DefaultMessageBytes)
+	o.MaxUncommittedBytes = cmp.Or(o.MaxUncommittedBytes, DefaultMaxUncommittedBytes)
+	o.MaxSnapshotBytes = cmp.Or(o.MaxSnapshotBytes, DefaultMaxSnapshotBytes)
+	o.KeepEntries = cmp.Or(o.KeepEntries, DefaultKeepEntries)
+	o.KeepBytes = cmp.Or(o.KeepBytes, DefaultKeepBytes)
 	if o.Rand == nil {
 		h := fnv.New64a()
 		h.Write([]byte(o.ID))
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"cmp"
 	"math/bits"
 	"time"
 
@@ -48,28 +49,21 @@
 }
 
 func (p Policy) withDefaults() Policy {
-	setZero(&p.MaxAttempts, 3)
+	p.MaxAttempts = cmp.Or(p.MaxAttempts, 3)
 	// A few milliseconds spread a burst of errors; more would cost latency.
-	setZero(&p.Backoff, 5*time.Millisecond)
-	setZero(&p.MaxBackoff, 250*time.Millisecond)
-	setZero(&p.TimeoutFactor, 4)
-	setZero(&p.MinAttempt, 10*time.Millisecond)
+	p.Backoff = cmp.Or(p.Backoff, 5*time.Millisecond)
+	p.MaxBackoff = cmp.Or(p.MaxBackoff, 250*time.Millisecond)
+	p.TimeoutFactor = cmp.Or(p.TimeoutFactor, 4)
+	p.MinAttempt = cmp.Or(p.MinAttempt, 10*time.Millisecond)
 	// The way back to the caller takes 8 ms in both deployments.
-	setZero(&p.RefusalReserve, 10*time.Millisecond)
-	setZero(&p.ReservePercent, 35)
-	setZero(&p.MinReserve, 40*time.Millisecond)
-	setZero(&p.MaxReserve, 2*time.Second)
-	setZero(&p.HedgePercentile, 95)
+	p.RefusalReserve = cmp.Or(p.RefusalReserve, 10*time.Millisecond)
+	p.ReservePercent = cmp.Or(p.ReservePercent, 35)
+	p.MinReserve = cmp.Or(p.MinReserve, 40*time.Millisecond)
+	p.MaxReserve = cmp.Or(p.MaxReserve, 2*time.Second)
+	p.HedgePercentile = cmp.Or(p.HedgePercentile, 95)
 	return p
 }
 
-func setZero[T comparable](p *T, v T) {
-	var zero T
-	if *p == zero {
-		*p = v
-	}
-}
-
 // Attempt is an attempt that ended.
 type Attempt struct {
 	Result azurestair.AttemptResult
