Forget regions without upstreams and callers

Cause: read as a newcomer, the planner kept every region that ever had traffic or a plan, and the shares of a region that is gone were lost from the rows of the others.

Change: traffic below 0.01 requests a second counts as none, a region without upstreams and traffic leaves the plan, and what is left of a row adds up to 1. The test failed first.

--- a/control/plan.go
+++ b/control/plan.go
@@ -41,6 +41,9 @@
 	// demandMemory is the time constant with which a region's traffic falls: an
 	// entry that restarts counts nothing for a few seconds.
 	demandMemory = 10 * time.Second
+	// leastDemand is the rate, in requests a second, below which a region counts
+	// as one without traffic.
+	leastDemand = 0.01
 	// spareRoom is the part of a region's slots that counts as room for objects
 	// of others when it has none beyond its own traffic.
 	spareRoom = 0.001
@@ -53,7 +56,9 @@
 // gives a region more than its part of the load, slowly, so that few objects
 // move at a time, but at once after the loss of much room.
 type Planner struct {
-	at     time.Time
+	// at is the time of the last step.
+	at time.Time
+	// demand is the rate of requests of each service and region.
 	demand map[regionKey]float64
 	// hurryUntil is until when the plan of a service that has lost room may
 	// change at once.
@@ -79,7 +84,7 @@
 		if len(slots) == 0 {
 			continue
 		}
-		out = append(out, p.step(service.Name, slots, s.PlanOf(service.Name), busyOf(service.Name, traffic), now, elapsed)...)
+		out = append(out, p.step(service.Name, slots, s.PlanOf(service.Name), busyOf(service.Name, traffic), elapsed)...)
 	}
 	slices.SortFunc(out, func(a, b azurestair.RegionPlan) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Region, b.Region))
@@ -94,12 +99,16 @@
 	}
 	left := math.Exp(-float64(elapsed) / float64(demandMemory))
 	for k, n := range p.demand {
-		p.demand[k] = n * left
+		if p.demand[k] = n * left; p.demand[k] < leastDemand {
+			delete(p.demand, k)
+		}
 	}
 	for r, list := range traffic {
 		for _, t := range list {
 			k := regionKey{service: t.Service, region: r}
-			p.demand[k] = max(p.demand[k], float64(t.Rate))
+			if rate := float64(t.Rate); rate >= leastDemand {
+				p.demand[k] = max(p.demand[k], rate)
+			}
 		}
 	}
 }
@@ -140,8 +149,9 @@
 	fill float64
 }
 
-func (p *Planner) step(service azurestair.ServiceName, slots map[azurestair.RegionName]azurestair.Slots, old []azurestair.RegionPlan, busy float64, now time.Time, elapsed time.Duration) []azurestair.RegionPlan {
-	r, known := p.regionsOf(service, slots, old, busy)
+// step returns the plans of one service that follow the old ones.
+func (p *Planner) step(service azurestair.ServiceName, slots map[azurestair.RegionName]azurestair.Slots, old []azurestair.RegionPlan, busy float64, elapsed time.Duration) []azurestair.RegionPlan {
+	r, known := p.regionsOf(service, slots, busy)
 	target := r.target()
 	if !known || len(old) == 0 {
 		return r.plans(service, target, known)
@@ -150,10 +160,10 @@
 		if p.hurryUntil == nil {
 			p.hurryUntil = map[azurestair.ServiceName]time.Time{}
 		}
-		p.hurryUntil[service] = now.Add(hurryFor)
+		p.hurryUntil[service] = p.at.Add(hurryFor)
 	}
 	shares := r.sharesIn(old, target)
-	if now.Before(p.hurryUntil[service]) && r.isUneven(shares, 1) {
+	if p.at.Before(p.hurryUntil[service]) && r.isUneven(shares, 1) {
 		return r.plans(service, target, true)
 	}
 	isUneven := r.isUneven(shares, loadSpread)
@@ -168,20 +178,17 @@
 	return r.plans(service, shares, true)
 }
 
-// regionsOf returns the regions that have room, traffic or a plan, and whether
-// there is traffic. Without it, all regions count as having the same, and the
+// regionsOf returns the regions that have room or traffic, and whether there is
+// traffic. Without it, all regions count as having the same, and the
 // slots as all in use.
-func (p *Planner) regionsOf(service azurestair.ServiceName, slots map[azurestair.RegionName]azurestair.Slots, old []azurestair.RegionPlan, busy float64) (regions, bool) {
+func (p *Planner) regionsOf(service azurestair.ServiceName, slots map[azurestair.RegionName]azurestair.Slots, busy float64) (regions, bool) {
 	names := map[azurestair.RegionName]bool{}
 	for n := range slots {
 		names[n] = true
 	}
-	for _, o := range old {
-		names[o.Region] = true
-	}
 	asked, total := 0.0, 0.0
 	for k, n := range p.demand {
-		if k.service == service && n > 0 {
+		if k.service == service {
 			names[k.region] = true
 			asked += n
 		}
@@ -247,8 +254,8 @@
 	return shares
 }
 
-// sharesIn returns the shares of earlier plans, or those of target for a region
-// without a plan.
+// sharesIn returns the shares of earlier plans in the regions of now, or those of
+// target for a region without any.
 func (r regions) sharesIn(old []azurestair.RegionPlan, target [][]float64) [][]float64 {
 	out := make([][]float64, len(r.names))
 	for i, name := range r.names {
@@ -257,12 +264,19 @@
 			if o.Region != name {
 				continue
 			}
-			out[i] = make([]float64, len(r.names))
+			shares, sum := make([]float64, len(r.names)), 0.0
 			for _, s := range o.Shares {
 				if j := slices.Index(r.names, s.Region); j >= 0 {
-					out[i][j] = s.Share
+					shares[j] = s.Share
+					sum += s.Share
 				}
 			}
+			if sum == 0 {
+				continue
+			}
+			for j := range shares {
+				out[i][j] = shares[j] / sum
+			}
 		}
 	}
 	return out
@@ -272,7 +286,7 @@
 func (r regions) hasLostRoom(old []azurestair.RegionPlan) bool {
 	return slices.ContainsFunc(old, func(o azurestair.RegionPlan) bool {
 		i := slices.Index(r.names, o.Region)
-		return r.slots[i] < (1-lostRoom)*float64(o.Slots)
+		return i < 0 || r.slots[i] < (1-lostRoom)*float64(o.Slots)
 	})
 }
 
--- a/control/plan_test.go
+++ b/control/plan_test.go
@@ -111,15 +111,15 @@
 	return rates
 }
 
-// expectSums checks that the shares of each region add up to 1.
+// expectSums checks that the shares of each region in the plan add up to 1.
 func expectSums(r *planRig) {
 	GinkgoHelper()
-	for home, shares := range r.shares() {
+	for _, p := range r.snap.PlanOf("desk") {
 		sum := 0.0
-		for _, s := range shares {
-			sum += s
+		for _, s := range p.Shares {
+			sum += s.Share
 		}
-		Expect(sum).To(BeNumerically("~", 1, 0.003), "shares of %s", home)
+		Expect(sum).To(BeNumerically("~", 1, 0.003), "shares of %s", p.Region)
 	}
 }
 
@@ -230,6 +230,23 @@
 		Expect(moved(first, r.shares())).To(BeNumerically("<=", 0.012))
 	})
 
+	// Guards against regions that stay in the plan for ever, and shares that are
+	// lost with them.
+	It("forgets a region without upstreams and callers", func() {
+		r := newPlanRig()
+		r.step(0, 0, 0)
+		r.step(150, 150, 150)
+		r.setUpstreams(10, 0, 12)
+		for range 120 {
+			r.step(150, 0, 150)
+			expectSums(r)
+		}
+		Expect(r.snap.PlanOf("desk")).To(HaveLen(2))
+		r.setUpstreams(0, 2, 0)
+		r.step(150, 0, 150)
+		Expect(r.share("huye", "kigali")).To(BeEquivalentTo(1))
+	})
+
 	// Guards against objects that all move when the leader changes.
 	It("is continued by the next leader", func() {
 		r := newPlanRig()
--- a/control/registry.go
+++ b/control/registry.go
@@ -1,7 +1,8 @@
 // Package control holds the decisions of the control instances. This part is
 // the leader's soft state: the Registry of upstreams and instances, the
-// Publisher that turns control state into snapshots and deltas, and the
-// Allocator that leases budgets to entry instances, which a Holder keeps.
+// Publisher that turns control state into snapshots and deltas with the plans of
+// a Planner, and the Allocator that leases budgets to entry instances, which a
+// Holder keeps.
 //
 // Everything is driven by calls that take a time, from one goroutine.
 package control
