Acknowledge a departure once the entries hold it

Cause: an upstream was told that it gets no more work as soon as the log held its departure. Entries that look for the next leader, or whose links are full, learn of it seconds later: while the core is split they took 4 to 8 s, and sent on to departed workers later than the bound of 2.5 s. Change: the leader keeps for each instance the revision that it holds. An entry reports at once that it holds a new departure. A new leader counts the time anew. Ruled out: holding the reply to the proposal itself, since its sender takes a late reply for a lost leader; shedding load on the link as the only measure, since a split makes entries search without load too. The search for the leader itself is as slow as before.

--- a/control/query.go
+++ b/control/query.go
@@ -17,6 +17,8 @@
 	// Local asks the replica that gets the query for what it has applied, which
 	// may be behind. It answers also while there is no leader.
 	Local bool `cbor:"5,keyasint,omitempty"`
+	// Departure asks how far a departure has spread.
+	Departure *azurestair.Departure `cbor:"6,keyasint,omitempty"`
 }
 
 // Validate checks the query.
@@ -26,6 +28,11 @@
 			return err
 		}
 	}
+	if q.Departure != nil {
+		if err := q.Departure.Validate(); err != nil {
+			return err
+		}
+	}
 	if q.Audit != nil && (q.Audit.Limit < 0 || q.Audit.Limit > MaxAudit) {
 		return fmt.Errorf("%w: audit limit %d; allowed 0 to %d", azurestair.ErrInvalid, q.Audit.Limit, MaxAudit)
 	}
@@ -39,6 +46,8 @@
 	History []ConfigRecord           `cbor:"3,keyasint,omitempty"`
 	// Instances is filled by the leader, which has the registry.
 	Instances []azurestair.InstanceInfo `cbor:"4,keyasint,omitempty"`
+	// Departure is filled by the leader, which knows what the entries hold.
+	Departure *DepartureStatus `cbor:"5,keyasint,omitempty"`
 }
 
 // Query reads parts of the state.
--- a/control/registry.go
+++ b/control/registry.go
@@ -59,7 +59,7 @@
 	// until which its lapsed upstreams are spared.
 	suspectUntil map[azurestair.ServiceName]time.Time
 	// departed holds the incarnations of upstreams that take no more work.
-	departed  map[azurestair.UpstreamID]azurestair.Incarnation
+	departed  map[azurestair.UpstreamID]*departureRecord
 	warmUntil time.Time
 	seeded    bool
 	// seededPlans is what the predecessor published.
@@ -83,6 +83,8 @@
 	traffic []azurestair.Traffic
 	until   time.Time
 	listed  bool
+	// held is the revision that the instance has last said to hold.
+	held azurestair.Revision
 	// seeded is true until the instance reports to this leader.
 	seeded bool
 }
@@ -137,7 +139,7 @@
 		rec = &upstreamRecord{}
 		r.upstreams[a.Upstream] = rec
 	}
-	if inc, ok := r.departed[a.Upstream]; ok && a.Incarnation <= inc && a.State == azurestair.StateServing {
+	if d := r.departed[a.Upstream]; d != nil && a.Incarnation <= d.incarnation && a.State == azurestair.StateServing {
 		a.State = azurestair.StateDraining
 	}
 	old := rec.info.Announcement
@@ -158,16 +160,21 @@
 }
 
 // Depart ends new work for an upstream, whatever its later announcements say.
-func (r *Registry) Depart(d azurestair.Departure) {
+func (r *Registry) Depart(d azurestair.Departure, now time.Time) {
 	r.init()
 	if r.departed == nil {
-		r.departed = map[azurestair.UpstreamID]azurestair.Incarnation{}
+		r.departed = map[azurestair.UpstreamID]*departureRecord{}
 	}
-	if last, ok := r.departed[d.Upstream]; ok && last >= d.Incarnation {
+	last := r.departed[d.Upstream]
+	if last != nil && last.incarnation >= d.Incarnation {
 		return
 	}
-	r.departed[d.Upstream] = d.Incarnation
+	r.departed[d.Upstream] = &departureRecord{incarnation: d.Incarnation, at: now}
 	rec := r.upstreams[d.Upstream]
+	if last != nil && rec != nil && rec.info.Announcement.State != azurestair.StateServing {
+		// The upstream departs already; it only gave no start this time.
+		r.departed[d.Upstream].at, r.departed[d.Upstream].shown = last.at, last.shown
+	}
 	if rec == nil || rec.info.Announcement.Incarnation > d.Incarnation || rec.info.Announcement.State != azurestair.StateServing {
 		return
 	}
--- a/control/routed_test.go
+++ b/control/routed_test.go
@@ -62,7 +62,7 @@
 	It("outlasts later announcements of the same incarnation", func() {
 		r := &control.Registry{}
 		announce(r, 0, 1)
-		r.Depart(azurestair.Departure{Upstream: worker(1).Upstream, Incarnation: 1})
+		r.Depart(azurestair.Departure{Upstream: worker(1).Upstream, Incarnation: 1}, at(0))
 		expectWorkers(r, "001 draining")
 		late := worker(1)
 		late.Sequence = 9
@@ -73,7 +73,7 @@
 	// Guards against a restarted upstream that never gets work again.
 	It("does not bind the next incarnation", func() {
 		r := &control.Registry{}
-		r.Depart(azurestair.Departure{Upstream: worker(1).Upstream, Incarnation: 1})
+		r.Depart(azurestair.Departure{Upstream: worker(1).Upstream, Incarnation: 1}, at(0))
 		next := worker(1)
 		next.Incarnation = 2
 		Expect(r.Announce(next, at(10))).To(Succeed())
--- a/instance/controller.go
+++ b/instance/controller.go
@@ -122,7 +122,7 @@
 		return
 	}
 	if e.query.Local {
-		e.reply <- queryReply{result: c.replica.query(e.query)}
+		e.reply <- queryReply{result: c.replica.query(e.query, now)}
 		return
 	}
 	if c.replica.postpone(e, now) {
@@ -132,7 +132,7 @@
 		e.reply <- queryReply{err: err}
 		return
 	}
-	e.reply <- queryReply{result: c.replica.query(e.query)}
+	e.reply <- queryReply{result: c.replica.query(e.query, now)}
 }
 
 func (e reportEvent) handle(c *Controller, now time.Time) {
--- a/instance/lead.go
+++ b/instance/lead.go
@@ -39,7 +39,7 @@
 		}
 		r.registry.Seed(held, now)
 		for _, d := range r.state.Departures() {
-			r.registry.Depart(d)
+			r.registry.Depart(d, now)
 		}
 		r.allocator.Inherit(inherited)
 		r.limited = nil
@@ -200,6 +200,9 @@
 	} else if err := r.registry.Instance(q.Instance, now); err != nil {
 		return reply, err
 	}
+	if q.HeldTerm == r.leading {
+		r.registry.SetHeld(q.Instance.ID, q.HeldRevision)
+	}
 	r.registry.SetTraffic(q.Instance.ID, q.Traffic)
 	for _, a := range q.Announcements {
 		if err := r.registry.Announce(a, now); err != nil {
@@ -216,9 +219,27 @@
 	return reply, nil
 }
 
+// departureStatus returns how far a departure has spread. A leader that is
+// starting knows of no entry that holds it.
+func (r *Replica) departureStatus(d azurestair.Departure, now time.Time) control.DepartureStatus {
+	if r.leading != r.node.Status().Term {
+		return control.DepartureStatus{}
+	}
+	r.publish(now)
+	snap := r.publisher.Current()
+	if snap == nil {
+		return control.DepartureStatus{}
+	}
+	return r.registry.DepartureStatus(d, snap.Revision, now)
+}
+
 // query reads parts of the control state.
-func (r *Replica) query(q control.Query) control.QueryResult {
+func (r *Replica) query(q control.Query, now time.Time) control.QueryResult {
 	res := r.state.Query(q)
+	if q.Departure != nil {
+		status := r.departureStatus(*q.Departure, now)
+		res.Departure = &status
+	}
 	if q.Instances && r.registry != nil {
 		res.Instances = r.registry.Instances()
 	}
--- a/instance/member.go
+++ b/instance/member.go
@@ -398,8 +398,9 @@
 		m.log.Info("configuration in force", "version", m.snapshot.ConfigVersion(), "commit", m.snapshot.Commit)
 		m.reportSoon()
 	}
-	if before == nil || before.Term != m.snapshot.Term {
-		// Only a second report tells a new leader which leases it may extend.
+	if before == nil || before.Term != m.snapshot.Term || hasNewDeparture(before, m.snapshot) {
+		// Only a second report tells a new leader which leases it may extend, and
+		// the leader that this entry holds a departure, which upstreams wait for.
 		m.reportSoon()
 	}
 	if m.entry == nil {
@@ -409,6 +410,17 @@
 	m.entry.update(m.snapshot)
 }
 
+// hasNewDeparture reports whether an upstream takes no new work that did before.
+func hasNewDeparture(before, after *azurestair.Snapshot) bool {
+	departed := map[azurestair.UpstreamID]bool{}
+	for _, u := range before.Upstreams {
+		departed[u.Announcement.Upstream] = u.Announcement.State != azurestair.StateServing
+	}
+	return slices.ContainsFunc(after.Upstreams, func(u azurestair.UpstreamInfo) bool {
+		return u.Announcement.State != azurestair.StateServing && !departed[u.Announcement.Upstream]
+	})
+}
+
 // controlPeers lists the control instances of a snapshot.
 func controlPeers(s *azurestair.Snapshot) []peer.Address {
 	var out []peer.Address
--- a/instance/member_test.go
+++ b/instance/member_test.go
@@ -57,6 +57,25 @@
 	return azurestair.ReportReply{Term: term, ControlTTLMs: controlTTL, Snapshot: s}
 }
 
+// Guards against upstreams that wait up to a second for the acknowledgement of
+// their departure, until the next regular report says that this entry holds it.
+var _ = ginkgo.It("reports at once that it holds a departure", func() {
+	m := newMemberRig()
+	m.exchange(whole(1, 1, 1))
+	expectDue := func(state azurestair.UpstreamState, rev azurestair.Revision, want bool) {
+		ginkgo.GinkgoHelper()
+		reply := whole(1, rev, 1)
+		reply.Snapshot.Upstreams = []azurestair.UpstreamInfo{{Announcement: azurestair.Announcement{
+			Upstream: "w1", Service: "shop", Addr: "127.0.0.1:80", Region: "kigali", Slots: 4, MaxConns: 10, State: state,
+		}}}
+		m.exchange(reply)
+		Expect(m.due).To(Equal(want))
+	}
+	expectDue(azurestair.StateServing, 2, false)
+	expectDue(azurestair.StateDraining, 3, true)
+	expectDue(azurestair.StateDraining, 4, false)
+})
+
 func delta(term azurestair.Term, base azurestair.Revision, cfg azurestair.ConfigVersion) azurestair.ReportReply {
 	return azurestair.ReportReply{Term: term, ControlTTLMs: controlTTL, Delta: &azurestair.Delta{
 		Term: term, Base: base, Revision: base + 1, Config: snapshotOf(cfg).Config,
--- a/instance/replica.go
+++ b/instance/replica.go
@@ -267,7 +267,7 @@
 		if !ok {
 			return nil
 		}
-		if err := r.take(rd); err != nil {
+		if err := r.take(rd, now); err != nil {
 			return err
 		}
 	}
@@ -317,7 +317,7 @@
 }
 
 // take carries out one Ready of the log.
-func (r *Replica) take(rd raft.Ready) error {
+func (r *Replica) take(rd raft.Ready, now time.Time) error {
 	for _, m := range rd.Messages {
 		r.transport.Send(m)
 	}
@@ -333,7 +333,7 @@
 		r.abandon(rd.Snapshot.Meta.Index)
 	}
 	for _, e := range rd.Committed {
-		if err := r.apply(e); err != nil {
+		if err := r.apply(e, now); err != nil {
 			return err
 		}
 	}
@@ -360,14 +360,14 @@
 	}
 }
 
-func (r *Replica) apply(e azurestair.LogEntry) error {
+func (r *Replica) apply(e azurestair.LogEntry, now time.Time) error {
 	batch, err := r.readEntry(e)
 	if err != nil {
 		return fmt.Errorf("log entry %d: %w", e.Index, err)
 	}
 	r.state.Require(batch.Needs)
 	results := r.state.ApplyBatch(e.Index, batch.Commands)
-	r.depart(batch.Commands)
+	r.depart(batch.Commands, now)
 	w, ok := r.waiting[e.Index]
 	if !ok {
 		return nil
@@ -382,13 +382,13 @@
 }
 
 // depart has the leader's registry end new work for upstreams that depart.
-func (r *Replica) depart(commands []azurestair.Command) {
+func (r *Replica) depart(commands []azurestair.Command, now time.Time) {
 	if r.registry == nil {
 		return
 	}
 	for _, c := range commands {
 		if c.Departure != nil {
-			r.registry.Depart(*c.Departure)
+			r.registry.Depart(*c.Departure, now)
 		}
 	}
 }
