Keep the connection to control over a full link, and name the next leader

Cause: an entry gave a report 0.7 s and dropped the connection when no answer came. A queue at its own link grows to a second within four seconds under load; from then on each try opened a fresh connection, which takes three round trips and was dropped too. Such entries were without control for 5 to 10 s while the leader was well, and longer after a change of the leader, when they also asked control instances one after the other. Change: the bound of a report is six times what reports lately took, so that the connection stays while the queue grows. A notice names the leader and its term; an entry that is told of a newer term ends its try at the old leader and reports there. Connections to entries, and of entries to control, may take 3 s to open and are not dropped meanwhile; those between control instances are opened anew after a second as before.

--- a/instance/controller.go
+++ b/instance/controller.go
@@ -167,7 +167,7 @@
 	}
 }
 
-func (notifyEvent) handle(c *Controller, _ time.Time) { c.member.reportSoon() }
+func (e notifyEvent) handle(c *Controller, _ time.Time) { c.member.noticed(e.notice) }
 
 func (e leaveEvent) handle(c *Controller, now time.Time) { c.member.leave(e.known, now) }
 
--- a/instance/events.go
+++ b/instance/events.go
@@ -75,8 +75,8 @@
 	err   error
 }
 
-// notifyEvent says that the leader has a newer snapshot.
-type notifyEvent struct{}
+// notifyEvent carries a notice of the leader.
+type notifyEvent struct{ notice azurestair.Notice }
 
 // leaveEvent takes this instance out of look-ups; it goes on serving.
 // known is closed when the leader knows it.
@@ -162,8 +162,10 @@
 	return c.post(ctx, stepEvent{message: m})
 }
 
-// Notify has this instance report at once.
-func (c *Controller) Notify(ctx context.Context) { _ = c.post(ctx, notifyEvent{}) }
+// Notify has this instance report at once, to the leader that the notice names.
+func (c *Controller) Notify(ctx context.Context, n azurestair.Notice) {
+	_ = c.post(ctx, notifyEvent{notice: n})
+}
 
 // Announce takes an upstream's announcement.
 func (c *Controller) Announce(ctx context.Context, a azurestair.Announcement) error {
--- a/instance/lead.go
+++ b/instance/lead.go
@@ -89,7 +89,7 @@
 	}
 	r.logPlans(snap)
 	if isUrgent(prev, snap) {
-		r.notifier.notify(snap.Instances)
+		r.notifier.notify(snap.Term, snap.Instances)
 	}
 }
 
--- a/instance/member.go
+++ b/instance/member.go
@@ -82,6 +82,8 @@
 
 	// learn takes the control instances of each new snapshot; it may be nil.
 	learn func([]peer.Address)
+	// follow has reports go to the given leader; it may be nil.
+	follow func(azurestair.InstanceID)
 	// announcedFor is how long an upstream counts as announcing itself here.
 	announcedFor time.Duration
 }
@@ -104,6 +106,15 @@
 // reportSoon has the next report sent at once.
 func (m *Member) reportSoon() { m.due = true }
 
+// noticed has the next report sent at once, to a leader of a newer term if the
+// notice names one. The report that may be on its way to the old one ends.
+func (m *Member) noticed(n azurestair.Notice) {
+	if n.Term > m.term && n.Leader != "" && m.follow != nil {
+		m.follow(n.Leader)
+	}
+	m.reportSoon()
+}
+
 // leave takes this instance out of look-ups.
 func (m *Member) leave(known chan<- struct{}, now time.Time) {
 	m.leaving, m.leftKnown = true, known
--- a/instance/member_test.go
+++ b/instance/member_test.go
@@ -76,6 +76,26 @@
 	expectDue(azurestair.StateDraining, 4, false)
 })
 
+// Guards against an entry that stays with the old leader after the next one has
+// told it who leads, and against one that a deposed leader calls back.
+var _ = ginkgo.Describe("a notice", func() {
+	ginkgo.DescribeTable("has reports go to the leader of a newer term",
+		func(n azurestair.Notice, want []azurestair.InstanceID) {
+			m := newMemberRig()
+			m.exchange(whole(3, 1, 1))
+			var followed []azurestair.InstanceID
+			m.follow = func(id azurestair.InstanceID) { followed = append(followed, id) }
+			m.noticed(n)
+			Expect(followed).To(Equal(want))
+			Expect(m.due).To(BeTrue())
+		},
+		ginkgo.Entry("of the next term", azurestair.Notice{Leader: "c2", Term: 4}, []azurestair.InstanceID{"c2"}),
+		ginkgo.Entry("of the present term", azurestair.Notice{Leader: "c1", Term: 3}, nil),
+		ginkgo.Entry("of an earlier term", azurestair.Notice{Leader: "c3", Term: 2}, nil),
+		ginkgo.Entry("of an earlier version", azurestair.Notice{}, nil),
+	)
+})
+
 func delta(term azurestair.Term, base azurestair.Revision, cfg azurestair.ConfigVersion) azurestair.ReportReply {
 	return azurestair.ReportReply{Term: term, ControlTTLMs: controlTTL, Delta: &azurestair.Delta{
 		Term: term, Base: base, Revision: base + 1, Config: snapshotOf(cfg).Config,
--- a/instance/notifier.go
+++ b/instance/notifier.go
@@ -13,22 +13,28 @@
 type notifier struct {
 	client *peer.Client
 	self   azurestair.InstanceID
-	// targets holds the newest list that run has not taken yet.
-	targets chan []azurestair.InstanceInfo
+	// rounds holds the newest round that run has not taken yet.
+	rounds chan noticeRound
+}
+
+// noticeRound is one notice for several instances.
+type noticeRound struct {
+	notice    azurestair.Notice
+	instances []azurestair.InstanceInfo
 }
 
 func newNotifier(client *peer.Client, self azurestair.InstanceID) *notifier {
-	return &notifier{client: client, self: self, targets: make(chan []azurestair.InstanceInfo, 1)}
+	return &notifier{client: client, self: self, rounds: make(chan noticeRound, 1)}
 }
 
-// notify hands over the instances to notify; it does not block.
-func (n *notifier) notify(instances []azurestair.InstanceInfo) {
+// notify hands over the instances to notify in a term of this leader; it does not block.
+func (n *notifier) notify(term azurestair.Term, instances []azurestair.InstanceInfo) {
 	select {
-	case <-n.targets:
+	case <-n.rounds:
 	default:
 	}
 	select {
-	case n.targets <- instances:
+	case n.rounds <- noticeRound{notice: azurestair.Notice{Leader: n.self, Term: term}, instances: instances}:
 	default:
 	}
 }
@@ -41,19 +47,20 @@
 		select {
 		case <-ctx.Done():
 			return
-		case instances := <-n.targets:
-			for _, i := range instances {
-				one := notice{client: n.client, to: peer.Address{ID: i.ID, Addr: i.PeerAddr}}
+		case r := <-n.rounds:
+			for _, i := range r.instances {
+				one := noticeCall{client: n.client, to: peer.Address{ID: i.ID, Addr: i.PeerAddr}, notice: r.notice}
 				wg.Go(func() { one.run(ctx) })
 			}
 		}
 	}
 }
 
-// notice is one call to one instance.
-type notice struct {
+// noticeCall is one call to one instance.
+type noticeCall struct {
 	client *peer.Client
 	to     peer.Address
+	notice azurestair.Notice
 }
 
-func (n notice) run(ctx context.Context) { _ = n.client.Notify(ctx, n.to) }
+func (n noticeCall) run(ctx context.Context) { _ = n.client.Notify(ctx, n.to, n.notice) }
--- a/instance/process.go
+++ b/instance/process.go
@@ -238,7 +238,7 @@
 	p.reporter = newReporter(p.client, p.options.Clock)
 	p.reporter.proposer = p.client
 	member := newMember(p.self, p.entry, p.reporter, p.log)
-	member.learn = p.client.Learn
+	member.learn, member.follow = p.client.Learn, p.client.Follow
 	if f := p.options.Front; f != nil {
 		member.announcedFor = announcedBeats * f.AnnounceEvery
 	}
--- a/instance/reporter.go
+++ b/instance/reporter.go
@@ -19,6 +19,14 @@
 	reportTimeoutMax = 4 * time.Second
 	// patientAfter is the number of failures in a row with the usual time.
 	patientAfter = 2
+	// timeoutTrips is how many times the usual time of an exchange its bound is.
+	// Half of it is for the first try, so that an exchange that takes three times
+	// as long as usual still gets its answer. A queue at the own link was seen to
+	// grow to a second within four; with a fixed bound the connection was dropped,
+	// and a fresh one did not open for 6 to 10 s.
+	timeoutTrips = 6
+	// tookKeep is the part of a longer time that is remembered after each exchange.
+	tookKeep = 0.8
 )
 
 // reporter sends reports to the leader away from the control goroutine.
@@ -29,8 +37,10 @@
 	clock    azurestair.Clock
 	// failures counts the exchanges that have failed in a row.
 	failures int
-	jobs     chan azurestair.Report
-	post     func(event)
+	// took is about the longest that an exchange has taken lately.
+	took time.Duration
+	jobs chan azurestair.Report
+	post func(event)
 }
 
 func newReporter(leader azurestair.Reporter, clock azurestair.Clock) *reporter {
@@ -78,14 +88,20 @@
 }
 
 func (r *reporter) exchange(ctx context.Context, q azurestair.Report) reportedEvent {
-	timeout := min(reportTimeout<<min(max(r.failures-patientAfter, 0), 8), reportTimeoutMax)
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, r.timeout())
 	defer cancel()
 	sent := r.clock.Now()
 	reply, err := r.leader.Report(ctx, q)
 	r.failures++
 	if err == nil {
 		r.failures = 0
+		r.took = max(r.clock.Now().Sub(sent), time.Duration(tookKeep*float64(r.took)))
 	}
 	return reportedEvent{sent: sent, reply: reply, err: err}
 }
+
+// timeout returns the bound of the next exchange.
+func (r *reporter) timeout() time.Duration {
+	usual := max(reportTimeout, timeoutTrips*r.took)
+	return min(usual<<min(max(r.failures-patientAfter, 0), 8), reportTimeoutMax)
+}
--- /dev/null
+++ b/notice.go
@@ -0,0 +1,17 @@
+package azurestair
+
+// Notice tells an instance that a newer snapshot than the one it holds is
+// available, and which instance leads. The zero value names no leader, as
+// programs of earlier versions send it.
+type Notice struct {
+	Leader InstanceID `cbor:"1,keyasint,omitempty" json:"leader,omitempty"`
+	Term   Term       `cbor:"2,keyasint,omitempty" json:"term,omitempty"`
+}
+
+// Validate checks the notice.
+func (n Notice) Validate() error {
+	if n.Leader == "" {
+		return nil
+	}
+	return CheckName("leader", string(n.Leader))
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -26,6 +26,10 @@
 // silent one does not use up the caller's whole deadline.
 const tryTimeout = 700 * time.Millisecond
 
+// noticeTimeout bounds a notice. Over a new connection to an instance behind a
+// full link it takes three round trips of up to a second.
+const noticeTimeout = 3 * time.Second
+
 // patientTries is how many control instances a patient reporter can try.
 const patientTries = 2
 
@@ -41,6 +45,9 @@
 	leader int
 	// first are the peers that the client was made with; they stay known.
 	first []Address
+	// following ends, by endTries, when Follow changes the target; nil before the first try.
+	following context.Context
+	endTries  context.CancelFunc
 }
 
 // NewClient returns a client that looks for the leader among control.
@@ -130,20 +137,51 @@
 	return azurestair.ClaimStatus{Record: res.Claim}, err
 }
 
-// Notify tells an instance that a newer snapshot is available.
-func (c *Client) Notify(ctx context.Context, to Address) error {
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+// Notify sends a notice to an instance.
+func (c *Client) Notify(ctx context.Context, to Address, n azurestair.Notice) error {
+	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
 	defer cancel()
-	return c.call(ctx, to, methodNotify, &empty{}, &empty{})
+	return c.call(ctx, to, methodNotify, &n, &empty{})
+}
+
+// Follow has the client call a control instance as the leader from now on, and
+// ends the present tries at others. It does nothing for an unknown instance.
+func (c *Client) Follow(leader azurestair.InstanceID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := slices.IndexFunc(c.peers, func(a Address) bool { return a.ID == leader })
+	if i < 0 || i == c.leader%len(c.peers) {
+		return
+	}
+	c.leader = i
+	if c.endTries != nil {
+		c.endTries()
+		c.following = nil
+	}
+}
+
+// untilFollow returns a context that ends when Follow changes the target.
+func (c *Client) untilFollow() context.Context {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.following == nil {
+		c.following, c.endTries = context.WithCancel(context.Background())
+	}
+	return c.following
 }
 
 func (c *Client) untilLeader(ctx context.Context, method string, q, a any, try time.Duration) error {
 	for {
+		following := c.untilFollow()
 		to, ok := c.target()
 		if !ok {
 			return azurestair.NotLeaderError{}
 		}
-		err := c.tryOnce(ctx, to, method, q, a, try)
+		tryCtx, cancel := context.WithCancel(ctx)
+		stop := context.AfterFunc(following, cancel)
+		err := c.tryOnce(tryCtx, to, method, q, a, try)
+		stop()
+		cancel()
 		if err == nil || isFinal(err) {
 			return err
 		}
@@ -230,7 +268,7 @@
 	switch code := status.Code(err); {
 	case code == codes.OK || code == codes.FailedPrecondition || code == codes.Unimplemented:
 		cn.answers.Add(1)
-	case code == codes.DeadlineExceeded && cn.answers.Load() == before:
+	case code == codes.DeadlineExceeded && cn.answers.Load() == before && !cn.isOpening():
 		// Nothing came back meanwhile; otherwise only this call was slow.
 		c.conns.drop(to.ID, cn)
 	}
--- a/peer/conns.go
+++ b/peer/conns.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
@@ -29,11 +30,15 @@
 
 	mu    sync.Mutex
 	conns map[azurestair.InstanceID]*conn
+	// hasty are the instances to which a connection is opened anew after connectTimeout.
+	hasty map[azurestair.InstanceID]bool
 }
 
 type conn struct {
 	addr string
 	cc   *grpc.ClientConn
+	// patient is true if opening the connection may take patientTimeout.
+	patient bool
 	// answers counts the calls that were answered.
 	answers atomic.Int64
 }
@@ -44,12 +49,12 @@
 		versions = NewVersions(VersionOptions{})
 	}
 	if dial == nil {
-		d := &net.Dialer{Timeout: time.Second}
+		d := &net.Dialer{Timeout: patientTimeout}
 		dial = func(ctx context.Context, addr string) (net.Conn, error) {
 			return d.DialContext(ctx, "tcp", addr)
 		}
 	}
-	return &Conns{dial: dial, tls: tlsCfg, versions: versions, conns: map[azurestair.InstanceID]*conn{}}
+	return &Conns{dial: dial, tls: tlsCfg, versions: versions, conns: map[azurestair.InstanceID]*conn{}, hasty: map[azurestair.InstanceID]bool{}}
 }
 
 // get returns the connection to an instance at addr.
@@ -63,21 +68,43 @@
 		_ = old.cc.Close()
 		delete(c.conns, id)
 	}
-	cc, err := grpc.NewClient("passthrough:///"+addr, c.options()...)
+	patient := !c.hasty[id]
+	cc, err := grpc.NewClient("passthrough:///"+addr, c.options(patient)...)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", id, err)
 	}
-	cn := &conn{addr: addr, cc: cc}
+	cn := &conn{addr: addr, cc: cc, patient: patient}
 	c.conns[id] = cn
 	return cn, nil
 }
 
+// hurry has connections to an instance opened anew after connectTimeout.
+func (c *Conns) hurry(id azurestair.InstanceID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hasty[id] = true
+}
+
+const (
+	// connectTimeout bounds the opening of a connection between control
+	// instances. Once they reach each other again, the log should go on at once.
+	connectTimeout = time.Second
+	// patientTimeout bounds the opening of any other connection, which takes two
+	// round trips of up to a second over a full link of an entry. Calls do not
+	// wait so long.
+	patientTimeout = 3 * time.Second
+)
+
 // windowBytes is the fixed flow-control window of a stream and a connection.
 // With a fixed one, gRPC does not probe for a larger one with pings beside the
 // messages, which an idle instance would pay for.
 const windowBytes = 1 << 20
 
-func (c *Conns) options() []grpc.DialOption {
+func (c *Conns) options(patient bool) []grpc.DialOption {
+	timeout := connectTimeout
+	if patient {
+		timeout = patientTimeout
+	}
 	creds := insecure.NewCredentials()
 	if c.tls != nil {
 		creds = credentials.NewTLS(c.tls)
@@ -91,13 +118,18 @@
 		grpc.WithNoProxy(),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
-			MinConnectTimeout: time.Second,
+			MinConnectTimeout: timeout,
 		}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 20 * time.Second, Timeout: 5 * time.Second, PermitWithoutStream: true}),
 		grpc.WithDefaultCallOptions(grpc.ForceCodec(Codec{}), grpc.MaxCallRecvMsgSize(MaxMessageBytes)),
 	}
 }
 
+// isOpening reports whether the connection is still being opened and may take
+// its time: over a full link that lasts longer than a call, and a fresh one
+// would start anew.
+func (c *conn) isOpening() bool { return c.patient && c.cc.GetState() == connectivity.Connecting }
+
 // drop closes the connection to an instance if it is still cn, so that the
 // next call opens a fresh one. A connection can go silent for good while new
 // ones work.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -230,7 +230,7 @@
 	return len(h.steps)
 }
 
-func (h *fakeHandler) Notify(ctx context.Context) { _ = h.wait(ctx) }
+func (h *fakeHandler) Notify(ctx context.Context, _ azurestair.Notice) { _ = h.wait(ctx) }
 
 // listen counts the connections that it accepts.
 type listen struct {
@@ -347,6 +347,49 @@
 		Expect(l.accepted.Load()).To(BeEquivalentTo(2))
 	})
 
+	// Guards against an entry behind a full link that starts each try with a fresh
+	// connection, none of which is ever open in time: entries took 4 to 8 s to
+	// find the next leader.
+	It("keep a connection that is still being opened", func() {
+		silent, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(silent.Close)
+		l := &listen{Listener: silent}
+		go func() {
+			for {
+				if _, err := l.Accept(); err != nil {
+					return
+				}
+			}
+		}()
+		c := peer.NewClient(conns(nil), []peer.Address{addressOf("c1", l)})
+		for range 3 {
+			_, err := c.Report(within(short), azurestair.Report{Instance: instance})
+			Expect(err).To(HaveOccurred())
+		}
+		Expect(l.accepted.Load()).To(BeEquivalentTo(1))
+	})
+
+	// Guards against an entry that waits for a leader that is cut off, and asks one
+	// control instance after the other, although the next leader has said who it is.
+	It("go to the leader that the client is told to follow", func() {
+		old, other, leader := &fakeHandler{}, &fakeHandler{}, &fakeHandler{}
+		old.block.Store(true)
+		c := peer.NewClient(conns(nil), []peer.Address{
+			addressOf("c1", serve(old, nil)), addressOf("c2", serve(other, nil)), addressOf("c3", serve(leader, nil)),
+		})
+		done := make(chan error, 1)
+		go func() {
+			_, err := c.Report(within(long), azurestair.Report{Instance: instance})
+			done <- err
+		}()
+		Eventually(old.calls.Load).Should(BeEquivalentTo(1))
+		c.Follow("c9")
+		c.Follow("c3")
+		Eventually(done).WithTimeout(long).Should(Receive(BeNil()))
+		Expect([]int64{other.calls.Load(), leader.calls.Load()}).To(Equal([]int64{0, 1}))
+	})
+
 	// Guards against one slow call that cuts all others on its connection.
 	It("keep a connection that answered other calls meanwhile", func() {
 		h := &fakeHandler{}
--- a/peer/server.go
+++ b/peer/server.go
@@ -24,8 +24,8 @@
 	Query(ctx context.Context, q control.Query) (control.QueryResult, error)
 	// Step takes a raft message; it does not block for long.
 	Step(ctx context.Context, m azurestair.RaftMessage) error
-	// Notify says that a newer snapshot than the one reported is available.
-	Notify(ctx context.Context)
+	// Notify takes a notice of the leader.
+	Notify(ctx context.Context, n azurestair.Notice)
 }
 
 const (
@@ -99,8 +99,8 @@
 	}
 }
 
-func notify(h Handler, ctx context.Context, _ empty) (empty, error) { //nolint:revive // the receiver of a method expression comes first
-	h.Notify(ctx)
+func notify(h Handler, ctx context.Context, n azurestair.Notice) (empty, error) { //nolint:revive // the receiver of a method expression comes first
+	h.Notify(ctx, n)
 	return empty{}, nil
 }
 
