Give requests whose caller has left a reason of their own

Cause: the log and the metrics gave upstreamTimeout for a caller that closed its connection before the answer, which blames the upstream. Change: Entry.Serve replaces the reason by callerLeft when the caller's context was cancelled and the request was refused or is unknown. Ruled out: setting it where attempts end, which misses requests that wait for admission or a slot when their caller leaves. Before and after: the test of a caller that hangs up got upstreamTimeout and gets callerLeft.

--- a/instance/body_test.go
+++ b/instance/body_test.go
@@ -87,6 +87,7 @@
 		}()
 		a := r.send(gone, r.request("read", "", long, nil, 0))
 		expectTruthful(r, a, false)
+		expectReply(a, azurestair.OutcomeUnknown, azurestair.ReasonCallerLeft, false)
 		Eventually(r.worker.gone.Load).Should(BeEquivalentTo(1))
 		Expect(r.results()).To(Equal([]azurestair.AttemptResult{azurestair.AttemptDone}))
 		Expect(r.free()).To(Equal(slots-1), "the worker may still be busy")
--- a/instance/serve.go
+++ b/instance/serve.go
@@ -63,6 +63,9 @@
 	} else {
 		reply = e.serve(ctx, r, started)
 	}
+	if hasLeft(ctx, reply) {
+		reply.Reason = azurestair.ReasonCallerLeft
+	}
 	reply = releaseOnClose(reply, func() { e.inFlight.Add(-1) })
 	took := e.clock.Now().Sub(started)
 	e.metrics.reply(reply, took)
@@ -70,6 +73,13 @@
 	return reply
 }
 
+// hasLeft reports whether a request was not done because its caller has left:
+// its attempts were cut off then, which says nothing about the upstreams.
+func hasLeft(ctx context.Context, r caller.Reply) bool {
+	undone := r.Outcome == azurestair.OutcomeRefused || r.Outcome == azurestair.OutcomeUnknown
+	return undone && errors.Is(ctx.Err(), context.Canceled)
+}
+
 // Rejected counts a reply that was given without Serve.
 func (e *Entry) Rejected(r *caller.Request, reply caller.Reply) {
 	e.metrics.count(reply)
--- a/request.go
+++ b/request.go
@@ -37,6 +37,7 @@
 	ReasonConnect           Reason = "connectFailed"
 	ReasonBroken            Reason = "connectionBroken"
 	ReasonTimeout           Reason = "upstreamTimeout"
+	ReasonCallerLeft        Reason = "callerLeft"
 	ReasonLedgerUnreachable Reason = "ledgerUnreachable"
 	ReasonLedgerFull        Reason = "ledgerFull"
 	ReasonInProgress        Reason = "inProgress"
