Say counts for judged, and name the rates of the traffic meter

Change: comments only, and TrafficMeter.Traffic is now Rates. Before and after: no change of behaviour; go vet and the tests pass.

--- a/control/plan.go
+++ b/control/plan.go
@@ -179,8 +179,8 @@
 }
 
 // regionsOf returns the regions that have room or traffic, and whether there is
-// traffic. Without it, all regions count as having the same, and the
-// slots as all in use.
+// traffic. Without it, all regions count as having the same, and the slots as
+// all in use.
 func (p *Planner) regionsOf(service azurestair.ServiceName, slots map[azurestair.RegionName]azurestair.Slots, busy float64) (regions, bool) {
 	names := map[azurestair.RegionName]bool{}
 	for n := range slots {
--- a/control/plan_test.go
+++ b/control/plan_test.go
@@ -271,7 +271,7 @@
 			counts.Asked += 100
 			counts.Ended += 50
 			counts.Busy += 50 * 300 * time.Millisecond
-			got = m.Traffic(map[azurestair.ServiceName]control.TrafficCount{"desk": counts}, at(1000*(s+1)))
+			got = m.Rates(map[azurestair.ServiceName]control.TrafficCount{"desk": counts}, at(1000*(s+1)))
 		}
 		Expect(got).To(HaveLen(1))
 		Expect(float64(got[0].Rate)).To(BeNumerically("~", 100, 1))
--- a/control/traffic.go
+++ b/control/traffic.go
@@ -31,8 +31,8 @@
 // trafficRates holds smoothed rates in events, or seconds of work, a second.
 type trafficRates struct{ asked, ended, busy float64 }
 
-// Traffic returns what follows from the counts until now, in the order of the services.
-func (m *TrafficMeter) Traffic(counts map[azurestair.ServiceName]TrafficCount, now time.Time) []azurestair.Traffic {
+// Rates returns what follows from the counts until now, in the order of the services.
+func (m *TrafficMeter) Rates(counts map[azurestair.ServiceName]TrafficCount, now time.Time) []azurestair.Traffic {
 	if elapsed := now.Sub(m.at); !m.at.IsZero() && elapsed > 0 {
 		m.learn(counts, elapsed)
 	}
--- a/instance/idle_test.go
+++ b/instance/idle_test.go
@@ -13,7 +13,7 @@
 
 // Guards against a control goroutine that spins: a replica without a vote has
 // no election to wait for, and its zero deadline was taken for one in the past.
-// On the users' platform such an instance needed up to 12 s to reach the leader.
+// On a played day such an instance needed up to 12 s to reach the leader.
 var _ = ginkgo.It("a replica that joins the log waits without spinning", func() {
 	now := time.Unix(1_700_000_000, 0)
 	r, err := newReplica(raft.Options{ID: "c4", Joining: true}, azurestair.LogState{}, now, slog.New(slog.DiscardHandler))
--- a/instance/member.go
+++ b/instance/member.go
@@ -258,7 +258,7 @@
 	}
 	slices.Sort(r.Alive)
 	if m.entry != nil && m.snapshot != nil && !m.snapshot.Config.IsLeased() {
-		r.Traffic = m.traffic.Traffic(m.entry.trafficCounts(), now)
+		r.Traffic = m.traffic.Rates(m.entry.trafficCounts(), now)
 	}
 	if m.entry != nil && m.snapshot != nil {
 		r.Demands = m.entry.demands(m.snapshot, &m.holder, now)
--- a/model/run.go
+++ b/model/run.go
@@ -159,7 +159,7 @@
 func (w *world) traffic() map[azurestair.RegionName][]azurestair.Traffic {
 	out := map[azurestair.RegionName][]azurestair.Traffic{}
 	for r := range w.counts {
-		list := w.meters[r].Traffic(map[azurestair.ServiceName]control.TrafficCount{service: w.counts[r]}, w.time())
+		list := w.meters[r].Rates(map[azurestair.ServiceName]control.TrafficCount{service: w.counts[r]}, w.time())
 		if !w.FixedPlan {
 			out[region(r)] = list
 		}
--- a/placement/health.go
+++ b/placement/health.go
@@ -9,7 +9,7 @@
 	failGain = 1.0 / 10
 	// failLimit is the failure rate above which a worker is taken out.
 	failLimit = 0.3
-	// failSamples is the number of outcomes before a failure rate is judged.
+	// failSamples is the number of outcomes before a failure rate counts.
 	failSamples = 6
 	// outFor is the time of the first ejection; each further one doubles it up
 	// to outForMax. A crashed worker is seldom back sooner.
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -286,7 +286,7 @@
 		p.latency += serviceGain * (float64(latency) - p.latency)
 	}
 	if r == azurestair.AttemptNotRun {
-		// Observe has judged what the upstream itself refused.
+		// Observe has counted what the upstream itself refused.
 		w.health.trial = false
 		return
 	}
--- a/placement/worker.go
+++ b/placement/worker.go
@@ -16,7 +16,7 @@
 	// aliveFor is how long after an answer a refused connection is put down to
 	// load: an upstream with a long queue takes fewer connections.
 	aliveFor = 500 * time.Millisecond
-	// latencySamples is the number of answers before a mean latency is judged.
+	// latencySamples is the number of answers before a mean latency counts.
 	latencySamples = 8
 )
 
--- a/routing/outlier.go
+++ b/routing/outlier.go
@@ -32,7 +32,7 @@
 	rateGain = 1.0 / 32
 	// minServiceRateGain is the least weight of one outcome in the service's success rate.
 	minServiceRateGain = 1.0 / 512
-	// rateSamples is the number of outcomes before a success rate is judged.
+	// rateSamples is the number of outcomes before a success rate counts.
 	rateSamples = 20
 	// rateGap is how far below the service's a worker's success rate ejects it.
 	rateGap = 0.3
