--- a/instance/depart.go
+++ b/instance/depart.go
@@ -17,15 +17,25 @@
 // errNotHeld reports a departure that some entries may not know yet.
 var errNotHeld = errors.New("the departure is not held by all entries yet")
 
+// leaderCalls is the part of the leader that takes a departure.
+type leaderCalls interface {
+	azurestair.Proposer
+	Query(ctx context.Context, q control.Query) (control.QueryResult, error)
+}
+
 // Depart has the leader end new work for an upstream. It returns nil once all
 // entries hold the departure, or have been waited for: an upstream that hears
 // so relies on getting no more work.
 func (p *Process) Depart(ctx context.Context, d azurestair.Departure) error {
-	if _, err := p.Propose(ctx, azurestair.Command{Departure: &d}); err != nil {
+	return depart(ctx, departures{p}, d)
+}
+
+func depart(ctx context.Context, l leaderCalls, d azurestair.Departure) error {
+	if _, err := l.Propose(ctx, azurestair.Command{Departure: &d}); err != nil {
 		return err
 	}
 	for {
-		res, err := p.query(ctx, control.Query{Departure: &d})
+		res, err := l.Query(ctx, control.Query{Departure: &d})
 		if err == nil && (res.Departure == nil || res.Departure.Held) {
 			// A leader of an earlier version says nothing on departures.
 			return nil
@@ -43,12 +53,19 @@
 	}
 }
 
-// query reads the control state at the leader, without the network while this
-// instance leads.
-func (p *Process) query(ctx context.Context, q control.Query) (control.QueryResult, error) {
-	res, err := p.controller.Query(ctx, q)
+// departures calls the leader, without the network while this instance leads.
+type departures struct{ p *Process }
+
+// Propose has the leader apply a command.
+func (d departures) Propose(ctx context.Context, c azurestair.Command) (azurestair.Result, error) {
+	return d.p.Propose(ctx, c)
+}
+
+// Query reads the control state at the leader.
+func (d departures) Query(ctx context.Context, q control.Query) (control.QueryResult, error) {
+	res, err := d.p.controller.Query(ctx, q)
 	if errors.Is(err, azurestair.ErrNotLeader) {
-		return p.client.Query(ctx, q)
+		return d.p.client.Query(ctx, q)
 	}
 	return res, err
 }
