Answer a query for a departure at an instance that has never led

Cause: read once more, a local query for a departure at a control instance without a term took it for the leader of term zero and used a publisher that it does not have; the process would end. Change: only an instance that leads looks at the departure. Ruled out: refusing such queries when they are decoded, which leaves the wrong check where it is. Before and after: the new case panics without the check and passes with it.

--- a/instance/lead.go
+++ b/instance/lead.go
@@ -221,10 +221,10 @@
 	return reply, nil
 }
 
-// departureStatus returns how far a departure has spread. A leader that is
-// starting knows of no entry that holds it.
+// departureStatus returns how far a departure has spread. An instance that does
+// not lead, or is starting to, knows of no entry that holds it.
 func (r *Replica) departureStatus(d azurestair.Departure, now time.Time) control.DepartureStatus {
-	if r.leading != r.node.Status().Term {
+	if !r.node.IsLeader() || r.leading != r.node.Status().Term {
 		return control.DepartureStatus{}
 	}
 	r.publish(now)
--- a/instance/lead_test.go
+++ b/instance/lead_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/control"
 	"azurestair.example/azurestair/raft"
 )
 
@@ -70,3 +71,15 @@
 	Expect(r.state.Holders().Has("e1")).To(BeTrue())
 	Expect(report(2).Floor).To(BeNumerically(">", 0))
 })
+
+// Guards against a query for a departure that ends an instance which has never
+// led: it has no publisher yet.
+var _ = ginkgo.It("an instance that has never led knows of no departure that is held", func() {
+	now := time.Unix(1_700_000_000, 0)
+	r, err := newReplica(raft.Options{
+		ID: "c1", Membership: azurestair.Membership{Voters: []azurestair.InstanceID{"c1", "c2"}},
+	}, azurestair.LogState{}, now, slog.New(slog.DiscardHandler))
+	Expect(err).NotTo(HaveOccurred())
+	q := control.Query{Local: true, Departure: &azurestair.Departure{Upstream: "w1", Incarnation: 1}}
+	Expect(r.query(q, now).Departure).To(Equal(&control.DepartureStatus{}))
+})
