Judge silent connections by others that are as old

All attempts in flight wait on silent connections until their deadlines, 650 ms. The first few were found silent and repeated at once, on new connections. Their answers then counted as a sign of life for every other attempt in flight, which no longer passed for silent: its repeat needed the retry budget, whose 10 tokens were used up, and the caller got 504.

Change: an answer counts against silence only if its connection was open when the silent attempt began. heardTimes keeps, for each age of connections, when one of that age last brought an answer.

Ruled out: load as the cause.

The new case of the client fails without the change.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"azurestair.example/azurestair"
@@ -66,7 +65,8 @@
 	// Reused is true for an attempt on a connection that had been used before.
 	Reused bool
 	// Silent is true for a timeout on a reused connection during which no
-	// upstream answered at all: then the connections are suspect, not the upstream.
+	// upstream answered on any connection that was open when the attempt began:
+	// then the connections are suspect, not the upstream.
 	Silent bool
 }
 
@@ -79,8 +79,7 @@
 	// carry a request that is not idempotent.
 	freshIdle time.Duration
 	dialTime  dialTime
-	// heard is when an upstream last answered, in nanoseconds since the Unix epoch.
-	heard atomic.Int64
+	heard     heardTimes
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -322,7 +321,7 @@
 	// An attempt that was cancelled before its deadline says nothing about the connection.
 	if ans.Result == azurestair.AttemptTimeout && uc.reused && !errors.Is(ctx.Err(), context.Canceled) {
 		p.suspect(c.clock.Now())
-		ans.Silent = c.heard.Load() < started.UnixNano()
+		ans.Silent = c.heard.isSilentSince(started)
 	}
 	return ans, fmt.Errorf("attempt at %s: %w", p.addr, err)
 }
@@ -335,7 +334,7 @@
 
 // answered checks that the answer belongs to the attempt and can be verified to be whole.
 func (c *Client) answered(p *pool, uc *conn, a Attempt, resp *http.Response, reading Reading, stop func() bool) (Answer, error) {
-	c.heard.Store(c.clock.Now().UnixNano())
+	c.heard.observe(uc.opened, c.clock.Now())
 	ans := Answer{
 		Result: azurestair.AttemptDone,
 		Status: resp.StatusCode,
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -466,6 +466,31 @@
 		Eventually(f.open).Should(BeEquivalentTo(1))
 	})
 
+	// Guards against all but the first of the attempts on silent connections
+	// needing the retry budget, which is too small for them.
+	It("that are new and answer say nothing for the silent ones", func() {
+		f := newFake(raw(ok))
+		warm(f, 2)
+		f.use(func(c peerConn, r *http.Request) bool {
+			if r.URL.Path == "/new" {
+				return raw(ok)(c, r)
+			}
+			return silent(c, r)
+		})
+		clk.advance(time.Millisecond)
+		newer := attempt(long)
+		newer.Fresh, newer.Path = true, "/new"
+		stalled := attempt(short)
+		stalled.BeforeSend = func() error {
+			clk.advance(time.Millisecond)
+			expectDone(send(ctx, c, f.addr(), newer))
+			return nil
+		}
+		o := send(ctx, c, f.addr(), stalled)
+		expectResult(o, azurestair.AttemptTimeout, azurestair.ReasonTimeout)
+		Expect([]bool{o.Reused, o.Silent}).To(Equal([]bool{true, true}))
+	})
+
 	// Guards against callers that hang up and thereby cost the others their connections.
 	It("are kept when a caller ends an attempt on one of them", func() {
 		f := newFake(raw(ok))
