Unlist an upstream whose address another one has taken over

Cause: an upstream that dies without a word stays listed for two lease times, 6 s on the platform, although its address may belong to a new one after 2 s. Each request that an entry sends for the old one is turned away by the new one.

Change: an announcement at an address replaces the upstream that was listed there and started earlier. A delayed announcement of the earlier one is passed over while the later one has a lease.

Ruled out: passing it over for good, since the two starts may come from clocks that differ.

--- a/control/registry.go
+++ b/control/registry.go
@@ -58,6 +58,8 @@
 	// suspectUntil holds, for a service with a suspect listener, the time
 	// until which its lapsed upstreams are spared.
 	suspectUntil map[azurestair.ServiceName]time.Time
+	// atAddr holds the upstream that was last listed at each address.
+	atAddr map[string]azurestair.UpstreamID
 	// departed holds the incarnations of upstreams that take no more work.
 	departed  map[azurestair.UpstreamID]*departureRecord
 	warmUntil time.Time
@@ -103,6 +105,7 @@
 	for _, u := range s.Upstreams {
 		u.Confirmed = false
 		r.upstreams[u.Announcement.Upstream] = &upstreamRecord{info: u, until: now.Add(r.lease()), listed: true}
+		r.holdAddr(u.Announcement)
 	}
 	for _, i := range s.Instances {
 		r.instances[i.ID] = &instanceRecord{info: i, until: now.Add(InstanceLease), listed: true, seeded: true}
@@ -121,6 +124,7 @@
 		r.upstreams = map[azurestair.UpstreamID]*upstreamRecord{}
 		r.instances = map[azurestair.InstanceID]*instanceRecord{}
 		r.suspectUntil = map[azurestair.ServiceName]time.Time{}
+		r.atAddr = map[string]azurestair.UpstreamID{}
 	}
 }
 
@@ -128,9 +132,13 @@
 func (r *Registry) WarmingUp(now time.Time) bool { return now.Before(r.warmUntil) }
 
 // Announce takes over an announcement, unless it is older than the known one.
-// A repeat of the known one extends its lease.
+// A repeat of the known one extends its lease. An upstream that announces an
+// address has replaced those that started before it at that address.
 func (r *Registry) Announce(a azurestair.Announcement, now time.Time) error {
 	r.init()
+	if r.isReplaced(a, now) {
+		return nil
+	}
 	rec := r.upstreams[a.Upstream]
 	if rec == nil {
 		if err := r.makeRoom(); err != nil {
@@ -152,6 +160,7 @@
 	case old.Load != a.Load:
 		r.soft++
 	}
+	r.replace(a, now)
 	rec.info = azurestair.UpstreamInfo{Announcement: a, Confirmed: true}
 	rec.listed = true
 	rec.until = now.Add(r.lease())
@@ -197,6 +206,7 @@
 	for id, rec := range r.upstreams {
 		if !rec.listed {
 			delete(r.upstreams, id)
+			r.freeAddr(rec.info.Announcement)
 			return nil
 		}
 	}
@@ -358,17 +368,23 @@
 		case now.Before(bound):
 			r.wakeAt(r.checkAt(rec, bound, now))
 		case rec.listed:
-			rec.listed = false
-			rec.until = now.Add(memoryBound)
-			r.wakeAt(rec.until)
-			r.listing++
+			r.unlist(rec, now)
 		default:
 			delete(r.upstreams, id)
 			delete(r.departed, id)
+			r.freeAddr(rec.info.Announcement)
 		}
 	}
 }
 
+// unlist takes an upstream off the list and remembers it.
+func (r *Registry) unlist(rec *upstreamRecord, now time.Time) {
+	rec.listed = false
+	rec.until = now.Add(memoryBound)
+	r.wakeAt(rec.until)
+	r.listing++
+}
+
 func (r *Registry) dropAt(rec *upstreamRecord) time.Time {
 	a := rec.info.Announcement
 	if !rec.listed || a.State == azurestair.StateLeaving {
--- a/control/registry_test.go
+++ b/control/registry_test.go
@@ -79,6 +79,48 @@
 		expectWorkers(r, "001 serving", "002 serving", "003 serving")
 	})
 
+	// Guards against requests for a dead upstream that another one turns away,
+	// because it has the address now.
+	Describe("upstreams at one address", func() {
+		atAddress := func(n, ms int, born azurestair.Incarnation, seq azurestair.Sequence) {
+			GinkgoHelper()
+			a := worker(n)
+			a.Addr, a.Incarnation, a.Sequence = "10.0.0.9:80", born, seq
+			Expect(r.Announce(a, at(ms))).To(Succeed())
+		}
+		BeforeEach(func() {
+			announce(r, 0, 3, 4, 5)
+			atAddress(1, 0, 100, 5)
+		})
+		It("replace the one that started earlier at once", func() {
+			atAddress(2, 500, 200, 1)
+			expectWorkers(r, "002 serving", "003 serving", "004 serving", "005 serving")
+		})
+		It("are not replaced by a delayed announcement", func() {
+			atAddress(2, 500, 200, 1)
+			atAddress(1, 900, 100, 6)
+			expectWorkers(r, "002 serving", "003 serving", "004 serving", "005 serving")
+		})
+		It("count by their announcements once the later start is not heard", func() {
+			atAddress(2, 500, 200, 1)
+			announce(r, 2900, 3, 4, 5)
+			expire(r, 3500)
+			atAddress(1, 3600, 100, 6)
+			expectWorkers(r, "001 serving", "002 serving?", "003 serving", "004 serving", "005 serving")
+		})
+		It("stay when nothing says which started later", func() {
+			atAddress(2, 500, 100, 1)
+			expectWorkers(r, "001 serving", "002 serving", "003 serving", "004 serving", "005 serving")
+		})
+		It("are known after a change of leader", func() {
+			next := &control.Registry{}
+			next.Seed(&azurestair.Snapshot{Upstreams: r.Upstreams()}, at(400))
+			r = next
+			atAddress(2, 500, 200, 1)
+			expectWorkers(r, "002 serving", "003 serving?", "004 serving?", "005 serving?")
+		})
+	})
+
 	// Guards against a failed listener that empties the plan.
 	It("keeps upstreams when most of a service lapses, up to a bound", func() {
 		announce(r, 0, 1)
