Send upstreams the time that is left instead of the deadline

Cause: the deadline went to upstreams as a time of day. An entry whose clock is minutes behind had every request refused by upstreams that drop late work; one that is ahead had them work on requests that nobody waits for.

Change: Azurestair-Time-Left-Ms replaces Azurestair-Deadline.

Upstreams that read the old header must read the new one.

--- a/caller/handler_test.go
+++ b/caller/handler_test.go
@@ -129,8 +129,8 @@
 			"Azurestair-State": {"serving"}, "Azurestair-Request": {"a-1"}, "Keep-Alive": {"timeout=5"}, "Etag": {"e"}, "Connection": {"X-Up"}, "X-Up": {"1"},
 		})
 		resp, _, _ := exchange(http.MethodGet, "/v1/request/shop/read", "Connection: X-Hop, keep-alive", "X-Hop: 1", "Te: trailers",
-			"Azurestair-Deadline: 1", "azurestair-request: a-1", "Proxy-Authorization: p", "Idempotency-Key: k", "X-Kept: 1")
-		for _, name := range []string{"Connection", "X-Hop", "Te", "Azurestair-Deadline", "Azurestair-Request", "Proxy-Authorization", "Host"} {
+			"Azurestair-Time-Left-Ms: 1", "azurestair-request: a-1", "Proxy-Authorization: p", "Idempotency-Key: k", "X-Kept: 1")
+		for _, name := range []string{"Connection", "X-Hop", "Te", "Azurestair-Time-Left-Ms", "Azurestair-Request", "Proxy-Authorization", "Host"} {
 			Expect(f.last.Header).NotTo(HaveKey(name))
 		}
 		Expect(f.last.Header).To(And(HaveKey("X-Kept"), HaveKey("Idempotency-Key")))
--- a/faults/misbehaviour_test.go
+++ b/faults/misbehaviour_test.go
@@ -110,8 +110,8 @@
 
 // late answers correctly, but after the deadline of the attempt.
 func late(w *bufio.Writer, r *http.Request) {
-	ms, _ := strconv.ParseInt(r.Header.Get(upstream.HeaderDeadline), 10, 64)
-	<-time.After(time.Until(time.UnixMilli(ms)) + 100*time.Millisecond)
+	ms, _ := strconv.ParseInt(r.Header.Get(upstream.HeaderTimeLeft), 10, 64)
+	<-time.After(time.Duration(ms+100) * time.Millisecond)
 	head(w, r, nameOf(r), "Content-Length: 5")
 	fmt.Fprint(w, "later")
 }
--- a/stub/upstream.go
+++ b/stub/upstream.go
@@ -201,9 +201,10 @@
 	HeaderUpstream = "Stub-Upstream"
 )
 
-// begin takes a slot; it returns false when the stub sheds.
+// begin takes a slot; it returns false when the stub sheds, as it does once the
+// attempt's deadline has passed.
 func (u *Upstream) begin(ctx context.Context) bool {
-	if u.isShedding() {
+	if u.isShedding() || ctx.Err() != nil {
 		return false
 	}
 	select {
@@ -251,9 +252,9 @@
 		return
 	}
 	ctx := r.Context()
-	if ms, err := strconv.ParseInt(r.Header.Get(upstream.HeaderDeadline), 10, 64); err == nil {
+	if ms, err := strconv.ParseInt(r.Header.Get(upstream.HeaderTimeLeft), 10, 64); err == nil {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, time.UnixMilli(ms))
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
 		defer cancel()
 	}
 	if !u.begin(ctx) {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -17,7 +17,7 @@
 // Headers of the protocol between an entry and an upstream, in canonical form.
 const (
 	HeaderRequest  = "Azurestair-Request"
-	HeaderDeadline = "Azurestair-Deadline"
+	HeaderTimeLeft = "Azurestair-Time-Left-Ms"
 	HeaderRank     = "Azurestair-Rank"
 	HeaderState    = "Azurestair-State"
 	HeaderNotRun   = "Azurestair-Not-Run"
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -259,6 +259,21 @@
 	})
 
 	// Guards against a HEAD answer that is rejected for lack of a body.
+	// Guards against upstreams that drop a request as late, or work on one that
+	// is, because their clock and the entry's differ.
+	It("say what is left of their time, whatever the time of day", func() {
+		left := make(chan string, 1)
+		f := newFake(func(c peerConn, r *http.Request) bool {
+			left <- r.Header.Get(upstream.HeaderTimeLeft)
+			return raw(ok)(c, r)
+		})
+		clk.advance(time.Hour)
+		a := attempt(long)
+		a.Deadline = clk.Now().Add(long)
+		expectDone(send(ctx, c, f.addr(), a))
+		Expect(<-left).To(Equal("20000"))
+	})
+
 	It("take a HEAD answer without a length", func() {
 		f := newFake(thenClose(raw("HTTP/1.1 200 OK\r\n" + echo + "Connection: close\r\n\r\n")))
 		a := attempt(long)
--- a/upstream/dialect.go
+++ b/upstream/dialect.go
@@ -42,9 +42,13 @@
 // ownDialect is the product's own.
 type ownDialect struct{}
 
-func (ownDialect) Mark(h http.Header, a Attempt, _ time.Time) {
+// Mark says what is left until the deadline rather than when it is: the
+// upstream's clock may differ.
+func (ownDialect) Mark(h http.Header, a Attempt, now time.Time) {
 	h[HeaderRequest] = []string{string(a.ID)}
-	h[HeaderDeadline] = []string{strconv.FormatInt(a.Deadline.UnixMilli(), 10)}
+	if !a.Deadline.IsZero() {
+		h[HeaderTimeLeft] = []string{strconv.FormatInt(max(0, a.Deadline.Sub(now).Milliseconds()), 10)}
+	}
 	h[HeaderRank] = []string{a.Rank.String()}
 }
 
