Keep the clocks of entries out of claims and leases

Change: a claim says how much time is left, and the leader sets the deadline by its own clock before it proposes the claim, so that records in the log stay as they are. A reply tells a sender of the later incarnation that is known; a process of which no leader has accepted a report takes one above it. A process that was accepted before keeps its own and counts as cut off: another one runs as it.

Ruled out: ordering starts by the leader's clock, since two leaders' clocks differ as well; a counter on disk, since instances may have none.

The cases of the replica and the member fail without the change.

Still open: a new leader whose clock is behind that of its predecessor keeps held claims longer by the difference (PROOF.md).

--- a/budget.go
+++ b/budget.go
@@ -145,6 +145,9 @@
 	// Resend asks for a whole report, because the repeated one is not known.
 	// The reply holds nothing else.
 	Resend bool `cbor:"8,keyasint,omitempty" json:"resend,omitempty"`
+	// Superseded is the incarnation that has reported as this instance, if it is
+	// later than that of the report. The reply holds nothing else.
+	Superseded Incarnation `cbor:"9,keyasint,omitempty" json:"superseded,omitempty"`
 }
 
 // Validate checks the reply.
--- a/claim.go
+++ b/claim.go
@@ -40,8 +40,21 @@
 	// gives each request that it handles a new number, and a resend of the
 	// same claim carries the same one.
 	Attempt uint64 `cbor:"attempt" json:"attempt"`
-	// Deadline is the caller's deadline; the holder must not send after it.
+	// Deadline is the caller's deadline by the clock of the entry, and in the log
+	// by that of the leader; the holder must not send after it.
 	Deadline UnixMillis `cbor:"deadline" json:"deadline"`
+	// LeftMs is what is left until the deadline when the entry sends the claim;
+	// zero from programs that do not say so, and in the log.
+	LeftMs Millis `cbor:"leftMs,omitempty" json:"leftMs,omitempty"`
+}
+
+// SetDeadline sets the deadline by the leader's clock, on which the log judges
+// it, since the entry's clock may be off. The way to the leader makes it late by
+// milliseconds, never early.
+func (c *Claim) SetDeadline(now UnixMillis) {
+	if c.LeftMs > 0 {
+		c.Deadline, c.LeftMs = now.Add(c.LeftMs), 0
+	}
 }
 
 // Validate checks the claim.
--- a/control/places.go
+++ b/control/places.go
@@ -152,6 +152,14 @@
 	return true
 }
 
+// Incarnation returns the latest incarnation that has asked for leases as a holder; zero if none is known.
+func (a *Allocator) Incarnation(holder azurestair.InstanceID) azurestair.Incarnation {
+	if p := a.holders[holder]; p != nil {
+		return p.incarnation
+	}
+	return 0
+}
+
 // Leave frees the place of a holder that has sent its last report. Its leases
 // still count until they expire. A later incarnation keeps the place.
 func (a *Allocator) Leave(holder azurestair.InstanceID, inc azurestair.Incarnation) {
--- a/control/registry.go
+++ b/control/registry.go
@@ -277,6 +277,14 @@
 	return a == b
 }
 
+// Incarnation returns the latest incarnation that has reported as an instance; zero if none is known.
+func (r *Registry) Incarnation(id azurestair.InstanceID) azurestair.Incarnation {
+	if rec := r.instances[id]; rec != nil {
+		return rec.info.Incarnation
+	}
+	return 0
+}
+
 // InstanceLeaving removes an instance that has announced its end.
 func (r *Registry) InstanceLeaving(id azurestair.InstanceID, now time.Time) {
 	rec := r.instances[id]
--- a/instance/claim.go
+++ b/instance/claim.go
@@ -79,6 +79,7 @@
 		Service: c.work.Service, Operation: c.work.Operation, Key: c.req.Key, Fingerprint: c.fingerprint(),
 		Instance: c.entry.self.ID, Incarnation: c.entry.self.Incarnation, Attempt: c.entry.attempts.Add(1),
 		Deadline: azurestair.UnixMillisOf(c.work.Deadline),
+		LeftMs:   azurestair.MillisOf(max(time.Millisecond, c.work.Deadline.Sub(c.entry.clock.Now()))),
 	}
 }
 
--- a/instance/lead.go
+++ b/instance/lead.go
@@ -194,6 +194,9 @@
 	if !known {
 		return azurestair.ReportReply{Term: r.leading, Resend: true}, nil
 	}
+	if known := r.incarnationOf(q.Instance.ID); q.Instance.Incarnation < known {
+		return azurestair.ReportReply{Term: r.leading, Superseded: known}, nil
+	}
 	if q.Leaving {
 		r.registry.InstanceLeaving(q.Instance.ID, now)
 		r.allocator.Leave(q.Instance.ID, q.Instance.Incarnation)
@@ -221,6 +224,11 @@
 	return reply, nil
 }
 
+// incarnationOf returns the latest incarnation of an instance that has reported.
+func (r *Replica) incarnationOf(id azurestair.InstanceID) azurestair.Incarnation {
+	return max(r.registry.Incarnation(id), r.allocator.Incarnation(id))
+}
+
 // departureStatus returns how far a departure has spread. An instance that does
 // not lead, or is starting to, knows of no entry that holds it.
 func (r *Replica) departureStatus(d azurestair.Departure, now time.Time) control.DepartureStatus {
--- a/instance/lead_test.go
+++ b/instance/lead_test.go
@@ -12,9 +12,14 @@
 	"azurestair.example/azurestair/raft"
 )
 
-// Guards against a floor that the log does not show, so that the next leader
-// would lease it to others, and against entries that never get a floor.
-var _ = ginkgo.It("a leader lists a holder in the log before it gives a floor", func() {
+// leadingReplica is the only voter of a log, driven as the control goroutine does.
+type leadingReplica struct {
+	*Replica
+	now time.Time
+}
+
+func newLeadingReplica() *leadingReplica {
+	ginkgo.GinkgoHelper()
 	now := time.Unix(1_700_000_000, 0)
 	r, err := newReplica(raft.Options{
 		ID: "c1", Membership: azurestair.Membership{Voters: []azurestair.InstanceID{"c1"}},
@@ -22,18 +27,67 @@
 	Expect(err).NotTo(HaveOccurred())
 	r.transport, r.peers, r.notifier = noTransport{}, noTransport{}, newNotifier(nil, "c1")
 	r.writer = &logWriter{jobs: make(chan *storeJob, storeDepth)}
-	run := func(steps int) {
-		for range steps {
-			now = now.Add(100 * time.Millisecond)
-			r.node.Tick(now)
-			Expect(r.work(now)).To(Succeed())
-			r.lead(now, nil, nil)
-			for len(r.writer.jobs) > 0 {
-				r.stored(<-r.writer.jobs)
-			}
+	l := &leadingReplica{Replica: r, now: now}
+	l.run(30)
+	return l
+}
+
+// run lets the replica work for a number of steps of 100 ms.
+func (l *leadingReplica) run(steps int) {
+	ginkgo.GinkgoHelper()
+	for range steps {
+		l.now = l.now.Add(100 * time.Millisecond)
+		l.node.Tick(l.now)
+		Expect(l.work(l.now)).To(Succeed())
+		l.lead(l.now, nil, nil)
+		for len(l.writer.jobs) > 0 {
+			l.stored(<-l.writer.jobs)
 		}
 	}
-	run(30)
+}
+
+// Guards against requests that are "in progress" for minutes after the entry
+// that held their key has died, because its clock was ahead, and against keys
+// that are given up early, because it was behind.
+var _ = ginkgo.DescribeTable("the deadline of a claim is the leader's, whatever the entry's clock says",
+	func(off time.Duration) {
+		l := newLeadingReplica()
+		done := make(chan proposeReply, 1)
+		l.propose(proposeEvent{reply: done, command: azurestair.Command{Claim: &azurestair.Claim{
+			Service: "shop", Operation: "pay", Key: "k", Instance: "e1", Incarnation: 1, Attempt: 1,
+			Deadline: azurestair.UnixMillisOf(l.now.Add(off + time.Second)), LeftMs: 1000,
+		}}}, l.now)
+		want := azurestair.UnixMillisOf(l.now.Add(time.Second))
+		l.run(2)
+		Expect((<-done).result.Code).To(Equal(azurestair.ResultGranted))
+		record, _ := l.state.Claim("shop", "k")
+		Expect(record.Claim.Deadline).To(Equal(want))
+	},
+	ginkgo.Entry("right", time.Duration(0)),
+	ginkgo.Entry("ahead", 5*time.Minute),
+	ginkgo.Entry("behind", -5*time.Minute),
+)
+
+// Guards against an instance that gets no leases and is not told why.
+var _ = ginkgo.It("a report of an earlier incarnation is told of the later one", func() {
+	l := newLeadingReplica()
+	report := func(inc azurestair.Incarnation, number azurestair.ReportNumber) azurestair.ReportReply {
+		ginkgo.GinkgoHelper()
+		reply, err := l.report(azurestair.Report{Number: number, Instance: azurestair.InstanceInfo{
+			ID: "e1", Incarnation: inc, CallerAddr: "127.0.0.1:1", PeerAddr: "127.0.0.1:2", Region: "huye", FailureDomain: "huye-a",
+		}}, l.now)
+		Expect(err).NotTo(HaveOccurred())
+		return reply
+	}
+	Expect(report(7, 1).Superseded).To(BeZero())
+	Expect(report(5, 1)).To(Equal(azurestair.ReportReply{Term: l.leading, Superseded: 7}))
+	Expect(report(8, 2).Superseded).To(BeZero())
+})
+
+// Guards against a floor that the log does not show, so that the next leader
+// would lease it to others, and against entries that never get a floor.
+var _ = ginkgo.It("a leader lists a holder in the log before it gives a floor", func() {
+	r := newLeadingReplica()
 	done := make(chan proposeReply, 1)
 	r.propose(proposeEvent{reply: done, command: azurestair.Command{Config: &azurestair.ConfigChange{
 		Change: azurestair.Change{ID: "c1", Operator: "o", Reason: "first"},
@@ -43,8 +97,8 @@
 			}}},
 			Regions: []azurestair.Region{{Name: "huye", FailureDomains: []azurestair.FailureDomainName{"huye-a"}}},
 		},
-	}}}, now)
-	run(2)
+	}}}, r.now)
+	r.run(2)
 	Expect((<-done).result.Code).To(Equal(azurestair.ResultAccepted))
 
 	slots := azurestair.Resource{Kind: azurestair.ResourceSlots, Service: "shop", Region: "huye"}
@@ -59,7 +113,7 @@
 				State: azurestair.StateServing, Incarnation: 1, Sequence: 1,
 			}},
 			Demands: []azurestair.Demand{{Resource: slots}}, HeldTerm: r.leading, Number: number,
-		}, now)
+		}, r.now)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(reply.Grants).To(HaveLen(1))
 		return reply.Grants[0]
@@ -67,7 +121,7 @@
 	first := report(1)
 	Expect(first.Floor).To(BeZero())
 	Expect(first.Amount).To(BeNumerically(">", 0))
-	run(2)
+	r.run(2)
 	Expect(r.state.Holders().Has("e1")).To(BeTrue())
 	Expect(report(2).Floor).To(BeNumerically(">", 0))
 })
--- a/instance/member.go
+++ b/instance/member.go
@@ -47,6 +47,8 @@
 	reporter *reporter
 
 	snapshot *azurestair.Snapshot
+	// accepted is true once a leader has taken over a report of this process.
+	accepted bool
 	// term is the newest term of a leader whose reply was taken over.
 	term            azurestair.Term
 	controlDeadline time.Time
@@ -286,10 +288,15 @@
 		close(m.leftKnown)
 		m.leftKnown = nil
 	}
+	if e.reply.Superseded != 0 {
+		m.superseded(e.reply.Superseded, now)
+		return
+	}
 	if !m.connected {
 		m.connected = true
 		m.log.Info("control reached", "term", e.reply.Term)
 	}
+	m.accepted = true
 	grants, ok := m.reports.Take(e.reply)
 	if !ok {
 		m.reportSoon()
@@ -314,6 +321,22 @@
 	m.publish(now)
 }
 
+// superseded takes an incarnation above the known one if no leader has accepted
+// a report of this process: it started after a process of this instance whose
+// clock was ahead. Otherwise another process runs as this instance.
+func (m *Member) superseded(known azurestair.Incarnation, now time.Time) {
+	if m.accepted {
+		m.failed(errSuperseded, now)
+		return
+	}
+	m.log.Info("incarnation raised; an earlier process of this instance had a clock that was ahead",
+		"incarnation", known+1, "before", m.self.Incarnation)
+	m.self.Incarnation = known + 1
+	m.reportSoon()
+}
+
+var errSuperseded = fmt.Errorf("%w: a later process reports as this instance", azurestair.ErrConflict)
+
 // failed keeps what has not reached the leader for the next report.
 func (m *Member) failed(err error, now time.Time) {
 	if m.connected || now.Sub(m.saidLost) >= lostEvery {
--- a/instance/member_test.go
+++ b/instance/member_test.go
@@ -76,6 +76,25 @@
 	expectDue(azurestair.StateDraining, 4, false)
 })
 
+// Guards against an instance without leases for as long as its predecessor is
+// remembered, because its clock was set back before it started again.
+var _ = ginkgo.Describe("a member of which a later incarnation is known", func() {
+	superseded := azurestair.ReportReply{Term: 1, Superseded: 1 << 62}
+	ginkgo.It("takes a later one if no leader has accepted a report of it", func() {
+		m := newMemberRig()
+		m.exchange(superseded)
+		Expect(m.report().Instance.Incarnation).To(BeEquivalentTo(1<<62 + 1))
+	})
+	ginkgo.It("keeps its own if another process has reported since", func() {
+		m := newMemberRig()
+		before := m.exchange(whole(1, 1, 1)).Instance.Incarnation
+		until := m.controlDeadline
+		m.exchange(superseded)
+		Expect(m.report().Instance.Incarnation).To(Equal(before))
+		Expect(m.controlDeadline).To(Equal(until))
+	})
+})
+
 // Guards against an entry that stays with the old leader after the next one has
 // told it who leads, and against one that a deposed leader calls back.
 var _ = ginkgo.Describe("a notice", func() {
--- a/instance/process.go
+++ b/instance/process.go
@@ -44,6 +44,8 @@
 	// DialPeer and DialUpstream open connections.
 	DialPeer     peer.Dialer
 	DialUpstream upstream.Dialer
+	// OpenStore opens the log store in a data folder.
+	OpenStore func(dir string, id azurestair.InstanceID) (Store, azurestair.LogState, error)
 	// Front replaces the interfaces to callers and upstreams; nil stands for the own ones.
 	Front *Front
 }
@@ -61,12 +63,23 @@
 	if o.LogOutput == nil {
 		o.LogOutput = io.Discard
 	}
+	if o.OpenStore == nil {
+		o.OpenStore = openStore
+	}
 	if o.Listen == nil {
 		o.Listen = net.Listen
 	}
 	return o
 }
 
+func openStore(dir string, id azurestair.InstanceID) (Store, azurestair.LogState, error) {
+	s, state, err := disk.Open(dir, id)
+	if err != nil {
+		return nil, state, err
+	}
+	return s, state, nil
+}
+
 // stopMargin is what a stop may take beyond the grace of the settings.
 const stopMargin = 10 * time.Second
 
@@ -202,7 +215,7 @@
 
 	self       azurestair.InstanceInfo
 	controller *Controller
-	store      *disk.Store
+	store      Store
 	writer     *logWriter
 	imager     *imager
 	notifier   *notifier
@@ -316,7 +329,7 @@
 	if p.transport == nil {
 		return nil
 	}
-	store, state, err := disk.Open(p.settings.Instance.DataDir, p.settings.Instance.ID)
+	store, state, err := p.options.OpenStore(p.settings.Instance.DataDir, p.settings.Instance.ID)
 	if errors.Is(err, azurestair.ErrNoIdentity) {
 		return fmt.Errorf("data folder %s: %w; run 'azurestair init' for a new instance, "+
 			"and see \"A lost disk\" in docs/OPERATING.md for one that has voted", p.settings.Instance.DataDir, err)
--- a/instance/replica.go
+++ b/instance/replica.go
@@ -139,6 +139,12 @@
 		return
 	}
 	e.command.At, e.command.ListsHolders = azurestair.UnixMillisOf(now), r.mayListHolders(e.command)
+	if e.command.Claim != nil {
+		// The entry of this process may still read its own claim.
+		claim := *e.command.Claim
+		claim.SetDeadline(e.command.At)
+		e.command.Claim = &claim
+	}
 	if err := r.checkMembers(e.command); err != nil {
 		e.reply <- proposeReply{err: err}
 		return
--- a/instance/writer.go
+++ b/instance/writer.go
@@ -14,8 +14,18 @@
 	joined bool
 }
 
-// joiner is a store that remembers that its instance is joining the log.
-type joiner interface{ EndJoining() error }
+// Store is a log store that remembers that its instance is joining the log.
+type Store interface {
+	azurestair.LogStore
+	joiner
+	// Joining reports whether the instance has not yet been admitted as a learner.
+	Joining() (bool, error)
+}
+
+type joiner interface {
+	// EndJoining records that the log lists the instance.
+	EndJoining() error
+}
 
 // logWriter stores what the log has to store, in order, and then sends the
 // messages that promise it.
