Keep the time in the log from going back with a leader's clock

Change: control.LogTime continues from the last command's time while the leader's clock is behind it, at 99% of the speed until they meet. A log more than an hour ahead is taken for wrong.

Ruled out: following the log without a way back, since one wrong clock would leave the audit trail wrong for good.

--- a/instance/replica.go
+++ b/instance/replica.go
@@ -66,6 +66,9 @@
 	notifier *notifier
 	self     azurestair.InstanceID
 
+	// logTime gives the commands that this instance proposes their times.
+	logTime control.LogTime
+
 	pending []proposeEvent
 	// postponed holds reads that wait until committed entries are applied.
 	postponed []event
@@ -138,7 +141,7 @@
 		e.reply <- proposeReply{err: r.notLeader()}
 		return
 	}
-	e.command.At, e.command.ListsHolders = azurestair.UnixMillisOf(now), r.mayListHolders(e.command)
+	e.command.At, e.command.ListsHolders = r.logTime.Next(now), r.mayListHolders(e.command)
 	if e.command.Claim != nil {
 		// The entry of this process may still read its own claim.
 		claim := *e.command.Claim
@@ -371,6 +374,9 @@
 	if err != nil {
 		return fmt.Errorf("log entry %d: %w", e.Index, err)
 	}
+	if n := len(batch.Commands); n > 0 {
+		r.logTime.Observe(batch.Commands[n-1].At, now)
+	}
 	r.state.Require(batch.Needs)
 	results := r.state.ApplyBatch(e.Index, batch.Commands)
 	r.depart(batch.Commands, now)
