Soak with wrong clocks, failing disks and kept connections

Change: faults/machine runs the product with a clock whose time of day is off, as after a step, and with a store that stalls or is full; the soak begins and ends these faults beside the others, changes the configuration, keeps some faults until all leases have run out and some connections to the end.

Ruled out: a clock that is off as a whole, monotonic reading included.

--- a/faults/fleet.go
+++ b/faults/fleet.go
@@ -74,6 +74,8 @@
 	stub func(o *stub.Options)
 	// program is what the instances run first; empty stands for the program under test.
 	program string
+	// machines has the instances run where clocks and disks can misbehave.
+	machines bool
 }
 
 // builtProgram returns the program under test.
@@ -87,7 +89,7 @@
 	DeferCleanup(f.close)
 	addrs := freeAddrs(4 * numInstances)
 	for i := range numInstances {
-		n := &node{links: map[azurestair.InstanceID]*relay.Relay{}, program: cmp.Or(o.program, builtProgram())}
+		n := &node{links: map[azurestair.InstanceID]*relay.Relay{}, program: cmp.Or(o.program, builtProgram()), machine: o.machines}
 		if i < len(controlPlaces) {
 			n.id, n.place, n.control = azurestair.InstanceID(fmt.Sprintf("control-%d", i)), controlPlaces[i], true
 		} else {
--- a/faults/node.go
+++ b/faults/node.go
@@ -42,6 +42,8 @@
 	dir     string
 	// program is what start runs.
 	program string
+	// machine has start run the instance on a machine whose clock and disk misbehave.
+	machine bool
 
 	callers, upstreams, operators, peers string
 	// links are the relays to the control instances, by their ids.
@@ -107,6 +109,9 @@
 	Expect(err).NotTo(HaveOccurred())
 	n.log = log
 	n.cmd = exec.Command(n.program, "serve", "--settings", n.settingsPath())
+	if n.machine {
+		n.cmd = exec.Command(filepath.Join(binaries, "machine"), "--settings", n.settingsPath(), "--faults", n.dir)
+	}
 	n.cmd.Stderr = log
 	// The process ends with the test process, even if that one is killed.
 	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/faults/soak_test.go
+++ b/faults/soak_test.go
@@ -17,6 +17,8 @@
 	soakShort = 6
 	// soakMost bounds the faults that last at the same time.
 	soakMost = 3
+	// soakLong is the number of faults of which one lasts until the leases have run out.
+	soakLong = 4
 )
 
 // onceFaults use an id that an operator may use for one change only.
@@ -38,6 +40,8 @@
 	*pair
 	open []soakFault
 	used map[string]bool
+	// cut holds what failed on kept connections to instances without a fault.
+	cut []reply
 }
 
 var _ = Describe("soak", func() {
@@ -51,7 +55,7 @@
 // the fleet is whole afterwards.
 func runSoak(rng *rand.Rand) {
 	s := &soak{
-		pair: &pair{fleet: newFleet(fleetOptions{}), rng: rng, hit: map[*node]bool{}, stopped: map[int]bool{}},
+		pair: &pair{fleet: newFleet(fleetOptions{machines: true}), rng: rng, hit: map[*node]bool{}, stopped: map[int]bool{}},
 		used: map[string]bool{},
 	}
 	watch := s.watchVersions()
@@ -59,6 +63,7 @@
 		return s.follow(shuffled(rng, s.running()), q)
 	})
 	keyed := s.startTraffic(rng, "keyed", 8, []kind{engrave, pay}, s.throughAll())
+	kept := s.startTraffic(rng, "kept", 4, []kind{browse}, s.onKept)
 	s.load.more(50)
 	for range *soakFlag {
 		for len(s.open) == soakMost || len(s.open) > 0 && rng.IntN(3) == 0 {
@@ -66,6 +71,9 @@
 		}
 		s.begin()
 		s.load.more(10 + rng.IntN(150))
+		if rng.IntN(soakLong) == 0 {
+			<-time.After(leaseTime + time.Second)
+		}
 	}
 	for len(s.open) > 0 {
 		s.endOne()
@@ -73,14 +81,15 @@
 	Eventually(s.whole, "40s").Should(Succeed())
 	s.expectServed()
 	results := s.load.stop()
-	s.expectTruth(slices.Concat(results, keyed.stop()))
+	s.expectTruth(slices.Concat(results, keyed.stop(), kept.stop()))
+	Expect(s.cut).To(BeEmpty(), "connections to instances without a fault ended")
 	watch.expectMonotone()
 }
 
 // begin starts a fault that those that last leave room for: one voter and one
 // fault of the upstreams at a time, so that a majority and a service remain.
 func (s *soak) begin() {
-	choices := slices.DeleteFunc(slices.Clone(allFaults), func(f fault) bool { return !s.mayBegin(f) })
+	choices := slices.DeleteFunc(slices.Concat(allFaults, soakFaults), func(f fault) bool { return !s.mayBegin(f) })
 	f := choices[s.rng.IntN(len(choices))]
 	By("begins: " + f.name)
 	nodes, upstreams := keysOf(s.hit), keysOf(s.stopped)
@@ -111,11 +120,6 @@
 	s.open = slices.Delete(s.open, i, i+1)
 	By("ends: " + o.name)
 	o.end()
-	s.mu.Lock()
-	for _, n := range o.nodes {
-		delete(s.hit, n)
-	}
-	s.mu.Unlock()
 	for _, u := range o.upstreams {
 		delete(s.stopped, u)
 	}
@@ -123,6 +127,36 @@
 	for _, n := range o.nodes {
 		Eventually(n.ready, 40*time.Second).Should(Succeed())
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, n := range o.nodes {
+		delete(s.hit, n)
+	}
+}
+
+// onKept sends a request on a connection that stays open, to any instance, and
+// otherwise to the others.
+func (s *soak) onKept(rng *rand.Rand, q request) result {
+	at := s.nodes[rng.IntN(len(s.nodes))]
+	before := s.isHit(at)
+	r := s.sendBy(keptClient, at, q)
+	if r.err != nil && !before && !s.isHit(at) {
+		s.mu.Lock()
+		s.cut = append(s.cut, r)
+		s.mu.Unlock()
+	}
+	out := result{request: q, replies: []reply{r}}
+	if !r.isFinal() {
+		out.replies = append(out.replies, s.follow(shuffled(rng, s.running()), q).replies...)
+	}
+	return out
+}
+
+func (s *soak) isHit(n *node) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, hit := s.hit[n]
+	return hit
 }
 
 func keysOf[K comparable, V any](m map[K]V) []K {
--- a/faults/suite_test.go
+++ b/faults/suite_test.go
@@ -38,7 +38,7 @@
 	DeferCleanup(os.RemoveAll, dir)
 	binaries = dir
 	Expect(readSources()).To(Succeed())
-	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "../cmd/azurestair", "../cmd/azurestair-upstream")
+	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "../cmd/azurestair", "../cmd/azurestair-upstream", "./machine")
 	build.Stderr = GinkgoWriter
 	Expect(build.Run()).To(Succeed())
 })
--- a/faults/traffic.go
+++ b/faults/traffic.go
@@ -104,8 +104,15 @@
 // operation's timeout while it lives.
 const tryTimeout = 6 * time.Second
 
+// keptClient keeps its connections. The package repeats an idempotent request
+// by itself when a connection that was idle has ended.
+var keptClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
+
 // send sends a request once, to one entry.
-func (f *fleet) send(at *node, q request) (r reply) {
+func (f *fleet) send(at *node, q request) reply { return f.sendBy(client, at, q) }
+
+// sendBy sends a request once, through the client's connections.
+func (f *fleet) sendBy(client *http.Client, at *node, q request) (r reply) {
 	r = reply{at: at, sent: time.Now()}
 	defer func() { r.took = time.Since(r.sent); r.runs = f.runs(q.id) }()
 	ctx, cancel := context.WithTimeout(context.Background(), tryTimeout)
