List the upstreams that live once a second in an instance's reports

Cause: a control instance reports at once when an upstream has news, up to 50 times a second, and each report listed all upstreams that had announced themselves there in the last heartbeats: 45 KB for 3,000 of them, sorted, encoded and looked up one by one at the leader.

Change: Alive is in the reports once in reportEvery; the others carry the news.

The new case of the member fails without the change.

--- a/instance/idle_test.go
+++ b/instance/idle_test.go
@@ -21,7 +21,7 @@
 	clk := newFakeClock()
 	m := newMember(azurestair.InstanceInfo{ID: "c4"}, nil, nil, slog.New(slog.DiscardHandler))
 	m.nextTick = clk.Now().Add(time.Second)
-	m.due, m.sentAt = false, clk.Now()
+	m.due, m.sentAt, m.aliveAt = false, clk.Now(), clk.Now()
 	c := newController(clk, slog.New(slog.DiscardHandler), m, nil)
 	c.replica = r
 	r.node.Tick(now.Add(time.Hour))
--- a/instance/member.go
+++ b/instance/member.go
@@ -76,6 +76,8 @@
 	reporting bool
 	due       bool
 	sentAt    time.Time
+	// aliveAt is when a report last listed the upstreams that live.
+	aliveAt   time.Time
 	nextTick  time.Time
 	nextMove  time.Time
 	connected bool
@@ -144,7 +146,7 @@
 		old = &announced{}
 		m.announced[a.Upstream] = old
 	}
-	if !known || isNews(old.last, a) {
+	if !known || !old.last.IsRepeated(a) {
 		old.unsent = true
 		m.reportSoon()
 	}
@@ -160,12 +162,6 @@
 	return nil
 }
 
-// isNews reports whether an announcement should reach the leader at once.
-func isNews(old, a azurestair.Announcement) bool {
-	a.Sequence, a.Load = old.Sequence, old.Load
-	return a != old
-}
-
 // settle sends a report when one is due and keeps the published view up to date.
 func (m *Member) settle(now time.Time) {
 	if !now.Before(m.nextTick) {
@@ -175,7 +171,7 @@
 	if m.reporting || m.lastSent || now.Sub(m.sentAt) < reportSpacing {
 		return
 	}
-	if m.due || now.Sub(m.sentAt) >= reportEvery {
+	if m.due || now.Sub(m.aliveAt) >= reportEvery {
 		m.send(now)
 	}
 }
@@ -232,14 +228,11 @@
 	if m.reporting || m.lastSent {
 		return next
 	}
-	at := m.sentAt.Add(reportEvery)
-	if m.due {
-		at = m.sentAt.Add(reportSpacing)
-	}
-	if at.Before(next) {
-		return at
+	at := m.sentAt.Add(reportSpacing)
+	if regular := m.aliveAt.Add(reportEvery); !m.due && regular.After(at) {
+		at = regular
 	}
-	return next
+	return earlier(at, next)
 }
 
 // send hands a report to the reporter.
@@ -251,15 +244,7 @@
 	if m.snapshot != nil {
 		r.HeldTerm, r.HeldRevision = m.snapshot.Term, m.snapshot.Revision
 	}
-	for id, a := range m.announced {
-		if a.unsent || a.last.Load != a.sentNow {
-			r.Announcements = append(r.Announcements, a.last)
-			a.unsent, a.sentNow = false, a.last.Load
-			continue
-		}
-		r.Alive = append(r.Alive, id)
-	}
-	slices.Sort(r.Alive)
+	m.addUpstreams(&r, now)
 	if m.entry != nil && m.snapshot != nil && !m.snapshot.Config.IsLeased() {
 		r.Traffic = m.traffic.Rates(m.entry.trafficCounts(), now)
 	}
@@ -273,6 +258,26 @@
 	m.reporter.jobs <- m.reports.Prepare(r)
 }
 
+// addUpstreams adds what upstreams have announced. Those that only live are
+// listed once in reportEvery: 3,000 of them take 45 KB, and while others
+// announce news a report goes out each reportSpacing.
+func (m *Member) addUpstreams(r *azurestair.Report, now time.Time) {
+	listsAlive := len(m.announced) == 0 || now.Sub(m.aliveAt) >= reportEvery
+	if listsAlive {
+		m.aliveAt = now
+	}
+	for id, a := range m.announced {
+		switch {
+		case a.unsent || a.last.Load != a.sentNow:
+			r.Announcements = append(r.Announcements, a.last)
+			a.unsent, a.sentNow = false, a.last.Load
+		case listsAlive:
+			r.Alive = append(r.Alive, id)
+		}
+	}
+	slices.Sort(r.Alive)
+}
+
 // reported takes over the leader's reply to the last report.
 func (m *Member) reported(e reportedEvent, now time.Time) {
 	m.reporting = false
@@ -299,6 +304,7 @@
 	m.accepted = true
 	grants, ok := m.reports.Take(e.reply)
 	if !ok {
+		m.aliveAt = time.Time{}
 		m.reportSoon()
 		return
 	}
@@ -343,6 +349,7 @@
 		m.connected, m.saidLost = false, now
 		m.log.Warn("control not reached", "err", err, "term", m.term, "controlUntil", m.controlDeadline)
 	}
+	m.aliveAt = time.Time{}
 	for _, a := range m.announced {
 		a.unsent = true
 	}
--- a/instance/member_test.go
+++ b/instance/member_test.go
@@ -295,20 +295,37 @@
 	ginkgo.It("repeats in full what the leader does not know, what was lost and what has changed", func() {
 		full := func(q azurestair.Report) []int { return []int{len(q.Announcements), len(q.Alive)} }
 		Expect(m.announce(upstreamOf(1), m.clock.Now())).To(Succeed())
-		Expect(full(m.exchange(azurestair.ReportReply{Term: 5}))).To(Equal([]int{1, 0}))
-		Expect(full(m.exchange(azurestair.ReportReply{Term: 5, Unknown: []azurestair.UpstreamID{"u1", "u2"}}))).To(Equal([]int{0, 1}))
+		Expect(full(m.exchange(azurestair.ReportReply{Term: 5, ControlTTLMs: controlTTL}))).To(Equal([]int{1, 0}))
+		m.clock.advance(reportEvery)
+		Expect(full(m.exchange(azurestair.ReportReply{Term: 5, ControlTTLMs: controlTTL, Unknown: []azurestair.UpstreamID{"u1", "u2"}}))).To(Equal([]int{0, 1}))
 		Expect(full(m.report())).To(Equal([]int{1, 0}))
 		m.reported(reportedEvent{sent: m.clock.Now(), err: errDown}, m.clock.Now())
-		Expect(full(m.exchange(azurestair.ReportReply{Term: 5}))).To(Equal([]int{1, 0}))
+		Expect(full(m.exchange(azurestair.ReportReply{Term: 5, ControlTTLMs: controlTTL}))).To(Equal([]int{1, 0}))
 		Expect(m.announce(upstreamOf(2), m.clock.Now())).To(Succeed())
-		Expect(full(m.exchange(azurestair.ReportReply{Term: 5}))).To(Equal([]int{0, 1}))
+		m.clock.advance(reportEvery)
+		Expect(full(m.exchange(azurestair.ReportReply{Term: 5, ControlTTLMs: controlTTL}))).To(Equal([]int{0, 1}))
 		more := upstreamOf(3)
 		more.MaxConns = 100
 		Expect(m.announce(more, m.clock.Now())).To(Succeed())
-		Expect(full(m.exchange(azurestair.ReportReply{Term: 5}))).To(Equal([]int{1, 0}))
+		Expect(full(m.exchange(azurestair.ReportReply{Term: 5, ControlTTLMs: controlTTL}))).To(Equal([]int{1, 0}))
 	})
 })
 
+// Guards against an instance at which thousands of upstreams announce
+// themselves, and which lists them all again with every piece of news.
+var _ = ginkgo.It("a member lists the upstreams that live once a second, whatever else it reports", func() {
+	m := newMemberRig()
+	m.exchange(whole(1, 1, 1))
+	Expect(m.announce(upstreamOf(1), m.clock.Now())).To(Succeed())
+	listed := 0
+	for range 2 * reportEvery / reportSpacing {
+		listed += len(m.exchange(azurestair.ReportReply{Term: 1}).Alive)
+	}
+	Expect(listed).To(Equal(2))
+	m.reported(reportedEvent{sent: m.clock.Now(), err: errDown}, m.clock.Now())
+	Expect(m.exchange(azurestair.ReportReply{Term: 1}).Announcements).To(HaveLen(1))
+})
+
 // fakeStore has each append wait for the result that the test sends.
 type fakeStore struct{ gate chan stored }
 
