--- a/peer/client.go
+++ b/peer/client.go
@@ -115,14 +115,16 @@
 
 // Report exchanges a report for the leader's reply.
 func (c *Client) Report(ctx context.Context, r azurestair.Report) (azurestair.ReportReply, error) {
-	var reply azurestair.ReportReply
+	var reply encodedReply
 	try := tryTimeout
 	if deadline, ok := ctx.Deadline(); ok {
 		// A reporter with more time than usual expects a slow network.
 		try = max(try, time.Until(deadline)/patientTries)
 	}
-	err := c.untilLeader(ctx, methodReport, &r, &reply, try)
-	return reply, err
+	if err := c.untilLeader(ctx, methodReport, &r, &reply, try); err != nil {
+		return azurestair.ReportReply{}, err
+	}
+	return reply.open()
 }
 
 // Query reads the control state at the leader.
--- a/peer/server.go
+++ b/peer/server.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/metadata"
 
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/control"
@@ -105,7 +106,8 @@
 	if err != nil {
 		return encodedReply{}, err
 	}
-	return s.encodings.reply(r)
+	md, _ := metadata.FromIncomingContext(ctx)
+	return s.encodings.reply(r, rangeOf(md).Current)
 }
 
 func notify(s *service, ctx context.Context, n azurestair.Notice) (empty, error) { //nolint:revive // the receiver of a method expression comes first
--- a/version.go
+++ b/version.go
@@ -17,8 +17,11 @@
 	// ProtocolRouted is the first version with routes, configurations of which
 	// the highest version wins, departures and reads in the order of the log.
 	ProtocolRouted ProtocolVersion = 3
+	// ProtocolPacked is the first version whose programs read packed updates in
+	// the replies to their reports.
+	ProtocolPacked ProtocolVersion = 4
 	// ProtocolCurrent is the version of this program.
-	ProtocolCurrent = ProtocolRouted
+	ProtocolCurrent = ProtocolPacked
 	// ProtocolOldest is the oldest version with which this program exchanges messages.
 	ProtocolOldest = ProtocolUnannounced
 )
