Carry the time that a claim has left beside its record

Cause: the time that is left was a new field of the claim, which a leader reads as a record of the log: one of an earlier program would have refused every claim of a newer entry during a rolling replacement.

Change: it goes as metadata of the call, which earlier programs do not read; the record has its fields of before.

Before and after: the new case of the client checks that a claim with it encodes like one without.

--- a/claim.go
+++ b/claim.go
@@ -44,8 +44,9 @@
 	// by that of the leader; the holder must not send after it.
 	Deadline UnixMillis `cbor:"deadline" json:"deadline"`
 	// LeftMs is what is left until the deadline when the entry sends the claim;
-	// zero from programs that do not say so, and in the log.
-	LeftMs Millis `cbor:"leftMs,omitempty" json:"leftMs,omitempty"`
+	// zero from programs that do not say so. It is no part of the record: it goes
+	// beside it, since a leader refuses records with fields that it does not know.
+	LeftMs Millis `cbor:"-" json:"-"`
 }
 
 // SetDeadline sets the deadline by the leader's clock, on which the log judges
--- a/peer/client.go
+++ b/peer/client.go
@@ -109,6 +109,9 @@
 // Propose has the leader apply a command. It repeats the command until ctx ends.
 func (c *Client) Propose(ctx context.Context, cmd azurestair.Command) (azurestair.Result, error) {
 	var res azurestair.Result
+	if cmd.Claim != nil {
+		ctx = withLeft(ctx, cmd.Claim.LeftMs)
+	}
 	err := c.untilLeader(ctx, methodPropose, &cmd, &res, tryTimeout)
 	return res, err
 }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -192,6 +192,9 @@
 	err   error
 	block atomic.Bool
 	calls atomic.Int64
+	// left is the time that the last claim had left, in milliseconds.
+	left atomic.Int64
+
 	mu    sync.Mutex
 	steps []azurestair.RaftMessage
 }
@@ -205,7 +208,10 @@
 	return h.err
 }
 
-func (h *fakeHandler) Propose(ctx context.Context, _ azurestair.Command) (azurestair.Result, error) {
+func (h *fakeHandler) Propose(ctx context.Context, cmd azurestair.Command) (azurestair.Result, error) {
+	if cmd.Claim != nil {
+		h.left.Store(int64(cmd.Claim.LeftMs))
+	}
 	return azurestair.Result{Code: azurestair.ResultAccepted}, h.wait(ctx)
 }
 
@@ -307,6 +313,21 @@
 		Expect(h.calls.Load()).To(BeZero())
 	})
 
+	// Guards against a claim whose deadline is by the clock of its entry, and
+	// against one that a leader of an earlier program refuses for a new field.
+	It("carry the time that a claim has left beside the record", func() {
+		h := &fakeHandler{}
+		c := peer.NewClient(conns(nil), []peer.Address{addressOf("c1", serve(h, nil))})
+		claim := azurestair.Claim{Service: "shop", Operation: "pay", Key: "k", Instance: "e1", Deadline: 1}
+		plain, err := peer.Codec{}.Marshal(claim)
+		Expect(err).NotTo(HaveOccurred())
+		claim.LeftMs = 750
+		Expect(peer.Codec{}.Marshal(claim)).To(Equal(plain))
+		_, err = c.Propose(within(long), azurestair.Command{Claim: &claim})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(h.left.Load()).To(BeEquivalentTo(750))
+	})
+
 	It("follow the hint to the leader", func() {
 		first, second, leader := &fakeHandler{err: azurestair.NotLeaderError{Leader: "c3"}}, &fakeHandler{}, &fakeHandler{}
 		c := peer.NewClient(conns(nil), []peer.Address{
--- a/peer/server.go
+++ b/peer/server.go
@@ -92,7 +92,7 @@
 		ServiceName: serviceName,
 		HandlerType: (*Handler)(nil),
 		Methods: []grpc.MethodDesc{
-			{MethodName: "Propose", Handler: unary((*service).Propose)},
+			{MethodName: "Propose", Handler: unary(propose)},
 			{MethodName: "Report", Handler: unary(report)},
 			{MethodName: "Query", Handler: unary((*service).Query)},
 			{MethodName: "Notify", Handler: unary(notify)},
@@ -101,6 +101,13 @@
 	}
 }
 
+func propose(s *service, ctx context.Context, cmd azurestair.Command) (azurestair.Result, error) { //nolint:revive // the receiver of a method expression comes first
+	if cmd.Claim != nil {
+		cmd.Claim.LeftMs = leftOf(ctx)
+	}
+	return s.Propose(ctx, cmd)
+}
+
 func report(s *service, ctx context.Context, q azurestair.Report) (encodedReply, error) { //nolint:revive // the receiver of a method expression comes first
 	r, err := s.Report(ctx, q)
 	if err != nil {
--- a/peer/versions.go
+++ b/peer/versions.go
@@ -98,7 +98,8 @@
 
 // outgoing returns a context whose call or stream carries the version.
 func (v *Versions) outgoing(ctx context.Context) context.Context {
-	return metadata.NewOutgoingContext(ctx, v.metadata)
+	own, _ := metadata.FromOutgoingContext(ctx)
+	return metadata.NewOutgoingContext(ctx, metadata.Join(v.metadata, own))
 }
 
 // checkCall checks the version of a call or stream and has the answer carry
