Fuzz replies with packed updates

Cause: the reply to a report got a new decoder, which had cases for bad input and no fuzz target.

Change: FuzzReply decodes and opens replies.

--- a/peer/encodings_test.go
+++ b/peer/encodings_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -109,3 +110,39 @@
 	}
 	return packed
 }
+
+// Guards against an instance that ends, or takes memory without bound, on a
+// reply that is not the leader's.
+func FuzzReply(f *testing.F) {
+	var e encodings
+	s := &azurestair.Snapshot{Term: 1, Revision: 1, Config: &azurestair.Config{}}
+	for _, r := range []azurestair.ReportReply{
+		{Term: 1, ControlTTLMs: 3000}, {Term: 1, Snapshot: s}, {Term: 1, Delta: &azurestair.Delta{Term: 1, Base: 1, Revision: 2}},
+	} {
+		shared, err := e.reply(r, azurestair.ProtocolCurrent)
+		if err != nil {
+			f.Fatal(err)
+		}
+		data, err := Codec{}.Marshal(&shared)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	packed := encodedReply{PackedDelta: mustPack([]byte{0xa0})}
+	data, err := Codec{}.Marshal(&packed)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var r encodedReply
+		if (Codec{}).Unmarshal(data, &r) != nil {
+			return
+		}
+		opened, err := r.open()
+		if err == nil && opened.Validate() != nil {
+			t.Fatal("an update that does not check was taken over")
+		}
+	})
+}
