Let the leader introduce itself to the instances of an address book

Change: control instances store the addresses of the fleet's instances (control.AddressBook, disk.ContactFile). A new leader introduces itself to them and to the seeds until they report (control.Introducer), and an instance that the log does not list passes on the leader that it reports to. A fleet id, assigned by the first configuration, keeps instances from following or joining another fleet (protocol version 5).

Result: tests in virtual time and with real processes; the latter fails without address book and introductions.

--- a/budget.go
+++ b/budget.go
@@ -93,6 +93,9 @@
 	RepeatOf *ReportReference `cbor:"10,keyasint,omitempty" json:"repeat,omitempty"`
 	// Traffic describes the requests that arrive at the instance.
 	Traffic []Traffic `cbor:"11,keyasint,omitempty" json:"traffic,omitempty"`
+	// Fleet is the fleet that the instance belongs to; empty if it does not
+	// know. A report with RepeatOf omits it.
+	Fleet FleetID `cbor:"12,keyasint,omitempty" json:"fleet,omitempty"`
 }
 
 // ReportNumber numbers the reports of an instance, starting at 1.
@@ -121,6 +124,9 @@
 	if err := validateAll("elements of traffic", r.Traffic, MaxTraffic); err != nil {
 		return err
 	}
+	if err := r.Fleet.Validate(); err != nil {
+		return err
+	}
 	for _, d := range r.Demands {
 		if d.InUse < 0 || d.Want < 0 || d.Floor < 0 || d.Leased < 0 {
 			return fmt.Errorf("%w: demand for %s is negative", ErrInvalid, d.Resource)
@@ -191,6 +197,8 @@
 	RemovedUpstreams []UpstreamID   `cbor:"9,keyasint,omitempty" json:"removedUpstreams,omitempty"`
 	// Plans replaces all plans; nil if they are unchanged.
 	Plans []RegionPlan `cbor:"11,keyasint,omitempty" json:"plans,omitempty"`
+	// Fleet is set if Config is.
+	Fleet FleetID `cbor:"12,keyasint,omitempty" json:"fleet,omitempty"`
 }
 
 // Validate checks the delta.
@@ -198,6 +206,6 @@
 	if d.Revision <= d.Base {
 		return fmt.Errorf("%w: delta from revision %d to %d", ErrInvalid, d.Base, d.Revision)
 	}
-	s := Snapshot{Config: d.Config, Instances: d.Instances, Upstreams: d.Upstreams, Plans: d.Plans}
+	s := Snapshot{Config: d.Config, Instances: d.Instances, Upstreams: d.Upstreams, Plans: d.Plans, Fleet: d.Fleet}
 	return s.Validate()
 }
--- a/command.go
+++ b/command.go
@@ -25,6 +25,9 @@
 	// UpstreamList records the upstreams that the leader lists, for the next
 	// leader.
 	UpstreamList *UpstreamListChange `cbor:"11,keyasint,omitempty" json:"listing,omitempty"`
+	// Fleet is set in a configuration change while the state has no fleet id.
+	// The first one that is applied assigns it.
+	Fleet FleetID `cbor:"12,keyasint,omitempty" json:"fleet,omitempty"`
 }
 
 // Validate checks the command.
@@ -52,6 +55,9 @@
 	if n != 1 {
 		return fmt.Errorf("%w: a command must contain exactly one change, has %d", ErrInvalid, n)
 	}
+	if err == nil {
+		err = c.Fleet.Validate()
+	}
 	return err
 }
 
--- a/control/config.go
+++ b/control/config.go
@@ -71,6 +71,9 @@
 
 // pushConfig makes next the current configuration.
 func (s *State) pushConfig(c azurestair.Command, next *azurestair.Config) azurestair.Result {
+	if s.fleet == "" {
+		s.fleet = c.Fleet
+	}
 	s.history.push(ConfigRecord{
 		Config:   next,
 		Operator: c.Config.Change.Operator,
--- a/control/image.go
+++ b/control/image.go
@@ -32,6 +32,7 @@
 	Departures []azurestair.Departure `cbor:"9,keyasint,omitempty" json:"departures,omitempty"`
 	// Listed holds the upstreams of the last listing, sorted by id.
 	Listed []azurestair.Announcement `cbor:"10,keyasint,omitempty" json:"listed,omitempty"`
+	Fleet  azurestair.FleetID        `cbor:"11,keyasint,omitempty" json:"fleet,omitempty"`
 	// RequiredVersion is the highest protocol version that a log entry before
 	// the image requires. It is omitted if that is ProtocolUnannounced.
 	RequiredVersion azurestair.ProtocolVersion `cbor:"16,keyasint,omitempty" json:"needs,omitempty"`
@@ -57,6 +58,7 @@
 
 		Departures: s.departures.order.view(),
 		Listed:     s.ListedUpstreams(),
+		Fleet:      s.fleet,
 	}
 }
 
@@ -66,7 +68,7 @@
 	if err := i.Validate(); err != nil {
 		return nil, err
 	}
-	s := &State{applied: i.Applied, drains: i.Drains, holders: i.Holders, requiredVersion: i.RequiredVersion}
+	s := &State{applied: i.Applied, drains: i.Drains, holders: i.Holders, requiredVersion: i.RequiredVersion, fleet: i.Fleet}
 	s.history.items = slices.Clip(i.History)
 	s.audit.items = slices.Clip(i.Audit)
 	for _, r := range i.Changes {
@@ -120,6 +122,9 @@
 	if err := i.Holders.Validate(); err != nil {
 		return err
 	}
+	if err := i.Fleet.Validate(); err != nil {
+		return err
+	}
 	return i.validateLedger()
 }
 
--- a/control/publisher.go
+++ b/control/publisher.go
@@ -55,6 +55,8 @@
 	Config   *azurestair.Config
 	Drains   []azurestair.Drain
 	Registry *Registry
+	// Fleet changes only together with Config.
+	Fleet azurestair.FleetID
 }
 
 // Publisher builds immutable snapshots with increasing revisions from the
@@ -131,7 +133,7 @@
 	if d := p.dueDepth(src.Registry, now); d != 0 {
 		p.merge(&next, &c, src.Registry, d, now)
 	}
-	next.Config = src.Config
+	next.Config, next.Fleet = src.Config, src.Fleet
 	if c.drains {
 		// Use a non-nil slice, so that an encoded delta distinguishes an empty
 		// list of drains from an unchanged one.
@@ -198,7 +200,7 @@
 	s := &azurestair.Snapshot{
 		Term: src.Term, Revision: 1, Commit: src.Commit, Config: src.Config, Drains: slices.Clone(src.Drains),
 		Upstreams: src.Registry.Upstreams(), Instances: src.Registry.Instances(),
-		Plans: src.Registry.seededPlans,
+		Plans: src.Registry.seededPlans, Fleet: src.Fleet,
 	}
 	if p.current != nil {
 		s.Revision = p.current.Revision + 1
@@ -322,7 +324,7 @@
 		all.instances = append(all.instances, c.instances...)
 	}
 	if all.config {
-		d.Config = s.Config
+		d.Config, d.Fleet = s.Config, s.Fleet
 	}
 	if all.drains {
 		d.Drains = &s.Drains
@@ -350,6 +352,7 @@
 				azurestair.ErrConflict, d.Config.Version, s.ConfigVersion())
 		}
 		next.Config = d.Config
+		next.Fleet = cmp.Or(d.Fleet, s.Fleet)
 	}
 	if d.Drains != nil {
 		next.Drains = *d.Drains
--- a/control/report.go
+++ b/control/report.go
@@ -35,7 +35,7 @@
 }
 
 func sameContent(a, b azurestair.Report) bool {
-	return a.Instance == b.Instance && slices.Equal(a.Alive, b.Alive) && slices.Equal(a.Demands, b.Demands)
+	return a.Instance == b.Instance && a.Fleet == b.Fleet && slices.Equal(a.Alive, b.Alive) && slices.Equal(a.Demands, b.Demands)
 }
 
 // HandleReply returns the grants of the reply to the last report. It returns
--- a/control/state.go
+++ b/control/state.go
@@ -35,6 +35,7 @@
 	audit           window[azurestair.AuditRecord]
 	ledger          ledger
 	holders         *HolderList
+	fleet           azurestair.FleetID
 	requiredVersion azurestair.ProtocolVersion
 
 	departures departures
@@ -82,6 +83,9 @@
 	return max(s.requiredVersion, azurestair.ProtocolUnannounced)
 }
 
+// Fleet returns the id of the fleet, or an empty id if none is assigned yet.
+func (s *State) Fleet() azurestair.FleetID { return s.fleet }
+
 // Applied returns the index of the last applied log entry.
 func (s *State) Applied() azurestair.Index { return s.applied }
 
--- a/errors.go
+++ b/errors.go
@@ -39,6 +39,8 @@
 	// ErrVersion reports another instance whose protocol version is
 	// incompatible with that of this program.
 	ErrVersion = errs.New("protocol version not accepted")
+	// ErrOtherFleet reports an instance that belongs to another fleet.
+	ErrOtherFleet = errs.New("instance of another fleet")
 	// ErrUnknownRecord reports a record of the replicated log or its snapshot
 	// that this program would apply differently from the program that wrote it.
 	ErrUnknownRecord = errs.New("unknown record, written by a newer program")
--- a/faults/fleet.go
+++ b/faults/fleet.go
@@ -141,6 +141,25 @@
 	wg.Wait()
 }
 
+// addSpare starts a control instance that the log does not list.
+func (f *fleet) addSpare() *node {
+	addrs := freeAddrs(4)
+	n := &node{
+		id: "spare", location: controlLocations[0], isControl: true, learner: true, program: programUnderTest(),
+		dir: filepath.Join(f.dir, "spare"), controlRelays: map[azurestair.InstanceID]*relay.Relay{},
+		callerAddr: addrs[0], upstreamAddr: addrs[1], operatorAddr: addrs[2], peerAddr: addrs[3],
+	}
+	Expect(os.Mkdir(n.dir, 0o700)).To(Succeed())
+	for _, v := range f.voters() {
+		n.controlRelays[v.id] = f.newRelay(v.peerAddr)
+	}
+	n.writeSettings(f.voters())
+	n.init()
+	n.start()
+	DeferCleanup(n.kill)
+	return n
+}
+
 // newRelay starts a relay that is closed with the fleet.
 func (f *fleet) newRelay(target string) *relay.Relay {
 	r, err := relay.New("127.0.0.1:0", target)
--- a/faults/storage_test.go
+++ b/faults/storage_test.go
@@ -257,3 +257,33 @@
 	Expect(os.WriteFile(name, data, 0o600)).To(Succeed())
 	return filepath.Base(name)
 }
+
+// Guards against a fleet that elects a leader to which nobody reports: after
+// all instances have stopped, the settings name only a control instance that is
+// not a voter.
+var _ = Describe("settings", func() {
+	It("that name no voter after all instances were killed are no obstacle to finding the leader", func() {
+		f := newFleet(fleetOptions{})
+		spare := f.addSpare()
+		version := f.apply(f.nodes[0], f.version(f.nodes[0]), "before")
+		Eventually(func() error { return f.checkConfigVersion(version, spare) }, 10*time.Second).Should(Succeed())
+		for _, v := range f.voters() {
+			Eventually(func() (string, error) {
+				data, err := os.ReadFile(filepath.Join(v.dataDir(), "contacts"))
+				return string(data), err
+			}, 10*time.Second).Should(ContainSubstring(string(spare.id)))
+		}
+		restarted := append(slices.Clone(f.entriesOnly()), spare)
+		for _, n := range append(slices.Clone(f.nodes), spare) {
+			n.kill()
+		}
+		for _, n := range restarted {
+			n.controlRelays[spare.id] = f.newRelay(spare.peerAddr)
+			n.writeSettings([]*node{spare})
+		}
+		for _, n := range slices.Concat(f.voters(), restarted) {
+			n.start()
+		}
+		Eventually(func() error { return f.checkConfigVersion(version, restarted...) }, 10*time.Second).Should(Succeed())
+	})
+})
--- a/ids.go
+++ b/ids.go
@@ -47,6 +47,9 @@
 	// ConfigVersion is the version of the fleet configuration; it increases
 	// monotonically.
 	ConfigVersion uint64
+	// FleetID identifies a fleet: the instances that share one replicated log.
+	// It is empty until the log holds a configuration that assigns it.
+	FleetID string
 	// Revision orders the snapshots that a leader publishes within a term.
 	Revision uint64
 )
@@ -94,3 +97,14 @@
 	}
 	return nil
 }
+
+// Validate checks the id, which may be empty.
+func (f FleetID) Validate() error {
+	if f == "" {
+		return nil
+	}
+	return CheckName("fleet", string(f))
+}
+
+// Conflicts reports whether both ids are known and differ.
+func (f FleetID) Conflicts(other FleetID) bool { return f != "" && other != "" && f != other }
--- a/instance/controller.go
+++ b/instance/controller.go
@@ -196,7 +196,13 @@
 	}
 }
 
-func (e notifyEvent) handle(c *Controller, _ time.Time) { c.member.handleNotice(e.notice) }
+func (e notifyEvent) handle(c *Controller, now time.Time) { c.member.handleNotice(e.notice, now) }
+
+func (e seedsEvent) handle(c *Controller, now time.Time) {
+	if c.replica != nil {
+		c.replica.setSeeds(e.seeds, now)
+	}
+}
 
 func (e leaveEvent) handle(c *Controller, now time.Time) { c.member.leave(e.acked, now) }
 
--- a/instance/events.go
+++ b/instance/events.go
@@ -6,6 +6,7 @@
 
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/control"
+	"azurestair.example/azurestair/peer"
 )
 
 // event is an input to the control goroutine.
@@ -78,6 +79,9 @@
 // notifyEvent carries a notice from the leader.
 type notifyEvent struct{ notice azurestair.SnapshotNotice }
 
+// seedsEvent carries changed addresses of control instances from the settings.
+type seedsEvent struct{ seeds []peer.Address }
+
 // leaveEvent removes this instance from lookups; it continues to serve. acked
 // is closed when the leader has acknowledged it.
 type leaveEvent struct{ acked chan<- struct{} }
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -8,6 +8,7 @@
 
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/control"
+	"azurestair.example/azurestair/peer"
 	"azurestair.example/azurestair/raft"
 )
 
@@ -44,15 +45,30 @@
 		}
 		r.allocator.Inherit(inherited)
 		r.limitsSnapshot = nil
+		r.contacts.startTerm(r.registry.Instances(), now)
 		r.log.Info("leading", "term", term, "commit", r.state.Applied())
 	}
 	r.registry.Expire(now)
 	r.publish(now)
+	r.introduce(now)
 	r.proposeHolderChanges(now)
 	r.maintainMembership(now)
 	r.proposeListingChange(now)
 }
 
+// introduce tells instances that do not report who the leader is.
+func (r *Replica) introduce(now time.Time) {
+	for _, c := range r.contacts.introducer.Due(now) {
+		r.log.Debug("leader introduced", "to", c.ID, "addr", c.Addr, "term", r.leaderTerm)
+		r.notifier.introduce(peer.Address{ID: c.ID, Addr: c.Addr}, r.notice(r.leaderTerm))
+	}
+}
+
+// notice returns the notice of this leader in a term.
+func (r *Replica) notice(term azurestair.Term) azurestair.SnapshotNotice {
+	return azurestair.SnapshotNotice{Leader: r.self, Term: term, Addr: r.contacts.self, Fleet: r.state.Fleet()}
+}
+
 // listingInterval is the minimum time between writes of the upstream list to
 // the log.
 const listingInterval = 250 * time.Millisecond
@@ -83,6 +99,7 @@
 	prev := r.publisher.Current()
 	snap, changed := r.publisher.Publish(control.SnapshotSource{
 		Term: r.leaderTerm, Commit: r.state.Applied(), Config: r.publishedConfig(), Drains: r.state.Drains(), Registry: r.registry,
+		Fleet: r.state.Fleet(),
 	}, now)
 	if snap != nil && snap != r.limitsSnapshot {
 		r.setLimits(snap, now)
@@ -92,7 +109,7 @@
 	}
 	r.logPlans(snap)
 	if needsNotice(prev, snap) {
-		r.notifier.notify(snap.Term, snap.Instances)
+		r.notifier.notify(r.notice(snap.Term), snap.Instances)
 	}
 }
 
@@ -195,6 +212,9 @@
 	if r.leaderTerm != r.node.Status().Term {
 		return reply, fmt.Errorf("%w: the leader is starting", azurestair.ErrNoQuorum)
 	}
+	if r.state.Fleet().Conflicts(report.Fleet) {
+		return reply, fmt.Errorf("%w: %s belongs to fleet %s", azurestair.ErrOtherFleet, report.Instance.ID, report.Fleet)
+	}
 	report, known := r.reportReceiver.Expand(report)
 	if !known {
 		return azurestair.ReportReply{Term: r.leaderTerm, Resend: true}, nil
@@ -202,6 +222,7 @@
 	if latest := r.incarnationOf(report.Instance.ID); report.Instance.Incarnation < latest {
 		return azurestair.ReportReply{Term: r.leaderTerm, SupersededBy: latest}, nil
 	}
+	r.contacts.introducer.MarkHeard(report.Instance.PeerAddr, now)
 	if report.Leaving {
 		r.registry.RemoveInstance(report.Instance.ID, now)
 		r.allocator.MarkDeparted(report.Instance.ID, report.Instance.Incarnation)
--- a/instance/leader_test.go
+++ b/instance/leader_test.go
@@ -26,7 +26,7 @@
 		ID: "c1", Membership: azurestair.Membership{Voters: []azurestair.InstanceID{"c1"}},
 	}, azurestair.LogState{}, now, slog.New(slog.DiscardHandler))
 	Expect(err).NotTo(HaveOccurred())
-	r.transport, r.peers, r.notifier = noTransport{}, noTransport{}, newNotifier(nil, "c1")
+	r.transport, r.peers, r.notifier = noTransport{}, noTransport{}, newNotifier(nil)
 	r.writer = &logWriter{jobs: make(chan *storeJob, maxStoreJobs)}
 	l := &leadingReplica{Replica: r, now: now}
 	l.run(30)
--- a/instance/member.go
+++ b/instance/member.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -96,12 +97,18 @@
 	// configLostLoggedAt is when the log last mentioned that the leader has an
 	// older configuration.
 	configLostLoggedAt time.Time
+	// otherFleetLoggedAt is when the log last mentioned a leader of another
+	// fleet.
+	otherFleetLoggedAt time.Time
 
 	// learnPeers receives the control instances of each new snapshot; it may be
 	// nil.
 	learnPeers func([]peer.Address)
 	// followLeader directs reports to the given leader; it may be nil.
-	followLeader func(azurestair.InstanceID)
+	followLeader func(peer.Address)
+	// fleet is the fleet that this instance belongs to; empty if it does not
+	// know.
+	fleet azurestair.FleetID
 	// announcementTTL is how long an announcement is valid at this entry.
 	announcementTTL time.Duration
 }
@@ -125,15 +132,29 @@
 func (m *Member) requestReport() { m.reportDue = true }
 
 // handleNotice requests a report. If the notice names a leader of a newer term,
-// the report is sent to that leader, and a report that is in flight to the
-// previous leader is aborted.
-func (m *Member) handleNotice(n azurestair.SnapshotNotice) {
-	if n.Term > m.term && n.Leader != "" && m.followLeader != nil {
-		m.followLeader(n.Leader)
+// or this instance has no contact with the leader, the report is sent to the
+// named leader, and a report that is in flight to another one is aborted.
+func (m *Member) handleNotice(n azurestair.SnapshotNotice, now time.Time) {
+	if m.fleet.Conflicts(n.Fleet) {
+		m.logOtherFleet(n.Leader, n.Fleet, now)
+		return
+	}
+	isNews := n.Term > m.term || (n.Term == m.term && !m.leaderReached)
+	if isNews && n.Leader != "" && m.followLeader != nil {
+		m.followLeader(peer.Address{ID: n.Leader, Addr: n.Addr})
 	}
 	m.requestReport()
 }
 
+// logOtherFleet logs a leader of another fleet that is not followed.
+func (m *Member) logOtherFleet(leader azurestair.InstanceID, fleet azurestair.FleetID, now time.Time) {
+	if now.Sub(m.otherFleetLoggedAt) < repeatedLogInterval {
+		return
+	}
+	m.otherFleetLoggedAt = now
+	m.log.Warn("leader of another fleet not followed", "leader", leader, "theirFleet", fleet, "fleet", m.fleet)
+}
+
 // leave removes this instance from lookups.
 func (m *Member) leave(acked chan<- struct{}, now time.Time) {
 	m.leaving, m.leaveAcked = true, acked
@@ -251,7 +272,7 @@
 
 // sendReport passes a report to the reporter.
 func (m *Member) sendReport(now time.Time) {
-	r := azurestair.Report{Instance: m.self, Leaving: m.finalReportAcked != nil}
+	r := azurestair.Report{Instance: m.self, Leaving: m.finalReportAcked != nil, Fleet: m.fleet}
 	m.finalReportSent, m.leavingSent = r.Leaving, m.leaving
 	r.Instance.Ready = m.entry != nil && m.entry.isReady(now)
 	r.Instance.ActiveConfig = m.snapshot.ConfigVersion()
@@ -427,12 +448,15 @@
 		return nil
 	case next.Config == nil:
 		return fmt.Errorf("%w: snapshot without configuration", azurestair.ErrInvalid)
+	case m.fleet.Conflicts(next.Fleet):
+		return fmt.Errorf("%w: the leader belongs to fleet %s", azurestair.ErrOtherFleet, next.Fleet)
 	case next.Term < m.term:
 		return azurestair.ErrConflict
 	case next.ConfigVersion() < m.snapshot.ConfigVersion():
 		return fmt.Errorf("%w: %d", errConfigLost, next.ConfigVersion())
 	}
 	m.snapshot, m.term = withPlans(next), reply.Term
+	m.fleet = cmp.Or(m.fleet, next.Fleet)
 	return nil
 }
 
--- a/instance/member_test.go
+++ b/instance/member_test.go
@@ -103,8 +103,8 @@
 			m := newMemberFixture()
 			m.exchange(snapshotReply(3, 1, 1))
 			var followed []azurestair.InstanceID
-			m.followLeader = func(id azurestair.InstanceID) { followed = append(followed, id) }
-			m.handleNotice(n)
+			m.followLeader = func(leader peer.Address) { followed = append(followed, leader.ID) }
+			m.handleNotice(n, m.clock.Now())
 			Expect(followed).To(Equal(want))
 			Expect(m.reportDue).To(BeTrue())
 		},
@@ -420,7 +420,7 @@
 		rep := newReporter(nil, clk)
 		c := newController(clk, log, newMember(azurestair.InstanceInfo{ID: "c1"}, nil, rep, log), nil)
 		post := func(e event) { _ = c.post(context.Background(), e) }
-		replica.transport, replica.peers, replica.notifier = noTransport{}, noTransport{}, newNotifier(nil, "c1")
+		replica.transport, replica.peers, replica.notifier = noTransport{}, noTransport{}, newNotifier(nil)
 		replica.writer = &logWriter{store: store, transport: noTransport{}, jobs: make(chan *storeJob, maxStoreJobs), post: post}
 		replica.imageEncoder = &imageEncoder{jobs: make(chan control.Image, 1), post: post}
 		c.replica = replica
--- a/instance/membership.go
+++ b/instance/membership.go
@@ -72,18 +72,23 @@
 	return out
 }
 
-// connectDerivedPeers connects to the members of the log whose address can be
-// derived from their ID.
-func (r *Replica) connectDerivedPeers() {
-	if r.peerAddr == nil {
-		return
-	}
+// connectKnownMembers connects to the members of the log whose address can be
+// derived from their ID or is in the address book.
+func (r *Replica) connectKnownMembers() {
 	m := r.node.Status().Membership
 	for _, id := range slices.Concat(m.Voters, m.Learners) {
-		if id != r.self && r.peers.Addr(id) == "" {
-			if addr := r.peerAddr(id); addr != "" {
-				r.peers.AddPeer(peer.Address{ID: id, Addr: addr})
-			}
+		if id == r.self || r.peers.Addr(id) != "" {
+			continue
+		}
+		addr := ""
+		if r.peerAddr != nil {
+			addr = r.peerAddr(id)
+		}
+		if addr == "" {
+			addr = r.contacts.book.Addr(id)
+		}
+		if addr != "" {
+			r.peers.AddPeer(peer.Address{ID: id, Addr: addr})
 		}
 	}
 }
--- a/instance/notifier.go
+++ b/instance/notifier.go
@@ -12,30 +12,43 @@
 // lost, the instance gets the snapshot with its next report.
 type notifier struct {
 	client *peer.Client
-	self   azurestair.InstanceID
 	// rounds holds the latest round that run has not received yet.
 	rounds chan noticeRound
+	// introductions holds the notices to single instances.
+	introductions chan noticeCall
 }
 
+// maxIntroductionsQueued bounds the queued notices to single instances. The
+// leader repeats those that do not fit.
+const maxIntroductionsQueued = 64
+
 // noticeRound is a notice and the instances to send it to.
 type noticeRound struct {
 	notice    azurestair.SnapshotNotice
 	instances []azurestair.InstanceInfo
 }
 
-func newNotifier(client *peer.Client, self azurestair.InstanceID) *notifier {
-	return &notifier{client: client, self: self, rounds: make(chan noticeRound, 1)}
+func newNotifier(client *peer.Client) *notifier {
+	return &notifier{client: client, rounds: make(chan noticeRound, 1), introductions: make(chan noticeCall, maxIntroductionsQueued)}
+}
+
+// introduce queues a notice for one instance. It does not block.
+func (n *notifier) introduce(to peer.Address, notice azurestair.SnapshotNotice) {
+	select {
+	case n.introductions <- noticeCall{client: n.client, to: to, notice: notice}:
+	default:
+	}
 }
 
-// notify queues a notice for the instances in a term of this leader. It
-// replaces a queued round and does not block.
-func (n *notifier) notify(term azurestair.Term, instances []azurestair.InstanceInfo) {
+// notify queues a notice for the instances. It replaces a queued round and does
+// not block.
+func (n *notifier) notify(notice azurestair.SnapshotNotice, instances []azurestair.InstanceInfo) {
 	select {
 	case <-n.rounds:
 	default:
 	}
 	select {
-	case n.rounds <- noticeRound{notice: azurestair.SnapshotNotice{Leader: n.self, Term: term}, instances: instances}:
+	case n.rounds <- noticeRound{notice: notice, instances: instances}:
 	default:
 	}
 }
@@ -53,6 +66,8 @@
 				notification := noticeCall{client: n.client, to: peer.Address{ID: i.ID, Addr: i.PeerAddr}, notice: r.notice}
 				wg.Go(func() { notification.run(ctx) })
 			}
+		case introduction := <-n.introductions:
+			wg.Go(func() { introduction.run(ctx) })
 		}
 	}
 }
--- a/instance/process.go
+++ b/instance/process.go
@@ -221,16 +221,17 @@
 	logLevel   *slog.LevelVar
 	auth       authenticator
 
-	self         azurestair.InstanceInfo
-	controller   *Controller
-	store        Store
-	writer       *logWriter
-	imageEncoder *imageEncoder
-	notifier     *notifier
-	reporter     *reporter
-	transport    *peer.Transport
-	peerServer   *peer.Server
-	servers      []*http.Server
+	self          azurestair.InstanceInfo
+	controller    *Controller
+	store         Store
+	writer        *logWriter
+	imageEncoder  *imageEncoder
+	contactWriter *contactWriter
+	notifier      *notifier
+	reporter      *reporter
+	transport     *peer.Transport
+	peerServer    *peer.Server
+	servers       []*http.Server
 
 	cancel context.CancelFunc
 	// writers end after the control goroutine, which sends them jobs.
@@ -302,6 +303,7 @@
 			return
 		case seeds := <-p.options.Seeds:
 			p.peerClient.SetSeeds(seeds)
+			p.post(seedsEvent{seeds: seeds})
 		case s := <-p.options.Reload:
 			p.auth.set(s.Tokens)
 			if err := p.logLevel.UnmarshalText([]byte(s.Log.Level)); err != nil {
@@ -365,11 +367,12 @@
 		_ = store.Close()
 		return err
 	}
-	r.joining, r.peers = joining, p.transport
+	r.joining, r.peers, r.knownLeader = joining, p.transport, p.peerClient.Leader
+	p.startContacts(r)
 	p.store = store
 	p.writer = &logWriter{store: store, transport: p.transport, jobs: make(chan *storeJob, maxStoreJobs), post: p.post}
 	p.imageEncoder = &imageEncoder{jobs: make(chan control.Image, 1), post: p.post}
-	p.notifier = newNotifier(p.peerClient, p.self.ID)
+	p.notifier = newNotifier(p.peerClient)
 	if f := p.options.FrontEnd; f != nil {
 		r.persistListing = true
 		r.membershipPlanner, r.peerAddr, r.upstreamLease = &control.MembershipPlanner{Voters: f.VoterCount}, f.PeerAddr, upstreamLeaseIntervals*f.AnnounceInterval
@@ -378,9 +381,23 @@
 	p.controller.replica = r
 	p.writers.Go(p.writer.run)
 	p.writers.Go(p.imageEncoder.run)
+	p.writers.Go(p.contactWriter.run)
 	return nil
 }
 
+// startContacts loads the stored contacts and starts their writer.
+func (p *Process) startContacts(r *Replica) {
+	store := disk.ContactFile{Dir: p.settings.Instance.DataDir}
+	l := loadContacts(store, r.state.Fleet(), p.log)
+	p.contactWriter = newContactWriter(store, p.log)
+	r.contacts = contactBook{
+		self: p.self.PeerAddr, book: *control.NewAddressBook(l, p.options.Clock.Now()), seeds: otherVoters(p.settings), writer: p.contactWriter,
+	}
+	p.controller.member.fleet = cmp.Or(r.state.Fleet(), l.Fleet)
+	p.peerClient.SetAlive(controlAddresses(l.Contacts))
+	p.log.Info("contacts loaded", "contacts", len(l.Contacts), "fleet", p.controller.member.fleet)
+}
+
 // closeReplica stops the writers and closes the data folder.
 func (p *Process) closeReplica() {
 	if p.store == nil {
@@ -388,6 +405,7 @@
 	}
 	close(p.writer.jobs)
 	close(p.imageEncoder.jobs)
+	close(p.contactWriter.jobs)
 	p.writers.Wait()
 	if err := p.store.Close(); err != nil {
 		p.log.Error("data folder not closed", "err", err)
--- a/instance/replica.go
+++ b/instance/replica.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -100,6 +101,12 @@
 	// loggedPlans is the text of the region plans that was logged last.
 	loggedPlans string
 
+	// contacts holds the addresses of the instances of the fleet.
+	contacts contactBook
+	// knownLeader returns the leader that this instance reports to; nil if that
+	// is not known.
+	knownLeader func() (peer.Address, bool)
+
 	// membershipPlanner plans the membership changes of the log; if it is nil,
 	// operators make them.
 	membershipPlanner   *control.MembershipPlanner
@@ -153,6 +160,7 @@
 		return
 	}
 	e.command.At, e.command.ListsHolders = r.logTime.Next(now), r.startsHolderList(e.command)
+	e.command.Fleet = r.newFleetID(e.command)
 	if e.command.Claim != nil {
 		// Modify a copy: the entry in this process may still read its own
 		// claim.
@@ -177,6 +185,21 @@
 	return c.Config != nil && r.state.Config().Version == 0 && r.checkMemberVersions(azurestair.ProtocolAnnounced) == nil
 }
 
+// newFleetID returns the fleet id that the command assigns: a new one for a
+// configuration while there is none and all members of the log can read it.
+func (r *Replica) newFleetID(c azurestair.Command) azurestair.FleetID {
+	if c.Config == nil || r.state.Fleet() != "" || r.checkMemberVersions(azurestair.ProtocolFleet) != nil {
+		return ""
+	}
+	return azurestair.FleetID(fmt.Sprintf("%016x", rand.Uint64()))
+}
+
+// setSeeds replaces the control instances that the settings name.
+func (r *Replica) setSeeds(seeds []peer.Address, now time.Time) {
+	r.contacts.seeds = seeds
+	r.contacts.introducer.SetContacts(r.contacts.contacts(), now)
+}
+
 // changeMembers changes the membership of the log. The command itself is logged
 // afterwards for the audit trail. A change that has already taken effect is a
 // resend and succeeds.
@@ -203,6 +226,13 @@
 	if leader == r.self {
 		return fmt.Errorf("%w: the leader's lease has expired", azurestair.ErrNoQuorum)
 	}
+	if leader == "" && r.knownLeader != nil {
+		// An instance that the log does not list hears of the leader only
+		// through its reports.
+		if known, ok := r.knownLeader(); ok && known.ID != r.self {
+			return azurestair.NotLeaderError{Leader: known.ID, Addr: known.Addr}
+		}
+	}
 	return azurestair.NotLeaderError{Leader: leader, Addr: r.peers.Addr(leader)}
 }
 
@@ -254,11 +284,12 @@
 	if err := r.processReady(now); err != nil {
 		return err
 	}
+	r.contacts.observe(m.snapshot, now)
 	r.updateLeaderState(now, m.snapshot, m.holder.Grants())
 	r.maybeCompact()
 	r.maybeRecordJoined()
 	r.connectMembers(m.snapshot)
-	r.connectDerivedPeers()
+	r.connectKnownMembers()
 	return nil
 }
 
@@ -468,7 +499,7 @@
 func (r *Replica) nextDeadline() time.Time {
 	next := r.node.NextDeadline()
 	if r.registry != nil && r.node.IsLeader() {
-		next = earlier(next, r.registry.NextDeadline())
+		next = earlier(earlier(next, r.registry.NextDeadline()), r.contacts.introducer.NextDeadline())
 	}
 	return next
 }
--- a/peer/client.go
+++ b/peer/client.go
@@ -53,6 +53,9 @@
 	peers []Address
 	// target is the index in peers of the instance to call.
 	target int
+	// leader is the instance that last answered as the leader or introduced
+	// itself as such; zero if a call to it has failed since.
+	leader Address
 	// failures counts consecutive failed attempts.
 	failures int
 	// seeds are the configured peers. Only SetSeeds removes them.
@@ -166,13 +169,17 @@
 }
 
 // SetLeader makes the given control instance the target of all calls and
-// cancels the running attempts at others. It has no effect for an unknown
-// instance.
-func (c *Client) SetLeader(leader azurestair.InstanceID) {
+// cancels the running attempts at others. An unknown instance is added to the
+// peers; without a valid address it has no effect.
+func (c *Client) SetLeader(leader Address) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	i := slices.IndexFunc(c.peers, func(a Address) bool { return a.ID == leader })
-	if i < 0 || i == c.target%len(c.peers) {
+	i := c.ensurePeer(leader)
+	if i < 0 {
+		return
+	}
+	c.leader = c.peers[i]
+	if i == c.target%len(c.peers) {
 		return
 	}
 	c.target = i
@@ -182,6 +189,26 @@
 	}
 }
 
+// Leader returns the instance that is believed to be the leader, or false if
+// none is.
+func (c *Client) Leader() (Address, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader, c.leader.ID != ""
+}
+
+// updateLeader records the result of a call.
+func (c *Client) updateLeader(to Address, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case err == nil:
+		c.leader = to
+	case c.leader == to && !isPermanent(err):
+		c.leader = Address{}
+	}
+}
+
 // targetContext returns a context that is cancelled when SetLeader changes the
 // target.
 func (c *Client) targetContext() context.Context {
@@ -205,6 +232,7 @@
 		err := c.callOnce(attemptCtx, to, method, req, resp, timeout)
 		stop()
 		cancel()
+		c.updateLeader(to, err)
 		delay := c.nextBackoff(err)
 		if err == nil || isPermanent(err) {
 			return err
@@ -264,14 +292,8 @@
 	}
 	var notLeader azurestair.NotLeaderError
 	if errors.As(err, &notLeader) {
-		for i, p := range c.peers {
-			if p.ID == notLeader.Leader && p != failed {
-				c.target = i
-				return
-			}
-		}
-		c.addLeader(notLeader)
-		if c.peers[c.target%len(c.peers)] != failed {
+		if i := c.ensurePeer(Address{ID: notLeader.Leader, Addr: notLeader.Addr}); i >= 0 && c.peers[i] != failed {
+			c.target = i
 			return
 		}
 	}
@@ -281,20 +303,31 @@
 // maxPeers bounds the number of known control instances.
 const maxPeers = 4 * azurestair.MaxVoters
 
-// addLeader adds a leader that is not among the peers, for example after a
-// control instance was replaced, and makes it the target. The caller must hold
-// mu.
-func (c *Client) addLeader(hint azurestair.NotLeaderError) {
-	if hint.Leader == "" || azurestair.CheckAddr(hint.Addr) != nil || len(c.peers) >= maxPeers {
-		return
+// ensurePeer returns the index of a control instance among the peers. It adds
+// an unknown one, in place of the oldest that is not a seed if there are too
+// many. Without a valid address it returns -1. The caller must hold mu.
+func (c *Client) ensurePeer(a Address) int {
+	if i := slices.IndexFunc(c.peers, func(p Address) bool { return p.ID == a.ID }); i >= 0 {
+		return i
 	}
-	for _, p := range c.peers {
-		if p.ID == hint.Leader {
-			return
-		}
+	if a.ID == "" || azurestair.CheckAddr(a.Addr) != nil {
+		return -1
+	}
+	c.peers = slices.Clone(c.peers)
+	// An instance that lost its disk has a new ID at the same address.
+	if i := slices.IndexFunc(c.peers, func(p Address) bool { return p.Addr == a.Addr }); i >= 0 {
+		c.peers[i] = a
+		return i
+	}
+	if len(c.peers) < maxPeers {
+		c.peers = append(c.peers, a)
+		return len(c.peers) - 1
+	}
+	i := slices.IndexFunc(c.peers, func(p Address) bool { return !slices.Contains(c.seeds, p) })
+	if i >= 0 {
+		c.peers[i] = a
 	}
-	c.peers = append(slices.Clone(c.peers), Address{ID: hint.Leader, Addr: hint.Addr})
-	c.target = len(c.peers) - 1
+	return i
 }
 
 func (c *Client) callOnce(ctx context.Context, to Address, method string, req, resp any, timeout time.Duration) error {
--- a/peer/errors.go
+++ b/peer/errors.go
@@ -29,6 +29,7 @@
 	{codes.NotFound, azurestair.ErrNotFound},
 	{codes.Unauthenticated, azurestair.ErrUnauthorized},
 	{codes.OutOfRange, azurestair.ErrTooLarge},
+	{codes.PermissionDenied, azurestair.ErrOtherFleet},
 	// NotLeaderError has the same code, but a message that starts with
 	// notLeaderPrefix.
 	{codes.FailedPrecondition, azurestair.ErrClosed},
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -10,6 +10,7 @@
 	"crypto/x509/pkix"
 	"encoding/pem"
 	"errors"
+	"fmt"
 	"math"
 	"math/big"
 	"net"
@@ -429,12 +430,49 @@
 			done <- err
 		}()
 		Eventually(old.calls.Load).Should(BeEquivalentTo(1))
-		c.SetLeader("c9")
-		c.SetLeader("c3")
+		c.SetLeader(peer.Address{ID: "c9"})
+		c.SetLeader(peer.Address{ID: "c3"})
 		Eventually(done).WithTimeout(long).Should(Receive(BeNil()))
 		Expect([]int64{other.calls.Load(), leader.calls.Load()}).To(Equal([]int64{0, 1}))
 	})
 
+	// Guards against an instance whose settings name only control instances that
+	// are not voters: they must be able to tell it who leads.
+	It("go to a leader outside the settings that introduced itself, and remember it", func() {
+		spare, leader := &fakeHandler{err: azurestair.NotLeaderError{}}, &fakeHandler{}
+		seed, introduced := addressOf("s1", serve(spare, nil)), addressOf("c9", serve(leader, nil))
+		c := peer.NewClient(newConns(nil), []peer.Address{seed})
+		_, known := c.Leader()
+		Expect(known).To(BeFalse())
+		c.SetLeader(introduced)
+		_, err := c.Report(contextWithTimeout(long), azurestair.Report{Instance: instance})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(spare.calls.Load()).To(BeZero())
+		var found peer.Address
+		found, known = c.Leader()
+		Expect(known).To(BeTrue())
+		Expect(found).To(Equal(introduced))
+		leader.err = azurestair.ErrNoQuorum
+		_, err = c.Report(contextWithTimeout(short), azurestair.Report{Instance: instance})
+		Expect(err).To(HaveOccurred())
+		_, known = c.Leader()
+		Expect(known).To(BeFalse())
+	})
+
+	// Guards against a list of control instances that grows with each leader,
+	// and against one that is full of instances that are gone.
+	It("follow a new leader however many there were before", func() {
+		h := &fakeHandler{}
+		l := serve(h, nil)
+		c := peer.NewClient(newConns(nil), []peer.Address{{ID: "s1", Addr: "127.0.0.1:1"}})
+		for i := range 200 {
+			c.SetLeader(peer.Address{ID: azurestair.InstanceID(fmt.Sprintf("old-%d", i)), Addr: fmt.Sprintf("127.0.0.1:%d", i+2)})
+		}
+		c.SetLeader(addressOf("c9", l))
+		_, err := c.Report(contextWithTimeout(long), azurestair.Report{Instance: instance})
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	// Guards against one slow call aborting all others on its connection.
 	It("keep a connection that answered other calls meanwhile", func() {
 		h := &fakeHandler{}
--- a/snapshot.go
+++ b/snapshot.go
@@ -18,6 +18,7 @@
 	Upstreams []UpstreamInfo `cbor:"7,keyasint,omitempty" json:"upstreams,omitempty"`
 	// Plans is sorted by service and region.
 	Plans []RegionPlan `cbor:"8,keyasint,omitempty" json:"plans,omitempty"`
+	Fleet FleetID      `cbor:"9,keyasint,omitempty" json:"fleet,omitempty"`
 }
 
 // Drain is a target that an operator has drained.
@@ -107,6 +108,9 @@
 			return fmt.Errorf("upstream %s: %w", u.Announcement.Upstream, err)
 		}
 	}
+	if err := s.Fleet.Validate(); err != nil {
+		return err
+	}
 	return validateAll("plans", s.Plans, MaxPlans)
 }
 
--- a/version.go
+++ b/version.go
@@ -22,8 +22,10 @@
 	// ProtocolCompressed is the first version in which programs decode
 	// compressed updates in replies to reports.
 	ProtocolCompressed ProtocolVersion = 4
+	// ProtocolFleet is the first version in which the log holds a fleet id.
+	ProtocolFleet ProtocolVersion = 5
 	// ProtocolCurrent is the version of this program.
-	ProtocolCurrent = ProtocolCompressed
+	ProtocolCurrent = ProtocolFleet
 	// ProtocolOldest is the oldest version with which this program
 	// communicates.
 	ProtocolOldest = ProtocolUnannounced
@@ -68,6 +70,9 @@
 // a field or a value of a field that was added later, it must return the
 // version that introduced the addition.
 func (c Command) RequiredVersion() ProtocolVersion {
+	if c.Fleet != "" {
+		return ProtocolFleet
+	}
 	if c.Departure != nil || c.Read != nil || c.UpstreamList != nil || (c.Config != nil && (c.Config.Highest || c.Config.Config.needsRoutedProtocol())) {
 		return ProtocolRouted
 	}
