Keep control instances running while their disk is full

Change: after ENOSPC the store writes the acknowledged log, of which it has a copy in memory, to a new segment as soon as there is space, and the failed call is repeated (disk.Store.Repair, instance.logWriter). Meanwhile the replica answers heartbeats, takes no entries, votes for nobody, does not campaign, and a leader passes on its leadership. Any other failure stays fatal. A process that starts on a full disk waits with its log unused. One log line and the metric storeFull for each change of state; status shows storeFull.

The soak expected a voter with a full disk to exit, so that it acknowledges nothing that it cannot store. It now expects the voter to run, to report its full disk, not to lead and to store the log again without a restart, also when it is restarted while the disk is full.

--- a/disk/identity.go
+++ b/disk/identity.go
@@ -46,12 +46,12 @@
 // Init initializes the data directory of an instance. It fails with ErrConflict
 // if the directory has an identity, or if it holds a log without an identity,
 // whose votes a new log would lose. Init can be called again after a crash
-// during Init.
+// during Init, or after ErrNoSpace.
 func Init(dir string, id azurestair.InstanceID) error {
 	if err := createDir(dir); err != nil {
-		return err
+		return wrapNoSpace(err)
 	}
-	return initStore(osFileSystem{dir}, id)
+	return wrapNoSpace(initStore(osFileSystem{dir}, id))
 }
 
 func createDir(dir string) error {
--- a/disk/joining.go
+++ b/disk/joining.go
@@ -18,13 +18,13 @@
 // existing cluster.
 func InitJoining(dir string, id azurestair.InstanceID) error {
 	if err := createDir(dir); err != nil {
-		return err
+		return wrapNoSpace(err)
 	}
 	fs := osFileSystem{dir}
 	if err := writeJoiningMarker(fs); err != nil {
-		return err
+		return wrapNoSpace(err)
 	}
-	return initStore(fs, id)
+	return wrapNoSpace(initStore(fs, id))
 }
 
 // writeJoiningMarker creates the marker. It is called before the identity is
@@ -46,8 +46,8 @@
 
 // EndJoining durably records that the log lists the instance as a learner.
 func (s *Store) EndJoining() error {
-	if s.err != nil {
-		return s.err
+	if err := s.prepare(); err != nil {
+		return err
 	}
 	err := s.fileSystem.remove(joiningMarkerName)
 	if errors.Is(err, os.ErrNotExist) {
@@ -56,8 +56,5 @@
 	if err == nil {
 		err = s.fileSystem.sync()
 	}
-	if err != nil {
-		s.err = err
-	}
-	return err
+	return s.fail(err)
 }
--- a/disk/open.go
+++ b/disk/open.go
@@ -13,7 +13,8 @@
 // Open locks the data directory of an instance and reads its log. It returns
 // ErrNoIdentity if Init has not initialized the directory for this instance,
 // ErrLocked while another process uses it, and ErrCorrupt with the file and
-// offset of invalid content. The commit index of the returned hard state is at
+// offset of invalid content. A full disk is no error, but the log is then not
+// known to be durable; see Store.NeedsRepair. The commit index of the returned hard state is at
 // least the index of the snapshot.
 func Open(dir string, id azurestair.InstanceID) (*Store, azurestair.LogState, error) {
 	return open(osFileSystem{dir}, id, defaultSegmentBytes)
@@ -123,13 +124,23 @@
 		return records, err
 	}
 	if err := writeAtomic(s.fileSystem, name, data[:valid]); err != nil {
-		return nil, err
+		return records, s.tolerateNoSpace(err)
 	}
 	s.segmentSize = int64(valid)
 	s.segment, err = s.fileSystem.open(name)
 	return records, err
 }
 
+// tolerateNoSpace returns nil for the error of a full disk and records that the
+// log must be rewritten.
+func (s *Store) tolerateNoSpace(err error) error {
+	if !isNoSpace(err) {
+		return err
+	}
+	s.needsRewrite = true
+	return nil
+}
+
 func (s *Store) replay(segments [][]record) error {
 	for _, records := range segments {
 		h := records[0].Segment
@@ -154,7 +165,7 @@
 // the writing of the snapshot and the compaction. It removes obsolete segments.
 func (s *Store) alignWithSnapshot(meta azurestair.SnapshotMeta, firstSegment uint64) error {
 	if meta.Index > s.base.Index {
-		return s.compactTo(meta)
+		return s.tolerateNoSpace(s.compactTo(meta))
 	}
 	if meta.Index != s.base.Index || meta.Term != s.base.Term {
 		detail := fmt.Sprintf("log starts after a snapshot at %d, but the stored snapshot is at %d", s.base.Index, meta.Index)
--- a/disk/store.go
+++ b/disk/store.go
@@ -17,13 +17,21 @@
 //
 // After a failed write or sync the content of the disk is unknown. The store
 // therefore rejects all further calls, and the next Open rewrites the last
-// segment.
+// segment. Only a full disk is no reason to stop: the store then writes the
+// acknowledged log, of which it holds a copy in memory, to a new segment as
+// soon as there is space, and the failed call can be repeated.
+//
+// The store uses a bounded part of the disk: the snapshot, the log up to the
+// size at which it is compacted, and one new copy of each while they are
+// replaced. Nothing is written while the disk is full, so that no space has to
+// be reserved.
 package disk
 
 import (
 	"errors"
 	"fmt"
 	"io"
+	"syscall"
 
 	"azurestair.example/azurestair"
 )
@@ -47,6 +55,9 @@
 	// entries is the stored log after the snapshot.
 	entries []azurestair.LogEntry
 	buffer  []byte
+	// needsRewrite is true after the disk was full: the last segment may end in
+	// a part of a record, or is not known to be durable.
+	needsRewrite bool
 	// err is the error that made the store unusable.
 	err error
 }
@@ -56,8 +67,8 @@
 // Append implements azurestair.LogStore. Entries that exceed the size of one
 // record are split into several records, each of which is synced.
 func (s *Store) Append(hard azurestair.HardState, entries []azurestair.LogEntry) error {
-	if s.err != nil {
-		return s.err
+	if err := s.prepare(); err != nil {
+		return err
 	}
 	if err := s.checkEntries(entries); err != nil {
 		return s.fail(err)
@@ -78,8 +89,8 @@
 // SaveSnapshot implements azurestair.LogStore. It ignores a snapshot that is
 // not newer than the stored one.
 func (s *Store) SaveSnapshot(meta azurestair.SnapshotMeta, data []byte) error {
-	if s.err != nil {
-		return s.err
+	if err := s.prepare(); err != nil {
+		return err
 	}
 	if err := validateSnapshotMeta(meta); err != nil {
 		return s.fail(err)
@@ -104,11 +115,49 @@
 	return err
 }
 
-// fail makes the store unusable if err is not nil.
+// NeedsRepair reports whether the disk was full when the store was opened. The
+// log that Open returned is not durable before Repair has succeeded.
+func (s *Store) NeedsRepair() bool { return s.needsRewrite }
+
+// Repair makes the log durable after the disk was full. It can be repeated
+// after ErrNoSpace.
+func (s *Store) Repair() error { return s.prepare() }
+
+// prepare returns the error that made the store unusable, or rewrites the log
+// if the disk was full.
+func (s *Store) prepare() error {
+	if s.err != nil || !s.needsRewrite {
+		return s.err
+	}
+	if err := s.startSegment(segmentHeader{LogStart: true}, s.entries); err != nil {
+		return s.fail(err)
+	}
+	s.needsRewrite = false
+	return s.fail(s.removeSegmentsBefore(s.segmentNumber))
+}
+
+// isNoSpace reports whether an error means that the disk takes no more data.
+func isNoSpace(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+}
+
+// wrapNoSpace adds ErrNoSpace to the error of a full disk.
+func wrapNoSpace(err error) error {
+	if !isNoSpace(err) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", azurestair.ErrNoSpace, err)
+}
+
+// fail makes the store unusable if err is not nil, unless the disk is full.
 func (s *Store) fail(err error) error {
 	if err == nil {
 		return nil
 	}
+	if isNoSpace(err) {
+		s.needsRewrite = true
+		return wrapNoSpace(err)
+	}
 	s.err = fmt.Errorf("log store stopped after a failure: %w", err)
 	return s.err
 }
--- a/errors.go
+++ b/errors.go
@@ -39,6 +39,9 @@
 	// ErrVersion reports another instance whose protocol version is
 	// incompatible with that of this program.
 	ErrVersion = errs.New("protocol version not accepted")
+	// ErrNoSpace reports a disk that takes no more data. The call can be repeated
+	// later.
+	ErrNoSpace = errs.New("no space left on the disk")
 	// ErrOtherFleet reports an instance that belongs to another fleet.
 	ErrOtherFleet = errs.New("instance of another fleet")
 	// ErrUnknownRecord reports a record of the replicated log or its snapshot
--- a/faults/machine/main.go
+++ b/faults/machine/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"log/slog"
 	"os"
 	"path/filepath"
@@ -102,22 +103,40 @@
 	if err != nil {
 		return nil, state, err
 	}
-	return &faultyStore{Store: s, injector: i}, state, nil
+	return &faultyStore{Store: s, injector: i, needsRepair: s.NeedsRepair() || i.isDiskFull()}, state, nil
 }
 
+func (i faultInjector) isDiskFull() bool { return i.readFile(diskFile) == diskFull }
+
 // faultyStore is a log store whose appends stall or fail during a disk fault.
 type faultyStore struct {
 	*disk.Store
 	injector faultInjector
+	// needsRepair is true if the disk was full when the store was opened.
+	needsRepair bool
+}
+
+// errDiskFull is the error of a store whose disk is full.
+var errDiskFull = fmt.Errorf("%w: %w", azurestair.ErrNoSpace, syscall.ENOSPC)
+
+// NeedsRepair reports whether the disk was full when the store was opened.
+func (s *faultyStore) NeedsRepair() bool { return s.needsRepair }
+
+// Repair fails while the disk is full.
+func (s *faultyStore) Repair() error {
+	if s.injector.isDiskFull() {
+		return errDiskFull
+	}
+	return s.Store.Repair()
 }
 
-// Append blocks while the disk is stalled and returns ENOSPC while it is full.
+// Append blocks while the disk is stalled and fails while it is full.
 func (s *faultyStore) Append(hardState azurestair.HardState, entries []azurestair.LogEntry) error {
 	for s.injector.readFile(diskFile) == diskStalled {
 		time.Sleep(pollInterval)
 	}
-	if s.injector.readFile(diskFile) == diskFull {
-		return syscall.ENOSPC
+	if s.injector.isDiskFull() {
+		return errDiskFull
 	}
 	return s.Store.Append(hardState, entries)
 }
--- a/instance/backend.go
+++ b/instance/backend.go
@@ -102,6 +102,7 @@
 		State: r.Raft.Role.String(), Term: r.Raft.Term, Leader: r.Raft.Leader, Commit: r.Raft.Commit,
 		Applied: r.Raft.Applied, Members: r.Raft.Membership, Claims: r.Claims, Joining: r.Raft.Joining,
 		Match: map[azurestair.InstanceID]azurestair.Index{}, RequiredVersion: r.RequiredVersion, Versions: r.Versions,
+		StoreFull: r.StoreFull,
 	}
 	for _, f := range r.Raft.Followers {
 		out.Match[f.ID] = f.Match
--- a/instance/controller.go
+++ b/instance/controller.go
@@ -137,7 +137,7 @@
 }
 
 func (e stepEvent) handle(c *Controller, now time.Time) {
-	if c.replica == nil {
+	if c.replica == nil || !c.replica.full.accepts(e.message, c.replica.node.Status().Term) {
 		return
 	}
 	if err := c.replica.node.Step(e.message, now); err != nil {
@@ -182,14 +182,17 @@
 	e.reply <- c.member.announce(e.announcement, now)
 }
 
-func (e storeDoneEvent) handle(c *Controller, _ time.Time) {
+func (e storeDoneEvent) handle(c *Controller, now time.Time) {
 	if e.err != nil {
 		c.fail(e.err)
 		return
 	}
 	c.replica.handleStoreDone(e.job)
+	c.replica.handleStoreWorking(now)
 }
 
+func (e storeFullEvent) handle(c *Controller, now time.Time) { c.replica.handleStoreFull(e.err, now) }
+
 func (e imageEncodedEvent) handle(c *Controller, _ time.Time) {
 	if err := c.replica.compact(e); err != nil {
 		c.fail(err)
--- a/instance/events.go
+++ b/instance/events.go
@@ -69,6 +69,10 @@
 	err error
 }
 
+// storeFullEvent signals that a call to the store failed because the disk is
+// full. The log writer repeats the call.
+type storeFullEvent struct{ err error }
+
 // imageEncodedEvent carries an encoded image of the state machine.
 type imageEncodedEvent struct {
 	index azurestair.Index
@@ -105,7 +109,7 @@
 func (c *Controller) post(ctx context.Context, e event) error {
 	queue := c.events
 	switch e.(type) {
-	case stepEvent, storeDoneEvent:
+	case stepEvent, storeDoneEvent, storeFullEvent:
 		queue = c.raftEvents
 	}
 	select {
--- a/instance/membership.go
+++ b/instance/membership.go
@@ -24,7 +24,7 @@
 // maintainMembership proposes the next membership change of the log if the
 // leader manages the membership.
 func (r *Replica) maintainMembership(now time.Time) {
-	if r.membershipPlanner == nil || now.Before(r.nextMembershipCheck) {
+	if r.membershipPlanner == nil || r.full.isFull() || now.Before(r.nextMembershipCheck) {
 		return
 	}
 	r.nextMembershipCheck = now.Add(membershipCheckInterval)
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -19,16 +19,19 @@
 	latency  metrics.Histogram
 	attempts metrics.Counter
 	retries  metrics.Counter
+	// storeFull is 1 while the disk of a control instance is full.
+	storeFull metrics.Gauge
 }
 
 func newProcessMetrics() *processMetrics {
 	r := metrics.NewRegistry()
 	return &processMetrics{
-		registry: r,
-		lookups:  metrics.NewRegisteredCounter("lookups", r),
-		latency:  metrics.NewRegisteredHistogram("request.latencyMicros", r, metrics.NewExpDecaySample(1028, 0.015)),
-		attempts: metrics.NewRegisteredCounter("attempts", r),
-		retries:  metrics.NewRegisteredCounter("retries", r),
+		registry:  r,
+		lookups:   metrics.NewRegisteredCounter("lookups", r),
+		latency:   metrics.NewRegisteredHistogram("request.latencyMicros", r, metrics.NewExpDecaySample(1028, 0.015)),
+		attempts:  metrics.NewRegisteredCounter("attempts", r),
+		retries:   metrics.NewRegisteredCounter("retries", r),
+		storeFull: metrics.NewRegisteredGauge("storeFull", r),
 	}
 }
 
--- a/instance/process.go
+++ b/instance/process.go
@@ -370,7 +370,8 @@
 	r.joining, r.peers, r.knownLeader = joining, p.transport, p.peerClient.Leader
 	p.startContacts(r)
 	p.store = store
-	p.writer = &logWriter{store: store, transport: p.transport, jobs: make(chan *storeJob, maxStoreJobs), post: p.post}
+	p.writer = newLogWriter(store, p.transport, p.post)
+	r.storeFullGauge = p.metrics.storeFull
 	p.imageEncoder = &imageEncoder{jobs: make(chan control.Image, 1), post: p.post}
 	p.notifier = newNotifier(p.peerClient)
 	if f := p.options.FrontEnd; f != nil {
@@ -379,6 +380,9 @@
 	}
 	r.transport, r.writer, r.imageEncoder, r.notifier = p.transport, p.writer, p.imageEncoder, p.notifier
 	p.controller.replica = r
+	if s, ok := store.(repairer); ok && s.NeedsRepair() {
+		r.startRepair(p.options.Clock.Now())
+	}
 	p.writers.Go(p.writer.run)
 	p.writers.Go(p.imageEncoder.run)
 	p.writers.Go(p.contactWriter.run)
@@ -403,6 +407,7 @@
 	if p.store == nil {
 		return
 	}
+	close(p.writer.stop)
 	close(p.writer.jobs)
 	close(p.imageEncoder.jobs)
 	close(p.contactWriter.jobs)
--- a/instance/replica.go
+++ b/instance/replica.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/control"
 	"azurestair.example/azurestair/peer"
@@ -47,6 +49,8 @@
 	// Versions holds the versions that the other members have announced to the
 	// leader.
 	Versions map[azurestair.InstanceID]azurestair.ProtocolVersion
+	// StoreFull is true while the disk takes no more data.
+	StoreFull bool
 }
 
 // peerDirectory provides the addresses and versions of the members of the log.
@@ -81,6 +85,9 @@
 	postponed      []event
 	waiters        map[azurestair.Index]proposalWaiter
 	storesInFlight int
+	full           fullStore
+	// storeFullGauge is 1 while the disk is full.
+	storeFullGauge metrics.Gauge
 	// joining is true until the store has recorded that the log lists this
 	// instance.
 	joining       bool
@@ -130,7 +137,7 @@
 	}
 	r := &Replica{
 		log: log, node: node, self: opts.ID, state: &control.State{},
-		waiters: map[azurestair.Index]proposalWaiter{}, compactedAt: ls.Snapshot.Index,
+		waiters: map[azurestair.Index]proposalWaiter{}, compactedAt: ls.Snapshot.Index, storeFullGauge: metrics.NilGauge{},
 	}
 	if len(ls.SnapshotData) > 0 {
 		if err := r.restore(ls.SnapshotData); err != nil {
@@ -159,6 +166,10 @@
 		e.reply <- proposeReply{err: r.notLeaderError()}
 		return
 	}
+	if r.full.isFull() {
+		e.reply <- proposeReply{err: errStoreFull}
+		return
+	}
 	e.command.At, e.command.ListsHolders = r.logTime.Next(now), r.startsHolderList(e.command)
 	e.command.Fleet = r.newFleetID(e.command)
 	if e.command.Claim != nil {
@@ -280,7 +291,10 @@
 // advance writes, sends and applies pending work of the log and publishes the
 // result.
 func (r *Replica) advance(now time.Time, m *Member) error {
-	r.node.Tick(now)
+	if !r.full.isFull() || r.node.IsLeader() {
+		// A replica that cannot store its vote must not stand for election.
+		r.node.Tick(now)
+	}
 	if err := r.processReady(now); err != nil {
 		return err
 	}
@@ -320,8 +334,10 @@
 // processReady proposes the queued commands and processes the pending work of
 // the Raft node.
 func (r *Replica) processReady(now time.Time) error {
-	for r.storesInFlight < maxStoreJobs {
-		r.flush(now)
+	for r.storesInFlight < maxStoreJobs || (r.full.isFull() && !r.node.NeedsStore()) {
+		if !r.full.isFull() {
+			r.flush(now)
+		}
 		rd, ok := r.node.Ready()
 		if !ok {
 			return nil
@@ -469,7 +485,7 @@
 
 // maybeCompact starts encoding an image if the log has grown enough.
 func (r *Replica) maybeCompact() {
-	if r.encodingImage {
+	if r.encodingImage || r.full.isFull() {
 		return
 	}
 	st := r.node.Status()
@@ -497,7 +513,10 @@
 }
 
 func (r *Replica) nextDeadline() time.Time {
-	next := r.node.NextDeadline()
+	var next time.Time
+	if !r.full.isFull() || r.node.IsLeader() {
+		next = r.node.NextDeadline()
+	}
 	if r.registry != nil && r.node.IsLeader() {
 		next = earlier(earlier(next, r.registry.NextDeadline()), r.contacts.introducer.NextDeadline())
 	}
@@ -515,7 +534,7 @@
 func (r *Replica) status() ReplicaStatus {
 	st := ReplicaStatus{
 		Raft: r.node.Status(), Claims: r.state.ClaimCount(), RequiredVersion: r.state.RequiredVersion(),
-		Versions: map[azurestair.InstanceID]azurestair.ProtocolVersion{},
+		Versions: map[azurestair.InstanceID]azurestair.ProtocolVersion{}, StoreFull: r.full.isFull(),
 	}
 	if !r.node.IsLeader() {
 		return st
--- a/interfaces.go
+++ b/interfaces.go
@@ -22,7 +22,8 @@
 
 // LogStore stores the log of a replica. Data is durable once Append or
 // SaveSnapshot has returned without an error. After an error the store must not
-// be used.
+// be used, except after ErrNoSpace: the caller then repeats the call until it
+// succeeds, and makes no other one before.
 type LogStore interface {
 	// Append stores the hard state and the entries. An entry replaces a stored
 	// entry with the same index and all entries after it.
--- a/operator/messages.go
+++ b/operator/messages.go
@@ -184,6 +184,9 @@
 	// Joining is true until the stored log lists this instance as a learner.
 	// The instance does not vote before that.
 	Joining bool `json:"joining"`
+	// StoreFull is true while the disk of the instance takes no more data. It
+	// then stores no changes and is not elected.
+	StoreFull bool `json:"storeFull,omitempty"`
 }
 
 // ErrorBody is the body of an error response.
--- a/raft/ready.go
+++ b/raft/ready.go
@@ -83,6 +83,13 @@
 	return rd, rd.Seq > 0 || len(rd.Messages) > 0 || len(rd.Committed) > 0
 }
 
+// NeedsStore reports whether the next Ready must be stored.
+func (n *Node) NeedsStore() bool {
+	o := &n.output
+	return o.snapshot != nil || n.log.handedOff < n.log.last() || n.term != o.hardState.Term || n.vote != o.hardState.Vote ||
+		(len(o.unstored) > 0 && len(n.afterStore) > 0)
+}
+
 // fillDurable sets the fields of rd that must be stored.
 func (n *Node) fillDurable(rd *Ready) {
 	o := &n.output
