Elect a leader at once after all voters have restarted

Cause: a voter that starts refuses votes for an election timeout, since it may have promised a leader its lease.

Change: replies to preliminary votes of replicas that have heard from no leader since they started carry their run and the leader of their term. A majority that names the same leader, which is itself one of them, proves that no lease is left. Votes are requested at once and granted only in the run that replied.

--- a/raft/election.go
+++ b/raft/election.go
@@ -49,6 +49,10 @@
 	n.role, n.leader, n.transferVote = RolePreCandidate, "", false
 	n.votes = map[azurestair.InstanceID]bool{n.opts.ID: true}
 	n.resetRetryTimeout()
+	if n.asksEarly() {
+		n.restart.replies = nil
+		n.electionDeadline = n.now.Add(maxRestartDelay/2 + n.randomDuration(maxRestartDelay))
+	}
 	if n.hasMajority(true) {
 		n.campaign(false)
 		return
@@ -72,6 +76,7 @@
 		n.electionDeadline = n.now.Add(n.opts.ElectionTimeout)
 	}
 	n.requestVotes(azurestair.RaftVote, n.term)
+	n.restart.replies = nil
 }
 
 func (n *Node) requestVotes(kind azurestair.RaftKind, term azurestair.Term) {
@@ -87,6 +92,7 @@
 			n.send(m)
 			continue
 		}
+		m.Run = n.restart.replies[id].run
 		n.sendAfterStore(m)
 	}
 }
@@ -100,6 +106,7 @@
 	reply := azurestair.RaftMessage{Kind: azurestair.RaftPreVoteReply, To: m.From, Term: m.Term}
 	if m.Term <= n.term || n.inLeaderLease() || !n.log.isUpToDate(m.PrevIndex, m.PrevTerm) {
 		reply.Reject, reply.Term = true, n.term
+		reply.Run, reply.Voted = n.restart.run, n.vote
 	}
 	n.send(reply)
 }
@@ -112,7 +119,7 @@
 		return
 	}
 	if m.Term > n.term {
-		if n.inLeaderLease() && !m.Transfer {
+		if n.inLeaderLease() && !m.Transfer && !n.grantsRestartVote(m) {
 			return
 		}
 		n.becomeFollower(m.Term, "")
@@ -133,7 +140,8 @@
 			return
 		}
 		n.votes[m.From] = !m.Reject
-		if n.hasMajority(true) {
+		n.addRestartReply(m)
+		if n.hasMajority(true) || n.hasRestartMajority() {
 			n.campaign(false)
 		}
 	case n.role == RoleCandidate && m.Kind == azurestair.RaftVoteReply:
@@ -170,6 +178,7 @@
 
 func (n *Node) becomeLeader() {
 	n.role, n.leader, n.votes, n.transferVote = RoleLeader, n.opts.ID, nil, false
+	n.endRun()
 	n.electionDeadline = time.Time{}
 	n.leaderState = leaderState{electedAt: n.now, firstIndex: n.log.last() + 1}
 	for _, e := range n.log.slice(n.log.commit, n.log.last()) {
--- a/raft/node.go
+++ b/raft/node.go
@@ -65,6 +65,8 @@
 	memberships []membershipRecord
 	joining     bool
 
+	restart restartState
+
 	leaderState leaderState
 
 	messages         []azurestair.RaftMessage
@@ -108,6 +110,7 @@
 	}
 	n.updateJoining()
 	n.resetElectionTimeout()
+	n.startRun()
 	return n, nil
 }
 
@@ -195,6 +198,7 @@
 
 // handleLeaderMessage handles the kinds of messages that only a leader sends.
 func (n *Node) handleLeaderMessage(m azurestair.RaftMessage) {
+	n.endRun()
 	if m.Term < n.term {
 		// The reply makes the sender step down to the newer term. Without it, a
 		// replica that alone has a newer term would reject this leader forever.
@@ -208,6 +212,11 @@
 	if m.Term > n.term || n.leader != m.From || n.role != RoleFollower {
 		n.becomeFollower(m.Term, m.From)
 	}
+	if n.vote == "" {
+		// The leader of a term needs no further votes; the vote records which
+		// replica it was.
+		n.vote = m.From
+	}
 	n.leaderContactAt = n.now
 	n.resetElectionTimeout()
 	switch m.Kind {
--- a/raft/schedule_test.go
+++ b/raft/schedule_test.go
@@ -26,8 +26,9 @@
 
 // expectSafeSchedule runs a cluster through one random schedule. It fails if an
 // invariant is violated or if the cluster makes no progress once faults stop.
-func expectSafeSchedule(seed uint64, voters int) {
+func expectSafeSchedule(seed uint64, voters int, herd float64) {
 	f := randomFaults(rand.New(rand.NewPCG(seed, 99)))
+	f.herd = herd
 	s := newSim(fmt.Sprintf("seed %d with %d voters", seed, voters), seed, voters, f)
 	for s.now < 20*time.Second {
 		s.randomStep()
@@ -40,7 +41,15 @@
 	// overlapping leases and a cluster that stays blocked after its faults end.
 	DescribeTable("stay safe and make progress", func(voters int) {
 		for seed := *firstSeed; seed < *firstSeed+*numSeeds; seed++ {
-			expectSafeSchedule(seed, voters)
+			expectSafeSchedule(seed, voters, 0)
 		}
 	}, Entry("3 voters", 3), Entry("5 voters", 5), Entry("7 voters", 7))
+
+	// Guards against overlapping leases after an election that did not wait for
+	// the lease of the last leader.
+	DescribeTable("stay safe and make progress while most replicas crash at once, again and again", func(voters int) {
+		for seed := *firstSeed; seed < *firstSeed+*numSeeds; seed++ {
+			expectSafeSchedule(seed, voters, 0.003)
+		}
+	}, Entry("3 voters", 3), Entry("5 voters", 5))
 })
--- a/raft/sim_test.go
+++ b/raft/sim_test.go
@@ -22,7 +22,7 @@
 // step.
 type faultRates struct {
 	loss, duplicate, sync               float64
-	crash, freeze, partition            float64
+	crash, freeze, partition, herd      float64
 	membership, transfer, compact       float64
 	maxDelay, maxOutage, drift, timeout time.Duration
 	snapshotPadding                     int
@@ -359,6 +359,9 @@
 // randomStep runs one step with random faults and calls.
 func (s *sim) randomStep() {
 	s.step()
+	if s.withProbability(s.rates.herd) {
+		s.crashHerd()
+	}
 	n, outage := s.nodes[s.rng.IntN(len(s.nodes))], s.now+time.Duration(s.rng.Int64N(int64(s.rates.maxOutage)))
 	if s.withProbability(0.004) {
 		clear(s.blockedLinks)
@@ -387,6 +390,18 @@
 	}
 }
 
+// crashHerd crashes all replicas, or each with probability 3/4, at the same
+// time. They restart a few hundred milliseconds apart.
+func (s *sim) crashHerd() {
+	all := s.withProbability(0.5)
+	for _, n := range s.nodes {
+		if n.node != nil && (all || s.withProbability(0.75)) {
+			s.crash(n)
+			n.resumeAt = s.now + time.Duration(s.rng.Int64N(int64(400*time.Millisecond)))
+		}
+	}
+}
+
 // callRandomOperation makes random calls of a caller and of operators, whether
 // or not they are allowed in the current state.
 func (s *sim) callRandomOperation(n *simNode) {
--- a/raftlog.go
+++ b/raftlog.go
@@ -155,8 +155,19 @@
 	// Offset is the offset of the next byte of the snapshot at PrevIndex that
 	// the sender of a RaftSnapshotReply needs.
 	Offset Bytes `cbor:"16,keyasint,omitempty" json:"offset,omitempty"`
+	// Run identifies the run of a replica that has heard from no leader since it
+	// started. In the reply to a preliminary vote it is that of the sender, and
+	// in a vote request that of the receiver, whose reply the candidate relies
+	// on.
+	Run ReplicaRun `cbor:"17,keyasint,omitempty" json:"run,omitempty"`
+	// Voted is the replica that the sender of a RaftPreVoteReply with a Run has
+	// voted for in its term, or that it has followed.
+	Voted InstanceID `cbor:"18,keyasint,omitempty" json:"voted,omitempty"`
 }
 
+// ReplicaRun identifies a run of a replica. Zero identifies none.
+type ReplicaRun uint64
+
 // MaxChunkBytes is the maximum size of a snapshot chunk in a message.
 const MaxChunkBytes Bytes = 256 << 10
 
@@ -178,6 +189,11 @@
 	if err := CheckName("from", string(m.From)); err != nil {
 		return err
 	}
+	if m.Voted != "" {
+		if err := CheckName("voted", string(m.Voted)); err != nil {
+			return err
+		}
+	}
 	if len(m.Entries) > MaxEntriesPerMessage {
 		return fmt.Errorf("%w: raft message contains more than %d entries", ErrInvalid, MaxEntriesPerMessage)
 	}
