Do not place work by the reported duration of work

Cause: the fourth figure of a worker's load says how long work takes now.

An instance also logs when it begins to stop.

--- a/instance/shutdown.go
+++ b/instance/shutdown.go
@@ -27,6 +27,7 @@
 func (p *Process) stop(ctx context.Context) error {
 	graceCtx, cancel := context.WithTimeout(ctx, p.settings.Limits.ShutdownGraceMs.Duration())
 	defer cancel()
+	p.log.Info("stopping", "graceMs", p.settings.Limits.ShutdownGraceMs)
 	p.leave(graceCtx)
 	for _, s := range p.servers {
 		if err := s.Shutdown(graceCtx); err != nil {
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -254,7 +254,7 @@
 			}
 			continue
 		}
-		cost := p.cost(u, load*u.slowdown(now), position)
+		cost := p.cost(u, load, position)
 		switch {
 		case slices.Contains(avoid, u.announcement.Upstream):
 			if avoided == nil || cost < avoidedCost {
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -22,10 +22,6 @@
 	// overloaded, whatever it reports of its slots; ejecting it would overload
 	// the next ones and make their objects cold.
 	shedEjectAfter = 3 * time.Second
-	// workTimeGain is the weight of one report in the mean of the relative
-	// duration of work, and workTimeTTL how long the mean is used.
-	workTimeGain = 1.0 / 8
-	workTimeTTL  = 2 * time.Second
 	// latencySamples is the number of responses before a mean latency is used.
 	latencySamples = 8
 )
@@ -61,10 +57,6 @@
 	leaving bool
 	// pausedUntil is the time until which the upstream wants no requests.
 	pausedUntil time.Time
-	// workTime is the damped mean of the relative duration of work that the
-	// upstream reports; zero if it reports none.
-	workTime   float64
-	workTimeAt time.Time
 }
 
 // endTrial ends the trial of an upstream without an outcome if the attempt was
@@ -94,30 +86,6 @@
 	// about to end.
 	u.otherLoad = max(0, float64(l.InFlight+l.Queued)-float64(u.inFlight))
 	u.reportedAt = now
-	u.setWorkTime(float64(l.WorkTime)/100, now)
-}
-
-// setWorkTime adds a reported duration of work to the mean. The report changes
-// many times a second, and a placement that followed each change would make
-// objects cold.
-func (u *upstream) setWorkTime(v float64, now time.Time) {
-	if v <= 0 {
-		return
-	}
-	if u.workTime == 0 || now.Sub(u.workTimeAt) > workTimeTTL {
-		u.workTime = v
-	}
-	u.workTime += workTimeGain * (v - u.workTime)
-	u.workTimeAt = now
-}
-
-// slowdown returns how much longer work takes at the upstream than usual; 1 if
-// it is not known.
-func (u *upstream) slowdown(now time.Time) float64 {
-	if u.workTime == 0 || now.Sub(u.workTimeAt) > workTimeTTL {
-		return 1
-	}
-	return max(1, u.workTime)
 }
 
 // addLatency adds the latency of a response to the mean.
