--- a/control/listing.go
+++ b/control/listing.go
@@ -37,9 +37,14 @@
 }
 
 // ListingSnapshot returns a snapshot with the upstreams of the last listing, to
-// seed the registry of a leader that has no snapshot of its own.
-func (s *State) ListingSnapshot() *azurestair.Snapshot {
+// seed the registry of a leader that has no confirmed snapshot of its own. The
+// rest is that of an earlier snapshot, which may be nil.
+func (s *State) ListingSnapshot(earlier *azurestair.Snapshot) *azurestair.Snapshot {
 	snap := &azurestair.Snapshot{}
+	if earlier != nil {
+		*snap = *earlier
+		snap.Upstreams = nil
+	}
 	for _, a := range s.ListedUpstreams() {
 		snap.Upstreams = append(snap.Upstreams, azurestair.UpstreamInfo{Announcement: a})
 	}
--- a/instance/contacts.go
+++ b/instance/contacts.go
@@ -1,12 +1,10 @@
 package instance
 
 import (
-	"log/slog"
 	"time"
 
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/control"
-	"azurestair.example/azurestair/disk"
 	"azurestair.example/azurestair/peer"
 )
 
@@ -18,7 +16,7 @@
 	introducer control.Introducer
 	seeds      []peer.Address
 	// writer stores the book; it is nil in tests.
-	writer *contactWriter
+	writer *hintWriter[azurestair.ContactList]
 }
 
 // observe updates the book from the snapshot that this instance holds.
@@ -72,61 +70,3 @@
 	}
 	return out
 }
-
-// contactStore stores the contacts of a control instance.
-type contactStore interface {
-	Load() (azurestair.ContactList, error)
-	Save(l azurestair.ContactList) error
-}
-
-var _ contactStore = disk.ContactFile{}
-
-// contactWriter stores address books outside the control goroutine.
-type contactWriter struct {
-	store contactStore
-	log   *slog.Logger
-	// jobs holds the latest list that run has not received yet.
-	jobs chan azurestair.ContactList
-}
-
-func newContactWriter(store contactStore, log *slog.Logger) *contactWriter {
-	return &contactWriter{store: store, log: log, jobs: make(chan azurestair.ContactList, 1)}
-}
-
-// save queues a list in place of a queued one. It does not block.
-func (w *contactWriter) save(l azurestair.ContactList) {
-	select {
-	case <-w.jobs:
-	default:
-	}
-	select {
-	case w.jobs <- l:
-	default:
-	}
-}
-
-// run stores lists until the channel is closed. A list that cannot be stored is
-// lost; the next one replaces it.
-func (w *contactWriter) run() {
-	for l := range w.jobs {
-		if err := w.store.Save(l); err != nil {
-			w.log.Warn("contacts not stored", "contacts", len(l.Contacts), "err", err)
-		}
-	}
-}
-
-// loadContacts returns the stored contacts. They are only hints, so that an
-// instance without readable ones starts with none, as it does with those of
-// another fleet.
-func loadContacts(store contactStore, fleet azurestair.FleetID, log *slog.Logger) azurestair.ContactList {
-	l, err := store.Load()
-	if err != nil {
-		log.Warn("stored contacts not used", "err", err)
-		return azurestair.ContactList{}
-	}
-	if fleet.Conflicts(l.Fleet) {
-		log.Warn("stored contacts not used", "theirFleet", l.Fleet, "fleet", fleet)
-		return azurestair.ContactList{}
-	}
-	return l
-}
--- a/instance/controller.go
+++ b/instance/controller.go
@@ -234,6 +234,12 @@
 	}
 }
 
+func (e provisionalEvent) handle(c *Controller, now time.Time) {
+	c.member.adoptProvisional(e.snapshot, now)
+}
+
+func (e heldSnapshotEvent) handle(c *Controller, _ time.Time) { e.reply <- c.member.snapshot }
+
 func (e leaveEvent) handle(c *Controller, now time.Time) { c.member.leave(e.acked, now) }
 
 func (e finalReportEvent) handle(c *Controller, _ time.Time) { c.member.requestFinalReport(e.acked) }
--- a/instance/events.go
+++ b/instance/events.go
@@ -86,6 +86,12 @@
 // seedsEvent carries changed addresses of control instances from the settings.
 type seedsEvent struct{ seeds []peer.Address }
 
+// provisionalEvent carries the snapshot that a control instance holds.
+type provisionalEvent struct{ snapshot *azurestair.Snapshot }
+
+// heldSnapshotEvent requests the snapshot that this instance holds.
+type heldSnapshotEvent struct{ reply chan<- *azurestair.Snapshot }
+
 // leaveEvent removes this instance from lookups; it continues to serve. acked
 // is closed when the leader has acknowledged it.
 type leaveEvent struct{ acked chan<- struct{} }
@@ -184,6 +190,16 @@
 	_ = c.post(ctx, notifyEvent{notice: n})
 }
 
+// HeldSnapshot returns the snapshot that this instance holds.
+func (c *Controller) HeldSnapshot(ctx context.Context) (*azurestair.Snapshot, error) {
+	reply := make(chan *azurestair.Snapshot, 1)
+	s, err := postAndWait(ctx, c, heldSnapshotEvent{reply: reply}, reply)
+	if err == nil && s == nil {
+		err = azurestair.ErrNotFound
+	}
+	return s, err
+}
+
 // Announce handles an upstream's announcement.
 func (c *Controller) Announce(ctx context.Context, a azurestair.Announcement) error {
 	reply := make(chan error, 1)
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -36,8 +36,9 @@
 		} else {
 			r.allocator.StartGracePeriod(now.Add(control.GracePeriod))
 		}
-		if held == nil && r.persistListing {
-			held = r.state.ListingSnapshot()
+		if r.persistListing && (held == nil || r.heldIsProvisional) {
+			// The log may list upstreams that the held snapshot lacks.
+			held = r.state.ListingSnapshot(held)
 		}
 		r.registry.Seed(held, now)
 		for _, d := range r.state.Departures() {
--- a/instance/member.go
+++ b/instance/member.go
@@ -38,6 +38,11 @@
 	// upstream that is turned away here still has time to announce itself at
 	// another entry before its lease expires.
 	announceMargin = 1500 * time.Millisecond
+	// startGrace is how long after its start an instance acknowledges
+	// announcements although it has not reached the leader yet. When a whole
+	// fleet starts, all instances would turn them away, and the upstreams would
+	// repeat them in vain at each.
+	startGrace = 2 * time.Second
 	// defaultAnnouncementTTL is how long an announcement is valid at this
 	// entry.
 	defaultAnnouncementTTL = 2 * time.Second
@@ -55,6 +60,16 @@
 	reporter *reporter
 
 	snapshot *azurestair.Snapshot
+	// provisional is true while no leader has confirmed the snapshot in this
+	// run: it was stored by this instance or comes from another one.
+	provisional bool
+	// saveSnapshot stores a snapshot for the next run; it may be nil. savedFor
+	// is the last snapshot that was stored.
+	saveSnapshot func(*azurestair.Snapshot)
+	savedFor     *azurestair.Snapshot
+	// leaderReachedOnce is closed when the first reply of a leader is applied.
+	leaderReachedOnce chan struct{}
+	startedAt         time.Time
 	// reportAccepted is true once a leader has accepted a report of this
 	// process.
 	reportAccepted bool
@@ -125,9 +140,24 @@
 	return &Member{
 		log: log, self: self, entry: entry, reporter: rep, reportDue: true,
 		announced: map[azurestair.UpstreamID]*announcedUpstream{}, announcementTTL: defaultAnnouncementTTL,
+		leaderReachedOnce: make(chan struct{}),
 	}
 }
 
+// adoptProvisional makes the member use a snapshot that no leader has confirmed
+// in this run, until a leader replies. Before that, an instance cannot know a
+// newer one, and after a loss of power its callers would wait for seconds.
+func (m *Member) adoptProvisional(s *azurestair.Snapshot, now time.Time) {
+	if m.term > 0 || m.fleet.Conflicts(s.Fleet) || !isProvisionallyUsable(s) || !s.Version().IsNewerThan(m.snapshot.Version()) {
+		return
+	}
+	before := m.snapshot
+	m.snapshot, m.provisional = withPlans(s), true
+	m.log.Info("snapshot used before a leader is known", "version", s.ConfigVersion(), "term", s.Term, "revision", s.Revision, "upstreams", len(s.Upstreams))
+	m.snapshotChanged(before, now)
+	m.publish(now)
+}
+
 // requestReport makes the member send a report as soon as possible.
 func (m *Member) requestReport() { m.reportDue = true }
 
@@ -189,7 +219,7 @@
 	if m.entry != nil {
 		m.entry.confirmState(a.Service, a.Upstream, a.State)
 	}
-	if m.controlDeadline.Sub(now) < announceMargin {
+	if m.controlDeadline.Sub(now) < announceMargin && now.Sub(m.startedAt) >= startGrace {
 		// This instance may not reach the leader in time, so the upstream has
 		// to announce itself to another one.
 		return azurestair.ErrNoQuorum
@@ -353,6 +383,8 @@
 		m.controlDeadline = d
 	}
 	m.heardAt = e.sent
+	m.signalLeaderReached()
+	m.saveForNextRun()
 	m.holder.Apply(grants, e.sent, now)
 	m.markUnsent(e.reply.Unknown)
 	if m.snapshot != before {
@@ -363,6 +395,27 @@
 	m.publish(now)
 }
 
+// signalLeaderReached ends the search for a provisional snapshot.
+func (m *Member) signalLeaderReached() {
+	select {
+	case <-m.leaderReachedOnce:
+	default:
+		close(m.leaderReachedOnce)
+	}
+}
+
+// saveForNextRun stores the snapshot if it differs from the stored one in what
+// matters to an instance that starts with it.
+func (m *Member) saveForNextRun() {
+	if m.saveSnapshot == nil || m.snapshot == nil || m.snapshot == m.savedFor || !isProvisionallyUsable(m.snapshot) {
+		return
+	}
+	if m.savedFor == nil || m.savedFor.Term != m.snapshot.Term || needsNotice(m.savedFor, m.snapshot) {
+		m.savedFor = m.snapshot
+		m.saveSnapshot(m.snapshot)
+	}
+}
+
 // handleSuperseded handles the reply of a leader that knows a later incarnation
 // of this instance. If no leader has accepted a report of this process yet,
 // that incarnation belongs to an earlier process whose clock was ahead, and the
@@ -444,7 +497,7 @@
 	}
 	switch {
 	case next == nil:
-		m.term = reply.Term
+		m.term, m.provisional = reply.Term, false
 		return nil
 	case next.Config == nil:
 		return fmt.Errorf("%w: snapshot without configuration", azurestair.ErrInvalid)
@@ -455,7 +508,7 @@
 	case next.ConfigVersion() < m.snapshot.ConfigVersion():
 		return fmt.Errorf("%w: %d", errConfigLost, next.ConfigVersion())
 	}
-	m.snapshot, m.term = withPlans(next), reply.Term
+	m.snapshot, m.term, m.provisional = withPlans(next), reply.Term, false
 	m.fleet = cmp.Or(m.fleet, next.Fleet)
 	return nil
 }
--- a/instance/process.go
+++ b/instance/process.go
@@ -221,18 +221,19 @@
 	logLevel   *slog.LevelVar
 	auth       authenticator
 
-	self          azurestair.InstanceInfo
-	controller    *Controller
-	store         Store
-	writer        *logWriter
-	imageEncoder  *imageEncoder
-	contactWriter *contactWriter
-	notifier      *notifier
-	reporter      *reporter
-	transport     *peer.Transport
-	peerServer    *peer.Server
-	servers       []*http.Server
-	panics        *panicLog
+	self           azurestair.InstanceInfo
+	controller     *Controller
+	store          Store
+	writer         *logWriter
+	imageEncoder   *imageEncoder
+	contactWriter  *hintWriter[azurestair.ContactList]
+	snapshotWriter *hintWriter[*azurestair.Snapshot]
+	notifier       *notifier
+	reporter       *reporter
+	transport      *peer.Transport
+	peerServer     *peer.Server
+	servers        []*http.Server
+	panics         *panicLog
 
 	cancel context.CancelFunc
 	// writers end after the control goroutine, which sends them jobs.
@@ -272,6 +273,7 @@
 	p.reporter = newReporter(p.peerClient, p.options.Clock)
 	p.reporter.proposer = p.peerClient
 	member := newMember(p.self, p.entry, p.reporter, p.log)
+	member.startedAt = p.options.Clock.Now()
 	member.learnPeers, member.followLeader = p.peerClient.SetAlive, p.peerClient.SetLeader
 	if f := p.options.FrontEnd; f != nil {
 		member.announcementTTL = announcementTTLIntervals * f.AnnounceInterval
@@ -300,6 +302,8 @@
 	p.wg.Go(func() { p.reporter.run(ctx) })
 	if p.entry != nil && p.options.FrontEnd != nil {
 		p.wg.Go(func() { p.entry.leaving.run(ctx) })
+		fetcher := &snapshotFetcher{client: p.peerClient, post: p.post, log: p.log, leaderReached: member.leaderReachedOnce}
+		p.wg.Go(func() { fetcher.run(ctx) })
 	}
 	p.wg.Go(func() { p.run(ctx) })
 	p.wg.Go(func() { p.runController(ctx) })
@@ -352,6 +356,7 @@
 	if p.transport == nil {
 		return nil
 	}
+	began := p.options.Clock.Now()
 	store, state, err := p.options.OpenStore(p.settings.Instance.DataDir, p.settings.Instance.ID)
 	if errors.Is(err, azurestair.ErrNoIdentity) {
 		return fmt.Errorf("data folder %s: %w; run 'azurestair init' for a new instance, "+
@@ -379,8 +384,10 @@
 		_ = store.Close()
 		return err
 	}
+	p.log.Info("log opened", "snapshot", state.Snapshot.Index, "entries", len(state.Entries), "commit", state.HardState.Commit,
+		"tookMs", p.options.Clock.Now().Sub(began).Milliseconds())
 	r.joining, r.peers, r.knownLeader = joining, p.transport, p.peerClient.Leader
-	p.startContacts(r)
+	p.startHints(r)
 	p.store = store
 	p.writer = newLogWriter(store, p.transport, p.post)
 	r.storeFullGauge = p.metrics.storeFull
@@ -398,22 +405,35 @@
 	p.writers.Go(p.writer.run)
 	p.writers.Go(p.imageEncoder.run)
 	p.writers.Go(p.contactWriter.run)
+	p.writers.Go(p.snapshotWriter.run)
 	return nil
 }
 
-// startContacts loads the stored contacts and starts their writer.
-func (p *Process) startContacts(r *Replica) {
-	store := disk.ContactFile{Dir: p.settings.Instance.DataDir}
-	l := loadContacts(store, r.state.Fleet(), p.log)
-	p.contactWriter = newContactWriter(store, p.log)
+// startHints loads the stored contacts and the stored snapshot, and creates their
+// writers.
+func (p *Process) startHints(r *Replica) {
+	dir, now := p.settings.Instance.DataDir, p.options.Clock.Now()
+	contacts := disk.HintFile{Dir: dir, Name: disk.ContactsFile}
+	l := loadContacts(contacts, r.state.Fleet(), p.log)
+	p.contactWriter = newHintWriter("contacts", contacts, encodeContacts, contactsInterval, p.log)
 	r.contacts = contactBook{
-		self: p.self.PeerAddr, book: *control.NewAddressBook(l, p.options.Clock.Now()), seeds: otherVoters(p.settings), writer: p.contactWriter,
+		self: p.self.PeerAddr, book: *control.NewAddressBook(l, now), seeds: otherVoters(p.settings), writer: p.contactWriter,
 	}
-	p.controller.member.fleet = cmp.Or(r.state.Fleet(), l.Fleet)
+	m := p.controller.member
+	m.fleet = cmp.Or(r.state.Fleet(), l.Fleet)
 	p.peerClient.SetAlive(controlAddresses(l.Contacts))
-	p.log.Info("contacts loaded", "contacts", len(l.Contacts), "fleet", p.controller.member.fleet)
+	p.log.Info("contacts loaded", "contacts", len(l.Contacts), "fleet", m.fleet)
+
+	published := disk.HintFile{Dir: dir, Name: disk.SnapshotFile}
+	p.snapshotWriter = newHintWriter("snapshot", published, peer.EncodeSnapshot, snapshotInterval, p.log)
+	m.saveSnapshot = p.snapshotWriter.save
+	if s := loadSnapshot(published, m.fleet, p.log); s != nil {
+		m.adoptProvisional(s, now)
+	}
 }
 
+func encodeContacts(l azurestair.ContactList) ([]byte, error) { return peer.Codec{}.Marshal(&l) }
+
 // closeReplica stops the writers and closes the data folder.
 func (p *Process) closeReplica() {
 	if p.store == nil {
@@ -422,7 +442,8 @@
 	close(p.writer.stop)
 	close(p.writer.jobs)
 	close(p.imageEncoder.jobs)
-	close(p.contactWriter.jobs)
+	p.contactWriter.close()
+	p.snapshotWriter.close()
 	p.writers.Wait()
 	if err := p.store.Close(); err != nil {
 		p.log.Error("data folder not closed", "err", err)
--- a/instance/replica.go
+++ b/instance/replica.go
@@ -94,6 +94,9 @@
 	encodingImage bool
 	compactedAt   azurestair.Index
 
+	// heldIsProvisional is true if no leader has confirmed the snapshot that
+	// this instance holds, in this run.
+	heldIsProvisional bool
 	// leaderTerm is the term for which this replica last initialized its soft
 	// state as leader.
 	leaderTerm     azurestair.Term
@@ -299,6 +302,7 @@
 		return err
 	}
 	r.contacts.observe(m.snapshot, now)
+	r.heldIsProvisional = m.provisional
 	r.updateLeaderState(now, m.snapshot, m.holder.Grants())
 	r.maybeCompact()
 	r.maybeRecordJoined()
--- a/peer/client.go
+++ b/peer/client.go
@@ -168,6 +168,24 @@
 	return c.call(ctx, to, methodNotify, &n, &empty{})
 }
 
+// FetchSnapshot returns the snapshot that a control instance holds, whether or
+// not a leader has confirmed it, or nil if it is not newer than the given one.
+func (c *Client) FetchSnapshot(ctx context.Context, to Address, newest azurestair.SnapshotVersion) (*azurestair.Snapshot, error) {
+	var reply encodedReply
+	if err := c.callOnce(ctx, to, methodHeld, &heldRequest{Newest: newest}, &reply, attemptTimeout); err != nil {
+		return nil, err
+	}
+	r, err := reply.decode()
+	return r.Snapshot, err
+}
+
+// Peers returns the known control instances.
+func (c *Client) Peers() []Address {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.peers)
+}
+
 // SetLeader makes the given control instance the target of all calls and
 // cancels the running attempts at others. An unknown instance is added to the
 // peers; without a valid address it has no effect.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -195,6 +195,7 @@
 // they are cancelled.
 type fakeHandler struct {
 	err   error
+	held  *azurestair.Snapshot
 	block atomic.Bool
 	calls atomic.Int64
 	// claimTimeLeft is the time left of the last claim, in milliseconds.
@@ -243,6 +244,13 @@
 
 func (h *fakeHandler) Notify(ctx context.Context, _ azurestair.SnapshotNotice) { _ = h.respond(ctx) }
 
+func (h *fakeHandler) HeldSnapshot(ctx context.Context) (*azurestair.Snapshot, error) {
+	if h.held == nil {
+		return nil, azurestair.ErrNotFound
+	}
+	return h.held, h.respond(ctx)
+}
+
 // panickingHandler panics in reports while isOn is set.
 type panickingHandler struct {
 	fakeHandler
@@ -324,6 +332,22 @@
 		Entry(nil, azurestair.ErrConflict), Entry(nil, azurestair.ErrNotFound), Entry(nil, azurestair.ErrClosed), Entry(nil, azurestair.ErrTooLarge),
 	)
 
+	It("return the snapshot that a control instance holds, unless the caller has a newer one", func() {
+		h := &fakeHandler{}
+		to := addressOf("c1", serve(h, nil))
+		c := peer.NewClient(newConns(nil), []peer.Address{to})
+		fetch := func(newest azurestair.SnapshotVersion) (*azurestair.Snapshot, error) {
+			return c.FetchSnapshot(contextWithTimeout(long), to, newest)
+		}
+		_, err := fetch(azurestair.SnapshotVersion{})
+		Expect(err).To(MatchError(azurestair.ErrNotFound))
+		h.held = &azurestair.Snapshot{Term: 3, Revision: 7, Config: &azurestair.Config{Version: 2}}
+		Expect(fetch(azurestair.SnapshotVersion{Config: 2, Term: 3, Revision: 6})).To(Equal(h.held))
+		for _, newest := range []azurestair.SnapshotVersion{h.held.Version(), {Config: 3}, {Config: 2, Term: 4}} {
+			Expect(fetch(newest)).To(BeNil())
+		}
+	})
+
 	// Guards against a process that ends because one call panics.
 	It("that panic fail alone", func() {
 		panics := &panickingHandler{}
--- a/peer/replycache.go
+++ b/peer/replycache.go
@@ -58,6 +58,20 @@
 	return v, Codec{}.Unmarshal(data, v)
 }
 
+// EncodeSnapshot encodes a snapshot in the compressed form for storing it.
+func EncodeSnapshot(s *azurestair.Snapshot) ([]byte, error) {
+	data, err := Codec{}.Marshal(s)
+	if err != nil {
+		return nil, err
+	}
+	return compress(data)
+}
+
+// DecodeSnapshot decodes and validates what EncodeSnapshot returned.
+func DecodeSnapshot(data []byte) (*azurestair.Snapshot, error) {
+	return decodeUpdate[azurestair.Snapshot](nil, data)
+}
+
 func compress(data []byte) ([]byte, error) {
 	var b bytes.Buffer
 	w, err := flate.NewWriter(&b, flate.BestSpeed)
--- a/peer/server.go
+++ b/peer/server.go
@@ -29,6 +29,9 @@
 	Step(ctx context.Context, m azurestair.RaftMessage) error
 	// Notify processes a notice from the leader.
 	Notify(ctx context.Context, n azurestair.SnapshotNotice)
+	// HeldSnapshot returns the snapshot that this instance holds, whether or not
+	// a leader has confirmed it, or ErrNotFound.
+	HeldSnapshot(ctx context.Context) (*azurestair.Snapshot, error)
 }
 
 const (
@@ -37,6 +40,7 @@
 	methodReport  = "/" + serviceName + "/Report"
 	methodQuery   = "/" + serviceName + "/Query"
 	methodNotify  = "/" + serviceName + "/Notify"
+	methodHeld    = "/" + serviceName + "/Held"
 	methodStep    = "/" + serviceName + "/Step"
 )
 
@@ -57,6 +61,8 @@
 	Handler
 	versions *Versions
 	replies  replyCache
+	// held caches the encoded snapshot of HeldSnapshot.
+	held replyCache
 }
 
 // NewServer returns a server for h. A nil tlsCfg selects plain TCP, which
@@ -132,6 +138,7 @@
 			unary("Report", report),
 			unary("Query", (*service).Query),
 			unary("Notify", notify),
+			unary("Held", held),
 		},
 		Streams: []grpc.StreamDesc{{StreamName: "Step", Handler: stepStream, ClientStreams: true}},
 	}
@@ -158,6 +165,20 @@
 	return empty{}, nil
 }
 
+// heldRequest asks for the held snapshot if it is newer than the given one.
+type heldRequest struct {
+	Newest azurestair.SnapshotVersion `cbor:"1,keyasint,omitempty"`
+}
+
+func held(s *service, ctx context.Context, q heldRequest) (encodedReply, error) { //nolint:revive // in a method expression the receiver comes first
+	snap, err := s.HeldSnapshot(ctx)
+	if err != nil || !snap.Version().IsNewerThan(q.Newest) {
+		return encodedReply{}, err
+	}
+	md, _ := metadata.FromIncomingContext(ctx)
+	return s.held.encodeReply(azurestair.ReportReply{Snapshot: snap}, parseRange(md).Current)
+}
+
 // unary adapts a Handler method to a gRPC method. The message is decoded behind
 // the interceptor, so that a panic in decoding ends the call alone.
 func unary[Req, Resp any](name string, call func(*service, context.Context, Req) (Resp, error)) grpc.MethodDesc {
--- a/snapshot.go
+++ b/snapshot.go
@@ -1,6 +1,7 @@
 package azurestair
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 )
@@ -21,6 +22,27 @@
 	Fleet FleetID      `cbor:"9,keyasint,omitempty" json:"fleet,omitempty"`
 }
 
+// SnapshotVersion identifies a snapshot. The zero value identifies none.
+type SnapshotVersion struct {
+	Config   ConfigVersion `cbor:"1,keyasint,omitempty" json:"config,omitempty"`
+	Term     Term          `cbor:"2,keyasint,omitempty" json:"term,omitempty"`
+	Revision Revision      `cbor:"3,keyasint,omitempty" json:"revision,omitempty"`
+}
+
+// IsNewerThan reports whether v was published later than other. A snapshot with
+// a newer configuration is never replaced by one with an older configuration.
+func (v SnapshotVersion) IsNewerThan(other SnapshotVersion) bool {
+	return cmp.Or(cmp.Compare(v.Config, other.Config), cmp.Compare(v.Term, other.Term), cmp.Compare(v.Revision, other.Revision)) > 0
+}
+
+// Version returns the version of a snapshot, which may be nil.
+func (s *Snapshot) Version() SnapshotVersion {
+	if s == nil {
+		return SnapshotVersion{}
+	}
+	return SnapshotVersion{Config: s.ConfigVersion(), Term: s.Term, Revision: s.Revision}
+}
+
 // Drain is a target that an operator has drained.
 type Drain struct {
 	Target   Target       `cbor:"target" json:"target"`
