--- a/control/listing.go
+++ b/control/listing.go
@@ -37,13 +37,13 @@
 }
 
 // ListingSnapshot returns a snapshot with the upstreams of the last listing, to
-// seed the registry of a leader that has no confirmed snapshot of its own. The
-// rest is that of an earlier snapshot, which may be nil.
+// seed the registry of a leader that has no confirmed snapshot of its own, and
+// the instances of an earlier snapshot, which may be nil. The plans of regions
+// are left out: they follow the traffic slowly, and that of before is over.
 func (s *State) ListingSnapshot(earlier *azurestair.Snapshot) *azurestair.Snapshot {
 	snap := &azurestair.Snapshot{}
 	if earlier != nil {
-		*snap = *earlier
-		snap.Upstreams = nil
+		snap.Instances = earlier.Instances
 	}
 	for _, a := range s.ListedUpstreams() {
 		snap.Upstreams = append(snap.Upstreams, azurestair.UpstreamInfo{Announcement: a})
--- a/instance/snapshotfetcher.go
+++ b/instance/snapshotfetcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 	"time"
@@ -14,12 +15,11 @@
 	// fetchStagger is the time after which a further control instance is asked
 	// for its snapshot while the earlier ones have not answered.
 	fetchStagger = 100 * time.Millisecond
-	// maxFetchRounds bounds how often the control instances are asked. In a new
-	// fleet none of them has a snapshot.
-	maxFetchRounds = 6
-	// minFetchPause is the pause after the first round; it doubles with each
-	// further one.
-	minFetchPause = 100 * time.Millisecond
+	// fetchPause is the pause after a round in which no control instance had a
+	// snapshot, and maxFetchRounds bounds the rounds: control instances that
+	// start with the entry are ready within a second or two.
+	fetchPause     = 50 * time.Millisecond
+	maxFetchRounds = 40
 )
 
 // snapshotFetcher gets a snapshot from any control instance, for an entry that
@@ -34,30 +34,30 @@
 
 	mu     sync.Mutex
 	newest azurestair.SnapshotVersion
+	// answers counts the control instances that answered in this round.
+	answers int
 }
 
 // run asks the control instances until one had a snapshot or a leader replies.
 func (f *snapshotFetcher) run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	pause := minFetchPause
 	for range maxFetchRounds {
-		if f.round(ctx) {
+		if f.round(ctx) || !f.wait(ctx, fetchPause) {
 			return
 		}
-		if !f.wait(ctx, pause) {
-			return
-		}
-		pause *= 2
 	}
-	f.log.Info("no control instance has a snapshot yet")
+	f.log.Info("no snapshot from any control instance")
 }
 
-// round asks all control instances, one after the other unless they are slow,
-// and reports whether one of them had a snapshot.
+// round asks all control instances, one after the other unless they are slow.
+// It returns true if a further round is of no use: one of them had a snapshot,
+// or all answered that they have none, as in a new fleet.
 func (f *snapshotFetcher) round(ctx context.Context) bool {
 	var wg sync.WaitGroup
-	for _, p := range f.client.Peers() {
+	peers := f.client.Peers()
+	f.answers = 0
+	for _, p := range peers {
 		call := fetchCall{fetcher: f, to: p, answered: make(chan struct{})}
 		wg.Go(func() { call.run(ctx) })
 		t := time.NewTimer(fetchStagger)
@@ -71,7 +71,7 @@
 	wg.Wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.newest != azurestair.SnapshotVersion{}
+	return f.newest != azurestair.SnapshotVersion{} || f.answers == len(peers)
 }
 
 // wait returns false if ctx ends or a leader replies within the pause.
@@ -102,6 +102,11 @@
 	newest := f.newest
 	f.mu.Unlock()
 	s, err := f.client.FetchSnapshot(ctx, c.to, newest)
+	if err == nil || errors.Is(err, azurestair.ErrNotFound) {
+		f.mu.Lock()
+		f.answers++
+		f.mu.Unlock()
+	}
 	if err != nil {
 		f.log.Debug("no snapshot from control instance", "from", c.to.ID, "err", err)
 		return
