--- a/control/addressbook.go
+++ b/control/addressbook.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -95,6 +96,43 @@
 	return azurestair.ContactList{Fleet: b.fleet, Contacts: b.list}
 }
 
+// holdersPerEntry is how many control instances offer their snapshot to an entry
+// after a start: one of them may be down.
+const holdersPerEntry = 2
+
+// EntriesToNotify returns the entries to which the control instance at an
+// address offers its snapshot. The control instances share the entries by
+// rendezvous hashing.
+func (b *AddressBook) EntriesToNotify(self string) []azurestair.Contact {
+	var out []azurestair.Contact
+	for _, e := range b.List().Contacts {
+		if e.Control {
+			continue
+		}
+		own, before := rendezvous(self, e.Addr), 0
+		for _, c := range b.List().Contacts {
+			if c.Control && c.Addr != self && rendezvous(c.Addr, e.Addr) > own {
+				before++
+			}
+		}
+		if before < holdersPerEntry {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// rendezvous returns the weight of a control instance for an entry. FNV alone
+// hardly mixes the last bytes, in which addresses differ.
+func rendezvous(control, entry string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(control + "/" + entry))
+	v := h.Sum64()
+	v = (v ^ v>>30) * 0xbf58476d1ce4e5b9
+	v = (v ^ v>>27) * 0x94d049bb133111eb
+	return v ^ v>>31
+}
+
 // Addr returns the address of an instance, or an empty string if it is unknown.
 func (b *AddressBook) Addr(id azurestair.InstanceID) string {
 	for _, c := range b.List().Contacts {
--- a/control/addressbook_test.go
+++ b/control/addressbook_test.go
@@ -1,6 +1,8 @@
 package control_test
 
 import (
+	"fmt"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -59,6 +61,35 @@
 		Expect(control.NewAddressBook(l, at(0)).List()).To(Equal(l))
 	})
 
+	// Guards against entries that nobody or everybody calls after a loss of
+	// power.
+	It("divides the entries among the control instances, two for each", func() {
+		var list []azurestair.InstanceInfo
+		for i := range 60 {
+			e := entry(i)
+			e.PeerAddr = "10.0.1.1:" + string(e.ID)[6:]
+			list = append(list, e)
+		}
+		var addrs []string
+		for i := range 10 {
+			addr := fmt.Sprintf("10.0.2.%d:1", i)
+			addrs = append(addrs, addr)
+			list = append(list, instance(azurestair.InstanceID(fmt.Sprintf("c%d", i)), addr))
+		}
+		var b control.AddressBook
+		b.Observe(snapshot("f1", list...), at(0))
+		count := map[azurestair.InstanceID]int{}
+		for _, addr := range addrs {
+			own := b.EntriesToNotify(addr)
+			Expect(len(own)).To(BeNumerically("<", 30))
+			for _, e := range own {
+				count[e.ID]++
+			}
+		}
+		Expect(count).To(HaveLen(60))
+		Expect(count).To(HaveEach(2))
+	})
+
 	It("holds a bounded number of instances", func() {
 		var list []azurestair.InstanceInfo
 		for i := range azurestair.MaxContacts + 5 {
--- a/instance/contacts.go
+++ b/instance/contacts.go
@@ -8,6 +8,13 @@
 	"azurestair.example/azurestair/peer"
 )
 
+const (
+	// maxOffers and offerInterval spread the offers of a stored snapshot over
+	// the time in which instances that lost power together start.
+	maxOffers     = 4
+	offerInterval = 150 * time.Millisecond
+)
+
 // contactBook is the address book of a control instance and its leader's
 // introductions. Only the control goroutine uses it.
 type contactBook struct {
@@ -15,6 +22,10 @@
 	book       control.AddressBook
 	introducer control.Introducer
 	seeds      []peer.Address
+	// offersLeft and nextOfferAt control the offers of a stored snapshot to
+	// entries after a start.
+	offersLeft  int
+	nextOfferAt time.Time
 	// writer stores the book; it is nil in tests.
 	writer *hintWriter[azurestair.ContactList]
 }
@@ -41,6 +52,16 @@
 	}
 }
 
+// dueOffers returns the entries to which a snapshot must be offered now.
+func (b *contactBook) dueOffers(now time.Time) []azurestair.Contact {
+	if b.offersLeft == 0 || now.Before(b.nextOfferAt) {
+		return nil
+	}
+	b.offersLeft--
+	b.nextOfferAt = now.Add(offerInterval)
+	return b.book.EntriesToNotify(b.self)
+}
+
 // contacts lists the instances of the book and the seeds, except this one.
 func (b *contactBook) contacts() []azurestair.Contact {
 	known := map[string]bool{b.self: true}
--- a/instance/contacts_test.go
+++ b/instance/contacts_test.go
@@ -229,6 +229,15 @@
 		q := m.report()
 		Expect([]any{q.SnapshotTerm, q.SnapshotRevision}).To(Equal([]any{azurestair.Term(4), azurestair.Revision(9)}))
 	})
+	ginkgo.It("asks the control instance that offers its snapshot, until a leader has replied", func() {
+		var learnt []peer.Address
+		m.learnHolder = func(a peer.Address) { learnt = append(learnt, a) }
+		offer := azurestair.SnapshotNotice{Holder: "c7", Addr: "127.0.0.1:7"}
+		m.handleNotice(offer, m.clock.Now())
+		m.exchange(azurestair.ReportReply{Term: 5, ControlTTLMs: controlTTL, Snapshot: routedSnapshot("f1", 3)})
+		m.handleNotice(offer, m.clock.Now())
+		Expect(learnt).To(Equal([]peer.Address{{ID: "c7", Addr: "127.0.0.1:7"}}))
+	})
 	ginkgo.It("does not use a configuration whose budgets a leader must lease", func() {
 		adopt(testSnapshot(3))
 		Expect(m.snapshot).To(BeNil())
--- a/instance/member.go
+++ b/instance/member.go
@@ -119,6 +119,9 @@
 	// learnPeers receives the control instances of each new snapshot; it may be
 	// nil.
 	learnPeers func([]peer.Address)
+	// learnHolder receives a control instance that holds a snapshot; it may be
+	// nil.
+	learnHolder func(peer.Address)
 	// followLeader directs reports to the given leader; it may be nil.
 	followLeader func(peer.Address)
 	// fleet is the fleet that this instance belongs to; empty if it does not
@@ -169,6 +172,12 @@
 		m.logOtherFleet(n.Leader, n.Fleet, now)
 		return
 	}
+	if n.Leader == "" && n.Holder != "" {
+		if m.term == 0 && m.learnHolder != nil {
+			m.learnHolder(peer.Address{ID: n.Holder, Addr: n.Addr})
+		}
+		return
+	}
 	isNews := n.Term > m.term || (n.Term == m.term && !m.leaderReached)
 	if isNews && n.Leader != "" && m.followLeader != nil {
 		m.followLeader(peer.Address{ID: n.Leader, Addr: n.Addr})
--- a/instance/process.go
+++ b/instance/process.go
@@ -274,7 +274,7 @@
 	p.reporter.proposer = p.peerClient
 	member := newMember(p.self, p.entry, p.reporter, p.log)
 	member.startedAt = p.options.Clock.Now()
-	member.learnPeers, member.followLeader = p.peerClient.SetAlive, p.peerClient.SetLeader
+	member.learnPeers, member.learnHolder, member.followLeader = p.peerClient.SetAlive, p.peerClient.AddPeer, p.peerClient.SetLeader
 	if f := p.options.FrontEnd; f != nil {
 		member.announcementTTL = announcementTTLIntervals * f.AnnounceInterval
 	}
@@ -429,6 +429,7 @@
 	m.saveSnapshot = p.snapshotWriter.save
 	if s := loadSnapshot(published, m.fleet, p.log); s != nil {
 		m.adoptProvisional(s, now)
+		r.contacts.offersLeft = maxOffers
 	}
 }
 
--- a/instance/replica.go
+++ b/instance/replica.go
@@ -302,6 +302,7 @@
 		return err
 	}
 	r.contacts.observe(m.snapshot, now)
+	r.offerSnapshot(m, now)
 	r.heldIsProvisional = m.provisional
 	r.updateLeaderState(now, m.snapshot, m.holder.Grants())
 	r.maybeCompact()
@@ -311,6 +312,19 @@
 	return nil
 }
 
+// offerSnapshot offers a snapshot from before the start to entries, which know
+// only the control instances of their settings. Once a leader is known, its
+// introductions take over.
+func (r *Replica) offerSnapshot(m *Member, now time.Time) {
+	if !m.provisional {
+		r.contacts.offersLeft = 0
+		return
+	}
+	for _, c := range r.contacts.dueOffers(now) {
+		r.notifier.introduce(peer.Address{ID: c.ID, Addr: c.Addr}, azurestair.SnapshotNotice{Holder: r.self, Addr: r.contacts.self, Fleet: m.fleet})
+	}
+}
+
 // maybeRecordJoined records in the store that the log now lists this instance.
 func (r *Replica) maybeRecordJoined() {
 	if !r.joining || r.storesInFlight > 0 || r.node.Status().Joining {
@@ -521,6 +535,9 @@
 	if !r.full.isFull() || r.node.IsLeader() {
 		next = r.node.NextDeadline()
 	}
+	if r.contacts.offersLeft > 0 {
+		next = earlier(next, r.contacts.nextOfferAt)
+	}
 	if r.registry != nil && r.node.IsLeader() {
 		next = earlier(earlier(next, r.registry.NextDeadline()), r.contacts.introducer.NextDeadline())
 	}
--- a/notice.go
+++ b/notice.go
@@ -1,5 +1,7 @@
 package azurestair
 
+import "cmp"
+
 // SnapshotNotice tells an instance that a newer snapshot than the one it has is
 // available, and identifies the leader. The zero value identifies no leader;
 // programs of earlier versions send it.
@@ -9,16 +11,20 @@
 	// Addr is the peer address of the leader, for instances that do not know
 	// it.
 	Addr string `cbor:"3,keyasint,omitempty" json:"addr,omitempty"`
-	// Fleet is the fleet of the leader.
+	// Fleet is the fleet of the sender.
 	Fleet FleetID `cbor:"4,keyasint,omitempty" json:"fleet,omitempty"`
+	// Holder is a control instance at Addr that holds a snapshot and knows no
+	// leader yet. It is set only if Leader is not.
+	Holder InstanceID `cbor:"5,keyasint,omitempty" json:"holder,omitempty"`
 }
 
 // Validate checks the notice.
 func (n SnapshotNotice) Validate() error {
-	if n.Leader == "" {
+	sender := cmp.Or(n.Leader, n.Holder)
+	if sender == "" {
 		return nil
 	}
-	if err := CheckName("leader", string(n.Leader)); err != nil {
+	if err := CheckName("sender", string(sender)); err != nil {
 		return err
 	}
 	if err := n.Fleet.Validate(); err != nil {
--- a/peer/client.go
+++ b/peer/client.go
@@ -186,6 +186,13 @@
 	return slices.Clone(c.peers)
 }
 
+// AddPeer adds a control instance that is not among the peers.
+func (c *Client) AddPeer(a Address) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ensurePeer(a)
+}
+
 // SetLeader makes the given control instance the target of all calls and
 // cancels the running attempts at others. An unknown instance is added to the
 // peers; without a valid address it has no effect.
