--- a/control/addressbook.go
+++ b/control/addressbook.go
@@ -96,9 +96,9 @@
 	return azurestair.ContactList{Fleet: b.fleet, Contacts: b.list}
 }
 
-// holdersPerEntry is how many control instances offer their snapshot to an entry
+// offersPerEntry is how many control instances offer their snapshot to an entry
 // after a start: one of them may be down.
-const holdersPerEntry = 2
+const offersPerEntry = 2
 
 // EntriesToNotify returns the entries to which the control instance at an
 // address offers its snapshot. The control instances share the entries by
@@ -115,7 +115,7 @@
 				before++
 			}
 		}
-		if before < holdersPerEntry {
+		if before < offersPerEntry {
 			out = append(out, e)
 		}
 	}
--- a/instance/contacts_test.go
+++ b/instance/contacts_test.go
@@ -231,8 +231,8 @@
 	})
 	ginkgo.It("asks the control instance that offers its snapshot, until a leader has replied", func() {
 		var learnt []peer.Address
-		m.learnHolder = func(a peer.Address) { learnt = append(learnt, a) }
-		offer := azurestair.SnapshotNotice{Holder: "c7", Addr: "127.0.0.1:7"}
+		m.learnSource = func(a peer.Address) { learnt = append(learnt, a) }
+		offer := azurestair.SnapshotNotice{Source: "c7", Addr: "127.0.0.1:7"}
 		m.handleNotice(offer, m.clock.Now())
 		m.exchange(azurestair.ReportReply{Term: 5, ControlTTLMs: controlTTL, Snapshot: routedSnapshot("f1", 3)})
 		m.handleNotice(offer, m.clock.Now())
--- a/instance/member.go
+++ b/instance/member.go
@@ -119,9 +119,9 @@
 	// learnPeers receives the control instances of each new snapshot; it may be
 	// nil.
 	learnPeers func([]peer.Address)
-	// learnHolder receives a control instance that holds a snapshot; it may be
+	// learnSource receives a control instance that holds a snapshot; it may be
 	// nil.
-	learnHolder func(peer.Address)
+	learnSource func(peer.Address)
 	// followLeader directs reports to the given leader; it may be nil.
 	followLeader func(peer.Address)
 	// fleet is the fleet that this instance belongs to; empty if it does not
@@ -172,9 +172,9 @@
 		m.logOtherFleet(n.Leader, n.Fleet, now)
 		return
 	}
-	if n.Leader == "" && n.Holder != "" {
-		if m.term == 0 && m.learnHolder != nil {
-			m.learnHolder(peer.Address{ID: n.Holder, Addr: n.Addr})
+	if n.Leader == "" && n.Source != "" {
+		if m.term == 0 && m.learnSource != nil {
+			m.learnSource(peer.Address{ID: n.Source, Addr: n.Addr})
 		}
 		return
 	}
--- a/instance/process.go
+++ b/instance/process.go
@@ -274,7 +274,7 @@
 	p.reporter.proposer = p.peerClient
 	member := newMember(p.self, p.entry, p.reporter, p.log)
 	member.startedAt = p.options.Clock.Now()
-	member.learnPeers, member.learnHolder, member.followLeader = p.peerClient.SetAlive, p.peerClient.AddPeer, p.peerClient.SetLeader
+	member.learnPeers, member.learnSource, member.followLeader = p.peerClient.SetAlive, p.peerClient.AddPeer, p.peerClient.SetLeader
 	if f := p.options.FrontEnd; f != nil {
 		member.announcementTTL = announcementTTLIntervals * f.AnnounceInterval
 	}
--- a/instance/replica.go
+++ b/instance/replica.go
@@ -321,7 +321,7 @@
 		return
 	}
 	for _, c := range r.contacts.dueOffers(now) {
-		r.notifier.introduce(peer.Address{ID: c.ID, Addr: c.Addr}, azurestair.SnapshotNotice{Holder: r.self, Addr: r.contacts.self, Fleet: m.fleet})
+		r.notifier.introduce(peer.Address{ID: c.ID, Addr: c.Addr}, azurestair.SnapshotNotice{Source: r.self, Addr: r.contacts.self, Fleet: m.fleet})
 	}
 }
 
--- a/instance/snapshotfetcher_test.go
+++ b/instance/snapshotfetcher_test.go
@@ -14,9 +14,9 @@
 	"azurestair.example/azurestair/peer"
 )
 
-// startHolder serves as a control instance that holds a snapshot, or none, and
+// startSource serves as a control instance that holds a snapshot, or none, and
 // returns its address.
-func startHolder(id azurestair.InstanceID, s *azurestair.Snapshot) peer.Address {
+func startSource(id azurestair.InstanceID, s *azurestair.Snapshot) peer.Address {
 	ginkgo.GinkgoHelper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
@@ -64,12 +64,12 @@
 
 	ginkgo.It("takes the newest snapshot of the control instances that answer", func() {
 		older, newer := routedSnapshot("f1", 3), routedSnapshot("f1", 4)
-		got, ended := fetch(gone, startHolder("c1", older), startHolder("c2", newer), startHolder("c3", nil))
+		got, ended := fetch(gone, startSource("c1", older), startSource("c2", newer), startSource("c3", nil))
 		Expect(got).To(Equal(newer.Version()))
 		Expect(ended).To(BeTrue())
 	})
 	ginkgo.It("stops asking in a fleet without snapshots", func() {
-		got, ended := fetch(startHolder("c1", nil), startHolder("c2", nil))
+		got, ended := fetch(startSource("c1", nil), startSource("c2", nil))
 		Expect(got).To(BeZero())
 		Expect(ended).To(BeTrue())
 	})
--- a/notice.go
+++ b/notice.go
@@ -13,14 +13,14 @@
 	Addr string `cbor:"3,keyasint,omitempty" json:"addr,omitempty"`
 	// Fleet is the fleet of the sender.
 	Fleet FleetID `cbor:"4,keyasint,omitempty" json:"fleet,omitempty"`
-	// Holder is a control instance at Addr that holds a snapshot and knows no
+	// Source is a control instance at Addr that holds a snapshot and knows no
 	// leader yet. It is set only if Leader is not.
-	Holder InstanceID `cbor:"5,keyasint,omitempty" json:"holder,omitempty"`
+	Source InstanceID `cbor:"5,keyasint,omitempty" json:"source,omitempty"`
 }
 
 // Validate checks the notice.
 func (n SnapshotNotice) Validate() error {
-	sender := cmp.Or(n.Leader, n.Holder)
+	sender := cmp.Or(n.Leader, n.Source)
 	if sender == "" {
 		return nil
 	}
