--- a/instance/process.go
+++ b/instance/process.go
@@ -274,7 +274,12 @@
 	p.reporter.proposer = p.peerClient
 	member := newMember(p.self, p.entry, p.reporter, p.log)
 	member.startedAt = p.options.Clock.Now()
-	member.learnPeers, member.learnSource, member.followLeader = p.peerClient.SetAlive, p.peerClient.AddPeer, p.peerClient.SetLeader
+	member.learnPeers, member.followLeader = p.peerClient.SetAlive, p.peerClient.SetLeader
+	var fetcher *snapshotFetcher
+	if p.entry != nil && p.options.FrontEnd != nil {
+		fetcher = newSnapshotFetcher(p.peerClient, p.post, p.log, member.leaderReachedOnce)
+		member.learnSource = fetcher.offer
+	}
 	if f := p.options.FrontEnd; f != nil {
 		member.announcementTTL = announcementTTLIntervals * f.AnnounceInterval
 	}
@@ -300,9 +305,8 @@
 		p.wg.Go(func() { p.notifier.run(ctx) })
 	}
 	p.wg.Go(func() { p.reporter.run(ctx) })
-	if p.entry != nil && p.options.FrontEnd != nil {
+	if fetcher != nil {
 		p.wg.Go(func() { p.entry.leaving.run(ctx) })
-		fetcher := &snapshotFetcher{client: p.peerClient, post: p.post, log: p.log, leaderReached: member.leaderReachedOnce}
 		p.wg.Go(func() { fetcher.run(ctx) })
 	}
 	p.wg.Go(func() { p.run(ctx) })
--- a/instance/snapshotfetcher_test.go
+++ b/instance/snapshotfetcher_test.go
@@ -43,15 +43,13 @@
 		conns := peer.NewConns(nil, nil, nil)
 		ginkgo.DeferCleanup(conns.Close)
 		var newest atomic.Pointer[azurestair.SnapshotVersion]
-		f := &snapshotFetcher{
-			client: peer.NewClient(conns, peers), log: slog.New(slog.DiscardHandler), leaderReached: make(chan struct{}),
-			post: func(e event) {
-				v := e.(provisionalEvent).snapshot.Version()
-				if old := newest.Load(); old == nil || v.IsNewerThan(*old) {
-					newest.Store(&v)
-				}
-			},
+		post := func(e event) {
+			v := e.(provisionalEvent).snapshot.Version()
+			if old := newest.Load(); old == nil || v.IsNewerThan(*old) {
+				newest.Store(&v)
+			}
 		}
+		f := newSnapshotFetcher(peer.NewClient(conns, peers), post, slog.New(slog.DiscardHandler), make(chan struct{}))
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 		defer cancel()
 		f.run(ctx)
@@ -73,4 +71,31 @@
 		Expect(got).To(BeZero())
 		Expect(ended).To(BeTrue())
 	})
+	ginkgo.It("takes an offered snapshot while the control instances that it knows do not answer", func() {
+		conns := peer.NewConns(nil, nil, nil)
+		ginkgo.DeferCleanup(conns.Close)
+		silent := []peer.Address{startSilent("c1"), startSilent("c2"), startSilent("c3")}
+		var f *snapshotFetcher
+		var got azurestair.SnapshotVersion
+		outstanding := 0
+		post := func(e event) {
+			got = e.(provisionalEvent).snapshot.Version()
+			outstanding = len(f.asked)
+		}
+		f = newSnapshotFetcher(peer.NewClient(conns, silent), post, slog.New(slog.DiscardHandler), make(chan struct{}))
+		s := routedSnapshot("f1", 3)
+		f.offer(startSource("c4", s))
+		f.run(context.Background())
+		Expect(got).To(Equal(s.Version()))
+		Expect(outstanding).To(BeNumerically(">", 0), "the offer waited for the others")
+	})
 })
+
+// startSilent accepts connections and never answers.
+func startSilent(id azurestair.InstanceID) peer.Address {
+	ginkgo.GinkgoHelper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	ginkgo.DeferCleanup(l.Close)
+	return peer.Address{ID: id, Addr: l.Addr().String()}
+}
