Dial again beside a dial that is in progress

Its connections to the seeds had begun before these were up; the first packet was lost, and the kernel repeats it only after a second.

Change: connections between instances are dialled again after 0.25, 0.75 and 1.75 s while earlier dials are in progress; the first one that is open is used.

--- a/peer/conns.go
+++ b/peer/conns.go
@@ -53,9 +53,9 @@
 	}
 	if dial == nil {
 		d := &net.Dialer{Timeout: slowConnectTimeout}
-		dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		dial = repeatDial(func(ctx context.Context, addr string) (net.Conn, error) {
 			return d.DialContext(ctx, "tcp", addr)
-		}
+		}, firstRedial)
 	}
 	return &ConnPool{dial: dial, tls: tlsCfg, versions: versions, conns: map[azurestair.InstanceID]*conn{}, voters: map[azurestair.InstanceID]bool{}}
 }
