Connect a joining replica to the leader that calls it

Change: a replica also connects to the leader that it hears from, by its address book or by the address that follows from the id. One function does what two did.

--- a/instance/contacts_test.go
+++ b/instance/contacts_test.go
@@ -272,3 +272,41 @@
 	m.exchange(reply(3, 5, azurestair.StateDraining))
 	Expect(saved).To(Equal([]azurestair.Revision{1, 3}))
 })
+
+// peerRecorder records the peers that a replica connects to.
+type peerRecorder struct {
+	noTransport
+	added []peer.Address
+}
+
+func (p *peerRecorder) AddPeer(a peer.Address) { p.added = append(p.added, a) }
+
+// Guards against a lost disk that is never replaced: a replica that joins could
+// not answer a leader that its settings do not name, and so got no entries.
+var _ = ginkgo.Describe("a replica that joins connects to the leader that calls it", func() {
+	const leaderAddr = "127.0.0.1:7"
+	connected := func(prepare func(r *Replica, now time.Time)) []peer.Address {
+		ginkgo.GinkgoHelper()
+		now := time.Unix(100, 0)
+		r, err := newTestReplica(azurestair.LogState{}, now)
+		Expect(err).NotTo(HaveOccurred())
+		peers := &peerRecorder{}
+		r.peers = peers
+		prepare(r, now)
+		Expect(r.node.Step(azurestair.RaftMessage{Kind: azurestair.RaftHeartbeat, From: "c7", To: "c1", Term: 3}, now)).To(Succeed())
+		r.connectMembers()
+		return peers.added
+	}
+	ginkgo.It("if a snapshot has listed it", func() {
+		added := connected(func(r *Replica, now time.Time) {
+			r.contacts.observe(&azurestair.Snapshot{Instances: []azurestair.InstanceInfo{{ID: "c7", PeerAddr: leaderAddr, Control: true}}}, now)
+		})
+		Expect(added).To(Equal([]peer.Address{{ID: "c7", Addr: leaderAddr}}))
+	})
+	ginkgo.It("if its address follows from its ID", func() {
+		added := connected(func(r *Replica, _ time.Time) {
+			r.peerAddr = func(id azurestair.InstanceID) string { return map[azurestair.InstanceID]string{"c7": leaderAddr}[id] }
+		})
+		Expect(added).To(Equal([]peer.Address{{ID: "c7", Addr: leaderAddr}}))
+	})
+})
--- a/instance/membership.go
+++ b/instance/membership.go
@@ -72,21 +72,20 @@
 	return out
 }
 
-// connectKnownMembers connects to the members of the log whose address can be
-// derived from their ID or is in the address book.
-func (r *Replica) connectKnownMembers() {
-	m := r.node.Status().Membership
-	for _, id := range slices.Concat(m.Voters, m.Learners) {
-		if id == r.self || r.peers.Addr(id) != "" {
+// connectMembers connects to the members of the log and to the leader, as far as
+// their addresses are in the address book or can be derived from their IDs. A
+// replica that joins learns the members only from entries that the leader sends
+// until it replies, so that it has to connect to the leader first.
+func (r *Replica) connectMembers() {
+	st := r.node.Status()
+	for _, id := range slices.Concat(st.Membership.Voters, st.Membership.Learners, []azurestair.InstanceID{st.Leader}) {
+		if id == "" || id == r.self || r.peers.Addr(id) != "" {
 			continue
 		}
-		addr := ""
-		if r.peerAddr != nil {
+		addr := r.contacts.book.Addr(id)
+		if addr == "" && r.peerAddr != nil {
 			addr = r.peerAddr(id)
 		}
-		if addr == "" {
-			addr = r.contacts.book.Addr(id)
-		}
 		if addr != "" {
 			r.peers.AddPeer(peer.Address{ID: id, Addr: addr})
 		}
--- a/instance/replica.go
+++ b/instance/replica.go
@@ -69,8 +69,6 @@
 	state     *control.State
 	transport azurestair.Transport
 	peers     peerDirectory
-	// connectedSnapshot is the snapshot last checked for members to connect to.
-	connectedSnapshot *azurestair.Snapshot
 	writer            *logWriter
 	imageEncoder      *imageEncoder
 	notifier          *notifier
@@ -307,8 +305,7 @@
 	r.updateLeaderState(now, m.snapshot, m.holder.Grants())
 	r.maybeCompact()
 	r.maybeRecordJoined()
-	r.connectMembers(m.snapshot)
-	r.connectKnownMembers()
+	r.connectMembers()
 	return nil
 }
 
@@ -334,21 +331,6 @@
 	r.writer.jobs <- &storeJob{joined: true}
 }
 
-// connectMembers connects to members of the log that are not listed in the
-// settings.
-func (r *Replica) connectMembers(held *azurestair.Snapshot) {
-	if held == nil || held == r.connectedSnapshot {
-		return
-	}
-	r.connectedSnapshot = held
-	members := r.node.Status().Membership
-	for _, i := range held.Instances {
-		if i.ID != r.self && (slices.Contains(members.Voters, i.ID) || slices.Contains(members.Learners, i.ID)) {
-			r.peers.AddPeer(peer.Address{ID: i.ID, Addr: i.PeerAddr})
-		}
-	}
-}
-
 // processReady proposes the queued commands and processes the pending work of
 // the Raft node.
 func (r *Replica) processReady(now time.Time) error {
