--- a/instance/replica.go
+++ b/instance/replica.go
@@ -63,16 +63,16 @@
 // Replica replicates the log and, on the leader, answers reports. Only the
 // control goroutine uses it.
 type Replica struct {
-	log       *slog.Logger
-	codec     peer.Codec
-	node      *raft.Node
-	state     *control.State
-	transport azurestair.Transport
-	peers     peerDirectory
-	writer            *logWriter
-	imageEncoder      *imageEncoder
-	notifier          *notifier
-	self              azurestair.InstanceID
+	log          *slog.Logger
+	codec        peer.Codec
+	node         *raft.Node
+	state        *control.State
+	transport    azurestair.Transport
+	peers        peerDirectory
+	writer       *logWriter
+	imageEncoder *imageEncoder
+	notifier     *notifier
+	self         azurestair.InstanceID
 
 	// logTime assigns timestamps to the commands that this instance proposes.
 	logTime control.LogTime
