--- a/control/registry.go
+++ b/control/registry.go
@@ -431,6 +431,13 @@
 	return out
 }
 
+// HasReported reports whether a listed instance has reported to this leader,
+// rather than being known from the last snapshot only.
+func (r *Registry) HasReported(id azurestair.InstanceID) bool {
+	rec, ok := r.instances[id]
+	return ok && rec.listed && !rec.seeded
+}
+
 // Instances returns the listed instances, sorted by id.
 func (r *Registry) Instances() []azurestair.InstanceInfo {
 	out := make([]azurestair.InstanceInfo, 0, len(r.instances))
--- a/instance/membership.go
+++ b/instance/membership.go
@@ -58,7 +58,7 @@
 func (r *Replica) liveReplicas(st raft.Status) []control.Replica {
 	var out []control.Replica
 	for _, i := range r.registry.Instances() {
-		if !i.Control {
+		if !i.Control || !r.registry.HasReported(i.ID) {
 			continue
 		}
 		replica := control.Replica{ID: i.ID, Region: i.Region, FailureDomain: i.FailureDomain}
