--- a/control/addressbook_test.go
+++ b/control/addressbook_test.go
@@ -61,8 +61,8 @@
 		Expect(control.NewAddressBook(l, at(0)).List()).To(Equal(l))
 	})
 
-	// Guards against entries that nobody or everybody calls after a loss of
-	// power.
+	// Guards against entries that no control instance calls after a loss of
+	// power, or all of them.
 	It("divides the entries among the control instances, two for each", func() {
 		var list []azurestair.InstanceInfo
 		for i := range 60 {
--- a/faults/storage_test.go
+++ b/faults/storage_test.go
@@ -258,7 +258,7 @@
 	return filepath.Base(name)
 }
 
-// Guards against a fleet that elects a leader to which nobody reports: after
+// Guards against a fleet that elects a leader to which no instance reports: after
 // all instances have stopped, the settings name only a control instance that is
 // not a voter.
 var _ = Describe("settings", func() {
--- a/instance/fullstore.go
+++ b/instance/fullstore.go
@@ -12,9 +12,9 @@
 //
 // Meanwhile the replica takes part in the log only as far as what is durable
 // allows: it answers the heartbeats of its term and counts the answers of its
-// followers, but takes no entries, votes for nobody and does not stand for
-// election. A leader passes on its leadership and accepts no changes. Reports,
-// reads and commands go to another leader as on any follower.
+// followers, but takes no entries, grants no votes and does not campaign. A
+// leader passes on its leadership and accepts no changes. Reports, reads and
+// commands go to another leader as on any follower.
 type fullStore struct {
 	// since is when the disk was found to be full, or zero.
 	since time.Time
