Stop an ended attempt from reading the upload that the next one sends

An upstream can refuse before any of the body was read; the body then counts as whole, but the upload of the ended attempt, still writing, took its first 4 KB before the next reader was made. The next upstream got an upload without its start, which could not be complete, and the caller was told unknown.

Change: the decision to repeat ends all earlier readers. The test's upstream now reads the start of the body before it refuses, which its title had assumed.

--- a/instance/attemptrunner.go
+++ b/instance/attemptrunner.go
@@ -229,7 +229,7 @@
 	if ctx.Err() != nil && resp.Result != azurestair.AttemptDone {
 		return r.giveUp(resp)
 	}
-	if resp.Result != azurestair.AttemptDone && !r.mayRepeatBody(resp.Result) {
+	if resp.Result != azurestair.AttemptDone && !r.rewindBody(resp.Result) {
 		return r.giveUp(resp)
 	}
 	if errors.Is(a.err, azurestair.ErrDeadline) {
@@ -242,13 +242,13 @@
 	return r.call.dispatcher.decideRetry(&r.retryReq, retry.AttemptOutcome{Result: resp.Result, Reason: resp.Reason}, free)
 }
 
-// mayRepeatBody reports whether the body can be sent again after an attempt. A
+// rewindBody reports whether the body can be sent again after an attempt. A
 // body that is still being received from the caller is repeated only if the
 // upstream did not run the request: after a timeout, the caller may be the
 // cause.
-func (r *attemptRunner) mayRepeatBody(last azurestair.AttemptResult) bool {
+func (r *attemptRunner) rewindBody(last azurestair.AttemptResult) bool {
 	body := &r.call.body
-	return body.stream == nil || (last == azurestair.AttemptNotRun && body.mayRepeat())
+	return body.stream == nil || (last == azurestair.AttemptNotRun && body.rewind())
 }
 
 // giveUp records the result of an attempt and returns the decision to end the
--- a/instance/leaving_test.go
+++ b/instance/leaving_test.go
@@ -169,10 +169,14 @@
 
 	ginkgo.It("is refused truthfully if its start is no longer kept", func() {
 		r.bodyMemory.used.Store(maxBodyMemory)
-		r.upstream.steps = []step{stepShed}
+		r.upstream.handle = func(w http.ResponseWriter, q *http.Request) {
+			_, _ = io.ReadFull(q.Body, make([]byte, 1000))
+			w.Header().Set(upstream.HeaderNotRun, q.Header.Get(upstream.HeaderAttemptID))
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		resp := sendRouted(r, strings.NewReader(data), int64(len(data)))
 		expectReply(resp, azurestair.OutcomeRefused, azurestair.ReasonShed, true)
-		Expect(r.upstream.ran.Load()).To(BeZero())
+		Expect(r.upstream.ran.Load()).To(BeEquivalentTo(1), "sent to one upstream only")
 	})
 
 	// Guards against bodies that together fill the memory.
@@ -204,6 +208,16 @@
 		_, err = second.Read(make([]byte, 1))
 		Expect(err).To(MatchError(io.EOF))
 	})
+	// Guards against an upload that reaches the next upstream without its start.
+	ginkgo.It("loses nothing to an earlier reader once it may start anew", func() {
+		s := &replayableStream{source: strings.NewReader("abcdef")}
+		first := s.reader()
+		Expect(s.rewind()).To(BeTrue())
+		_, err := first.Read(make([]byte, 4))
+		Expect(err).To(MatchError(errStaleReader))
+		Expect(read(s.reader(), 6)).To(Equal("abcdef"))
+		Expect(s.rewind()).To(BeFalse())
+	})
 	ginkgo.It("keeps what an earlier reader gets after the next one has started", func() {
 		body, feed := io.Pipe()
 		s := &replayableStream{source: body, limit: 10}
@@ -223,9 +237,10 @@
 		s := &replayableStream{source: bytes.NewReader(make([]byte, 100)), limit: 10}
 		r := s.reader()
 		read(r, 8)
-		Expect(s.mayReplay()).To(BeTrue())
-		read(r, 8)
-		Expect(s.mayReplay()).To(BeFalse())
+		Expect(s.rewind()).To(BeTrue())
+		r = s.reader()
+		read(r, 16)
+		Expect(s.rewind()).To(BeFalse())
 		Expect(s.kept).To(BeEmpty())
 		read(r, 84)
 	})
--- a/instance/requestbody.go
+++ b/instance/requestbody.go
@@ -77,8 +77,9 @@
 	return bytes.NewReader(b.data)
 }
 
-// mayRepeat reports whether the body can be sent once more.
-func (b *requestBody) mayRepeat() bool { return b.stream == nil || b.stream.mayReplay() }
+// rewind reports whether the body can be sent once more, after an attempt that
+// has ended.
+func (b *requestBody) rewind() bool { return b.stream == nil || b.stream.rewind() }
 
 // errBodyMemory reports that the bodies of other requests use all memory.
 var errBodyMemory = errors.New("no memory for the request body")
@@ -139,10 +140,15 @@
 	return r
 }
 
-// mayReplay reports whether a new reader can return the body from its start.
-func (s *replayableStream) mayReplay() bool {
+// rewind reports whether a new reader can return the body from its start. If so,
+// earlier readers return nothing more: one that still sends the body of an
+// attempt that has ended would take away what the new reader needs.
+func (s *replayableStream) rewind() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.incomplete {
+		s.newest = nil
+	}
 	return !s.incomplete
 }
 
