--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins of the scripts.
+set -e
+cd "$(dirname "$0")/.."
+go build -o review/_bin/stand ./review/_stand
