--- a/review/_stand/case_length.go
+++ b/review/_stand/case_length.go
@@ -15,8 +15,8 @@
 // length there is, and a few bytes of a body.
 func absurdLength(f *fleet, trouble bool) (int, error) {
 	const (
-		before = 60
-		after  = 400
+		before = 180
+		after  = 420
 		gap    = 150 * time.Millisecond
 		// mostRefused is the largest share of refused and failed requests.
 		mostRefused = 0.6
