--- a/review/_stand/fleet.go
+++ b/review/_stand/fleet.go
@@ -33,8 +33,12 @@
 
 // zones of the deployment, in the order in which machines are placed.
 var zones = []struct{ name, region string }{
-	{"kigali-a", "kigali"}, {"huye-a", "huye"}, {"musanze-a", "musanze"},
-	{"kigali-b", "kigali"}, {"huye-b", "huye"}, {"musanze-b", "musanze"},
+	{"kigali-a", "kigali"},
+	{"huye-a", "huye"},
+	{"musanze-a", "musanze"},
+	{"kigali-b", "kigali"},
+	{"huye-b", "huye"},
+	{"musanze-b", "musanze"},
 }
 
 // machine is one process of the system on its own loopback address.
