Build the review's stand-ins without version control

Cause: the go tool fails in a folder whose history it may not read.

Change: a flag in review/build.sh.

--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the scripts.
 set -e
 cd "$(dirname "$0")/.."
-go build -o review/_bin/stand ./review/_stand
+go build -buildvcs=false -o review/_bin/stand ./review/_stand
