Remove the id of a lost disk when its successor reports

Callers saw: after single disks had been lost in turn, each long after the one before, no leader was elected any more; every change and every read of the configuration was answered 503.

Cause: an instance that lost its disk returns under a new id at its old address.

Change: a member whose address another instance reports from is removed at once, voter or learner. The successor's next report is evidence for each new leader. The registry unlists the former id at the same address. A silent voter is removed without a spare when the number of voters is even, which lowers the quorum and bears the same losses: this covers a machine that is replaced at another address. Searched as well: upstreams at reused addresses (replaced at once before), learners (kept their successors out for 20 s; mended here), entries (their id follows from the address).

A lost disk no longer lasts longer in the membership than the restart of its instance.

--- a/control/address.go
+++ b/control/address.go
@@ -43,6 +43,26 @@
 	r.setAddrOwner(a)
 }
 
+// replaceInstancesAt unlists the control instances that reported the same peer address
+// under another id, and returns false if one of them started later, so that the
+// report was delayed. An instance that lost its disk has a new id at its old
+// address.
+func (r *Registry) replaceInstancesAt(info azurestair.InstanceInfo, now time.Time) bool {
+	if !info.Control || info.PeerAddr == "" {
+		return true
+	}
+	for id, rec := range r.instances {
+		if id == info.ID || !rec.listed || rec.info.PeerAddr != info.PeerAddr {
+			continue
+		}
+		if rec.info.Incarnation > info.Incarnation {
+			return false
+		}
+		r.RemoveInstance(id, now)
+	}
+	return true
+}
+
 func (r *Registry) setAddrOwner(a azurestair.Announcement) { r.ownerByAddr[a.Addr] = a.Upstream }
 
 // releaseAddr removes the owner of an address. It must be called when the
--- a/control/membershipplanner.go
+++ b/control/membershipplanner.go
@@ -26,14 +26,27 @@
 	ID            azurestair.InstanceID
 	Region        azurestair.RegionName
 	FailureDomain azurestair.FailureDomainName
+	// PeerAddr is the address at which the other instances reach it.
+	PeerAddr string
 	// CaughtUp is true for a learner that lacks only a few log entries.
 	CaughtUp bool
 }
 
+// MemberAddrs holds the peer addresses of the members of the log, as far as
+// they are known.
+type MemberAddrs map[azurestair.InstanceID]string
+
 // MembershipPlanner decides how the membership of the log follows the live
 // control instances. It adds voters up to the wanted number, spread over
-// regions and failure domains, and replaces a lost voter with a spare. The zero
-// value is ready for use.
+// regions and failure domains, and replaces a lost voter with a spare.
+//
+// A member is superseded when another instance reports from its address: an
+// instance that lost its disk comes back under a new id, and its old id never
+// answers again. Such a member is removed at once, because it may be the one
+// that a quorum lacks after the next loss. A member that is merely silent may
+// return, so that it is removed only after a timeout.
+//
+// The zero value is ready for use.
 type MembershipPlanner struct {
 	// Voters is the wanted number of voters. Zero means DefaultVoters.
 	Voters int
@@ -45,8 +58,13 @@
 // Next returns the next change of the membership, or false if none is needed.
 // The caller must make one change at a time and call Next again once it is
 // committed.
-func (p *MembershipPlanner) Next(m azurestair.Membership, alive []Replica, now time.Time) (azurestair.MemberAction, azurestair.InstanceID, bool) {
+func (p *MembershipPlanner) Next(
+	m azurestair.Membership, addrs MemberAddrs, alive []Replica, now time.Time,
+) (azurestair.MemberAction, azurestair.InstanceID, bool) {
 	p.updateLastHeard(alive, now)
+	if id := superseded(m, addrs, alive); id != "" {
+		return azurestair.MemberRemove, id, true
+	}
 	lost := p.longestLost(m.Voters, VoterLossTimeout, now)
 	if id := readyLearner(m, alive); id != "" {
 		if len(m.Voters) < p.voters() {
@@ -56,6 +74,11 @@
 			return azurestair.MemberRemove, lost, true
 		}
 	}
+	if lost != "" && len(m.Voters)%2 == 0 {
+		// Without it, the quorum of an even number of voters is smaller by one,
+		// so that this tolerates the same losses even if it returns.
+		return azurestair.MemberRemove, lost, true
+	}
 	if id := p.longestLost(m.Learners, learnerLossAfter, now); id != "" {
 		return azurestair.MemberRemove, id, true
 	}
@@ -92,6 +115,21 @@
 	}
 }
 
+// superseded returns a member whose address another instance reports from, or
+// an empty id if there is none. Learners come first, since a learner that will
+// never answer keeps others from being added.
+func superseded(m azurestair.Membership, addrs MemberAddrs, alive []Replica) azurestair.InstanceID {
+	for _, id := range slices.Concat(m.Learners, m.Voters) {
+		if slices.ContainsFunc(alive, func(r Replica) bool { return r.ID == id }) {
+			continue
+		}
+		if slices.ContainsFunc(alive, func(r Replica) bool { return r.PeerAddr != "" && r.PeerAddr == addrs[id] }) {
+			return id
+		}
+	}
+	return ""
+}
+
 // longestLost returns the member that has been silent the longest, if it has
 // been silent for at least the given time. A member that was never heard counts
 // as heard when the planner was first used.
--- /dev/null
+++ b/control/membershipplanner_test.go
@@ -0,0 +1,223 @@
+package control_test
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/control"
+)
+
+// replicas returns live control instances. The failure domain and the region
+// are derived from the number.
+func replicas(numbers ...int) []control.Replica {
+	var out []control.Replica
+	for _, n := range numbers {
+		out = append(out, control.Replica{
+			ID:     azurestair.InstanceID(fmt.Sprintf("c%d", n)),
+			Region: azurestair.RegionName(fmt.Sprintf("r%d", n%3)), FailureDomain: azurestair.FailureDomainName(fmt.Sprintf("d%d", n)),
+			PeerAddr: peerAddr(n),
+		})
+	}
+	return out
+}
+
+func peerAddr(n int) string { return fmt.Sprintf("10.0.0.%d:7114", n) }
+
+// successor returns the control instance with a number after it has lost its
+// disk a number of times.
+func successor(n, losses int) control.Replica {
+	r := replicas(n)[0]
+	if losses > 0 {
+		r.ID += azurestair.InstanceID(fmt.Sprintf("_%d", losses))
+	}
+	return r
+}
+
+// memberAddrs derives the addresses of the members from their ids.
+func memberAddrs(m azurestair.Membership) control.MemberAddrs {
+	GinkgoHelper()
+	addrs := control.MemberAddrs{}
+	for _, id := range slices.Concat(m.Voters, m.Learners) {
+		number, _, _ := strings.Cut(string(id[1:]), "_")
+		n, err := strconv.Atoi(number)
+		Expect(err).NotTo(HaveOccurred())
+		addrs[id] = peerAddr(n)
+	}
+	return addrs
+}
+
+// expectQuorum checks that the live instances include a majority of the voters.
+func expectQuorum(m azurestair.Membership, alive []control.Replica) {
+	GinkgoHelper()
+	n := 0
+	for _, r := range alive {
+		if slices.Contains(m.Voters, r.ID) {
+			n++
+		}
+	}
+	Expect(2*n).To(BeNumerically(">", len(m.Voters)), "voters %v", m.Voters)
+}
+
+// settle applies the planned changes until none is left. Learners catch up at
+// once.
+func settle(p *control.MembershipPlanner, m *azurestair.Membership, alive []control.Replica, ms int) {
+	GinkgoHelper()
+	for range 20 {
+		for i := range alive {
+			alive[i].CaughtUp = slices.Contains(m.Learners, alive[i].ID)
+		}
+		action, id, ok := p.Next(*m, memberAddrs(*m), alive, at(ms))
+		if !ok {
+			return
+		}
+		is := func(other azurestair.InstanceID) bool { return other == id }
+		m.Learners, m.Voters = slices.DeleteFunc(m.Learners, is), slices.DeleteFunc(m.Voters, is)
+		switch action {
+		case azurestair.MemberAddLearner:
+			m.Learners = append(m.Learners, id)
+		case azurestair.MemberPromote:
+			m.Voters = append(m.Voters, id)
+		}
+		expectQuorum(*m, alive)
+	}
+	Fail("the membership does not settle")
+}
+
+func replicaIDs(numbers ...int) []azurestair.InstanceID {
+	var out []azurestair.InstanceID
+	for _, r := range replicas(numbers...) {
+		out = append(out, r.ID)
+	}
+	return out
+}
+
+// expectChange checks the next membership change.
+func expectChange(p *control.MembershipPlanner, m azurestair.Membership, alive []control.Replica, ms int, action azurestair.MemberAction, id azurestair.InstanceID) {
+	GinkgoHelper()
+	a, got, ok := p.Next(m, memberAddrs(m), alive, at(ms))
+	Expect(ok).To(BeTrue())
+	Expect(a).To(Equal(action))
+	Expect(got).To(Equal(id))
+}
+
+func expectNoChange(p *control.MembershipPlanner, m azurestair.Membership, alive []control.Replica, ms int) {
+	GinkgoHelper()
+	_, id, ok := p.Next(m, memberAddrs(m), alive, at(ms))
+	Expect(ok).To(BeFalse(), "member %s", id)
+}
+
+var _ = Describe("membership planner", func() {
+	lostAt := int(control.VoterLossTimeout / time.Millisecond)
+
+	// Guards against a log with fewer voters than the tolerated failures
+	// require.
+	It("adds voters from the region with the fewest members", func() {
+		p := &control.MembershipPlanner{}
+		m := azurestair.Membership{Voters: replicaIDs(0, 1, 3)}
+		alive := replicas(0, 1, 3, 4, 5)
+		expectChange(p, m, alive, 0, azurestair.MemberAddLearner, "c5")
+		m.Learners = replicaIDs(5)
+		expectChange(p, m, alive, 100, azurestair.MemberAddLearner, "c4")
+		alive[4].CaughtUp = true
+		expectChange(p, m, alive, 200, azurestair.MemberPromote, "c5")
+	})
+
+	// Guards against a membership change for each restart.
+	It("keeps a voter that returns soon", func() {
+		p := &control.MembershipPlanner{Voters: 3}
+		m := azurestair.Membership{Voters: replicaIDs(0, 1, 2)}
+		expectNoChange(p, m, replicas(0, 1, 2, 3), 0)
+		expectNoChange(p, m, replicas(0, 1, 3), lostAt-1)
+		expectNoChange(p, m, replicas(0, 1, 2, 3), lostAt)
+		expectNoChange(p, m, replicas(0, 1, 3), 2*lostAt-1)
+	})
+
+	// Guards against a lost voter that keeps counting towards the quorum, so
+	// that the next loss stops the log.
+	It("replaces a lost voter by a spare that has caught up", func() {
+		p := &control.MembershipPlanner{Voters: 3}
+		m := azurestair.Membership{Voters: replicaIDs(0, 1, 2)}
+		expectNoChange(p, m, replicas(0, 1, 2, 3), 0)
+		alive := replicas(0, 1, 3)
+		expectChange(p, m, alive, lostAt, azurestair.MemberAddLearner, "c3")
+		m.Learners = replicaIDs(3)
+		expectNoChange(p, m, alive, lostAt+1)
+		alive[2].CaughtUp = true
+		expectChange(p, m, alive, lostAt+2, azurestair.MemberRemove, "c2")
+		m.Voters = replicaIDs(0, 1)
+		expectChange(p, m, alive, lostAt+3, azurestair.MemberPromote, "c3")
+	})
+
+	// Guards against the removal of a voter that has no replacement.
+	It("keeps a lost voter without a spare", func() {
+		p := &control.MembershipPlanner{Voters: 3}
+		m := azurestair.Membership{Voters: replicaIDs(0, 1, 2)}
+		expectNoChange(p, m, replicas(0, 1, 2), 0)
+		expectNoChange(p, m, replicas(0, 1), 10*lostAt)
+	})
+
+	// Guards against the ids of lost disks that stay voters until the log has
+	// no quorum. Each loss ends the leader too, so that the next planner knows
+	// nothing of what the last one heard.
+	DescribeTable("keeps a quorum while single disks are lost in turn",
+		func(machines int) {
+			const dark, gap = 2000, 4200
+			losses := make([]int, machines)
+			m := azurestair.Membership{Voters: replicaIDs(0, 1, 2, 3, 4, 5, 6)[:machines]}
+			for i := range 3 * machines {
+				lost, now := i%machines, i*(dark+gap)
+				var alive []control.Replica
+				for n := range machines {
+					if n != lost {
+						alive = append(alive, successor(n, losses[n]))
+					}
+				}
+				expectQuorum(m, alive)
+				p := &control.MembershipPlanner{}
+				settle(p, &m, alive, now)
+				losses[lost]++
+				settle(p, &m, append(alive, successor(lost, losses[lost])), now+dark)
+				Expect(m.Voters).To(HaveLen(machines))
+			}
+		},
+		Entry("of three machines", 3),
+		Entry("of four machines", 4),
+		Entry("of five machines", 5),
+	)
+
+	// Guards against a learner that lost its disk and keeps its successor from
+	// being added.
+	It("removes a learner at once when its successor reports", func() {
+		p := &control.MembershipPlanner{Voters: 3}
+		m := azurestair.Membership{Voters: replicaIDs(0, 1), Learners: replicaIDs(2)}
+		alive := append(replicas(0, 1), successor(2, 1))
+		expectChange(p, m, alive, 0, azurestair.MemberRemove, "c2")
+		m.Learners = nil
+		expectChange(p, m, alive, 1, azurestair.MemberAddLearner, "c2_1")
+	})
+
+	// Guards against the removal of a voter that returns under its own id.
+	It("keeps a silent voter whose address nobody else uses", func() {
+		p := &control.MembershipPlanner{Voters: 3}
+		m := azurestair.Membership{Voters: replicaIDs(0, 1, 2)}
+		expectNoChange(p, m, replicas(0, 1), 0)
+		expectNoChange(p, m, replicas(0, 1, 2), lostAt-1)
+	})
+
+	// Guards against a machine that is gone for good and, after its spare has
+	// been promoted, lets the next loss end the quorum.
+	It("removes a lost voter from an even number of voters without a spare", func() {
+		p := &control.MembershipPlanner{}
+		m := azurestair.Membership{Voters: replicaIDs(0, 1, 2, 3)}
+		expectNoChange(p, m, replicas(0, 1, 2, 3), 0)
+		expectNoChange(p, m, replicas(0, 1, 3), lostAt-1)
+		expectChange(p, m, replicas(0, 1, 3), lostAt, azurestair.MemberRemove, "c2")
+	})
+})
--- a/control/registry.go
+++ b/control/registry.go
@@ -239,9 +239,13 @@
 }
 
 // UpdateInstance records the description that an instance reports, unless a
-// later incarnation has reported or this one has announced its shutdown.
+// later incarnation has reported, this one has announced its shutdown, or
+// another instance has its address now.
 func (r *Registry) UpdateInstance(info azurestair.InstanceInfo, now time.Time) error {
 	r.initMaps()
+	if !r.replaceInstancesAt(info, now) {
+		return nil
+	}
 	rec := r.instances[info.ID]
 	if rec == nil {
 		limit := valueOrDefault(r.MaxInstances, DefaultMaxInstances)
--- a/control/registry_test.go
+++ b/control/registry_test.go
@@ -192,6 +192,49 @@
 		expire(r, 3000)
 		Expect(r.Instances()).To(Equal([]azurestair.InstanceInfo{entry(0)}))
 	})
+
+	// Guards against a lost disk whose old id counts as alive for the rest of
+	// its lease, and against a delayed report that lists it again.
+	Describe("control instances at one address", func() {
+		at9 := func(id azurestair.InstanceID, born azurestair.Incarnation) azurestair.InstanceInfo {
+			i := entry(9)
+			i.ID, i.Incarnation, i.Control = id, born, true
+			return i
+		}
+		expectInstances := func(want ...azurestair.InstanceInfo) {
+			GinkgoHelper()
+			Expect(r.Instances()).To(Equal(want))
+		}
+		first, second := at9("control-9", 100), at9("control-9_a", 200)
+		BeforeEach(func() { Expect(r.UpdateInstance(first, at(0))).To(Succeed()) })
+
+		It("are immediately replaced by the one that started last", func() {
+			Expect(r.UpdateInstance(second, at(100))).To(Succeed())
+			expectInstances(second)
+		})
+		It("are not listed again by a delayed report", func() {
+			Expect(r.UpdateInstance(second, at(100))).To(Succeed())
+			Expect(r.UpdateInstance(first, at(200))).To(Succeed())
+			expectInstances(second)
+		})
+		It("do not replace one that started later", func() {
+			Expect(r.UpdateInstance(at9("control-9_b", 50), at(100))).To(Succeed())
+			expectInstances(first)
+		})
+		It("are accepted once the lease of the later one has expired", func() {
+			older := at9("control-9_b", 50)
+			expire(r, 3000)
+			Expect(r.UpdateInstance(older, at(3100))).To(Succeed())
+			expectInstances(older)
+		})
+		It("are also replaced after a change of leader", func() {
+			next := &control.Registry{}
+			next.Seed(&azurestair.Snapshot{Instances: r.Instances()}, at(400))
+			r = next
+			Expect(r.UpdateInstance(second, at(500))).To(Succeed())
+			expectInstances(second)
+		})
+	})
 })
 
 // newFleetRegistry returns a registry of the given size. The benchmarks use the
--- a/control/routed_test.go
+++ b/control/routed_test.go
@@ -1,9 +1,6 @@
 package control_test
 
 import (
-	"fmt"
-	"time"
-
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -133,90 +130,3 @@
 		Expect(d.state.ListedUpstreams()).To(BeEmpty())
 	})
 })
-
-// replicas returns live control instances. The failure domain and the region
-// are derived from the number.
-func replicas(numbers ...int) []control.Replica {
-	var out []control.Replica
-	for _, n := range numbers {
-		out = append(out, control.Replica{
-			ID:     azurestair.InstanceID(fmt.Sprintf("c%d", n)),
-			Region: azurestair.RegionName(fmt.Sprintf("r%d", n%3)), FailureDomain: azurestair.FailureDomainName(fmt.Sprintf("d%d", n)),
-		})
-	}
-	return out
-}
-
-func replicaIDs(numbers ...int) []azurestair.InstanceID {
-	var out []azurestair.InstanceID
-	for _, r := range replicas(numbers...) {
-		out = append(out, r.ID)
-	}
-	return out
-}
-
-// expectChange checks the next membership change.
-func expectChange(p *control.MembershipPlanner, m azurestair.Membership, alive []control.Replica, ms int, action azurestair.MemberAction, id azurestair.InstanceID) {
-	GinkgoHelper()
-	a, got, ok := p.Next(m, alive, at(ms))
-	Expect(ok).To(BeTrue())
-	Expect(a).To(Equal(action))
-	Expect(got).To(Equal(id))
-}
-
-func expectNoChange(p *control.MembershipPlanner, m azurestair.Membership, alive []control.Replica, ms int) {
-	GinkgoHelper()
-	_, id, ok := p.Next(m, alive, at(ms))
-	Expect(ok).To(BeFalse(), "member %s", id)
-}
-
-var _ = Describe("membership planner", func() {
-	lostAt := int(control.VoterLossTimeout / time.Millisecond)
-
-	// Guards against a log with fewer voters than the tolerated failures
-	// require.
-	It("adds voters from the region with the fewest members", func() {
-		p := &control.MembershipPlanner{}
-		m := azurestair.Membership{Voters: replicaIDs(0, 1, 3)}
-		alive := replicas(0, 1, 3, 4, 5)
-		expectChange(p, m, alive, 0, azurestair.MemberAddLearner, "c5")
-		m.Learners = replicaIDs(5)
-		expectChange(p, m, alive, 100, azurestair.MemberAddLearner, "c4")
-		alive[4].CaughtUp = true
-		expectChange(p, m, alive, 200, azurestair.MemberPromote, "c5")
-	})
-
-	// Guards against a membership change for each restart.
-	It("keeps a voter that returns soon", func() {
-		p := &control.MembershipPlanner{Voters: 3}
-		m := azurestair.Membership{Voters: replicaIDs(0, 1, 2)}
-		expectNoChange(p, m, replicas(0, 1, 2, 3), 0)
-		expectNoChange(p, m, replicas(0, 1, 3), lostAt-1)
-		expectNoChange(p, m, replicas(0, 1, 2, 3), lostAt)
-		expectNoChange(p, m, replicas(0, 1, 3), 2*lostAt-1)
-	})
-
-	// Guards against a lost voter that keeps counting towards the quorum, so
-	// that the next loss stops the log.
-	It("replaces a lost voter by a spare that has caught up", func() {
-		p := &control.MembershipPlanner{Voters: 3}
-		m := azurestair.Membership{Voters: replicaIDs(0, 1, 2)}
-		expectNoChange(p, m, replicas(0, 1, 2, 3), 0)
-		alive := replicas(0, 1, 3)
-		expectChange(p, m, alive, lostAt, azurestair.MemberAddLearner, "c3")
-		m.Learners = replicaIDs(3)
-		expectNoChange(p, m, alive, lostAt+1)
-		alive[2].CaughtUp = true
-		expectChange(p, m, alive, lostAt+2, azurestair.MemberRemove, "c2")
-		m.Voters = replicaIDs(0, 1)
-		expectChange(p, m, alive, lostAt+3, azurestair.MemberPromote, "c3")
-	})
-
-	// Guards against the removal of a voter that has no replacement.
-	It("keeps a lost voter without a spare", func() {
-		p := &control.MembershipPlanner{Voters: 3}
-		m := azurestair.Membership{Voters: replicaIDs(0, 1, 2)}
-		expectNoChange(p, m, replicas(0, 1, 2), 0)
-		expectNoChange(p, m, replicas(0, 1), 10*lostAt)
-	})
-})
--- a/instance/membership.go
+++ b/instance/membership.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"slices"
@@ -29,7 +30,7 @@
 	}
 	r.nextMembershipCheck = now.Add(membershipCheckInterval)
 	st := r.node.Status()
-	action, id, ok := r.membershipPlanner.Next(st.Membership, r.liveReplicas(st), now)
+	action, id, ok := r.membershipPlanner.Next(st.Membership, r.memberAddrs(st.Membership), r.liveReplicas(st), now)
 	if !ok {
 		return
 	}
@@ -61,7 +62,7 @@
 		if !i.Control || !r.registry.HasReported(i.ID) {
 			continue
 		}
-		replica := control.Replica{ID: i.ID, Region: i.Region, FailureDomain: i.FailureDomain}
+		replica := control.Replica{ID: i.ID, Region: i.Region, FailureDomain: i.FailureDomain, PeerAddr: i.PeerAddr}
 		for _, f := range st.Followers {
 			if f.ID == i.ID {
 				replica.CaughtUp = f.Learner && f.Match+maxPromotionLag >= st.Last
@@ -82,12 +83,29 @@
 		if id == "" || id == r.self || r.peers.Addr(id) != "" {
 			continue
 		}
-		addr := r.contacts.book.Addr(id)
-		if addr == "" && r.peerAddr != nil {
-			addr = r.peerAddr(id)
-		}
-		if addr != "" {
+		if addr := r.memberAddr(id); addr != "" {
 			r.peers.AddPeer(peer.Address{ID: id, Addr: addr})
 		}
 	}
 }
+
+// memberAddrs returns the known addresses of the members of the log.
+func (r *Replica) memberAddrs(m azurestair.Membership) control.MemberAddrs {
+	out := control.MemberAddrs{}
+	for _, id := range slices.Concat(m.Voters, m.Learners) {
+		if addr := cmp.Or(r.peers.Addr(id), r.memberAddr(id)); addr != "" && id != r.self {
+			out[id] = addr
+		}
+	}
+	return out
+}
+
+// memberAddr returns the address of a member from the address book or, if it
+// can be derived, from its ID.
+func (r *Replica) memberAddr(id azurestair.InstanceID) string {
+	addr := r.contacts.book.Addr(id)
+	if addr == "" && r.peerAddr != nil {
+		addr = r.peerAddr(id)
+	}
+	return addr
+}
