Refuse requests that may outlast a shutdown

Callers saw: requests that reached a stopping entry late in its grace period were passed on to upstreams, and their connections were closed without an answer when it ended, among them orders that may not be repeated.

Cause: a shutdown waited until no request was in progress and accepted new ones meanwhile.

Change: admission.Shutdown decides which requests are still accepted: all in the first half of the grace period, while lookups still name the instance; then those whose deadline ends before its last part. The others are refused at once as not run, with the reason shuttingDown and without Retry-After if another entry is ready. The listeners close in the last part, which also leaves time for the final report and for passing on the leadership; both were skipped before when the wait had used up the grace period. Searched as well: both front ends (they share Entry.Serve), operators' and control listeners (no wait that load extends), keyed requests (outcome unknown, as they may have run elsewhere).

--- a/faults/fleet.go
+++ b/faults/fleet.go
@@ -84,6 +84,8 @@
 	// injectMachineFaults runs the instances in the program faults/machine,
 	// which injects clock and disk faults.
 	injectMachineFaults bool
+	// shutdownGrace is the grace period of a shutdown; zero means the default.
+	shutdownGrace azurestair.Millis
 }
 
 // programUnderTest returns the path of the program under test.
@@ -98,7 +100,7 @@
 	DeferCleanup(f.close)
 	addrs := freeAddrs(4 * numInstances)
 	for i := range numInstances {
-		n := &node{controlRelays: map[azurestair.InstanceID]*relay.Relay{}, program: cmp.Or(o.program, programUnderTest()), injectMachineFaults: o.injectMachineFaults}
+		n := &node{controlRelays: map[azurestair.InstanceID]*relay.Relay{}, program: cmp.Or(o.program, programUnderTest()), injectMachineFaults: o.injectMachineFaults, shutdownGrace: o.shutdownGrace}
 		if i < len(controlLocations) {
 			n.id, n.location, n.isControl = azurestair.InstanceID(fmt.Sprintf("control-%d", i)), controlLocations[i], true
 		} else {
--- a/faults/node.go
+++ b/faults/node.go
@@ -46,6 +46,8 @@
 	// injectMachineFaults makes start run the instance in the program
 	// faults/machine, which injects clock and disk faults.
 	injectMachineFaults bool
+	// shutdownGrace is the grace period of a shutdown; zero means the default.
+	shutdownGrace azurestair.Millis
 
 	callerAddr, upstreamAddr, operatorAddr, peerAddr string
 	// controlRelays are the relays to the control instances by instance ID.
@@ -99,6 +101,9 @@
 	}
 	fmt.Fprintf(&b, "]\n[tokens]\noperators = [{ name = \"faults\", sha256 = \"%x\" }]\n", sha256.Sum256([]byte(operatorToken)))
 	fmt.Fprintf(&b, "upstreams = [{ name = \"faults\", sha256 = \"%x\" }]\n", sha256.Sum256([]byte(upstreamToken)))
+	if n.shutdownGrace > 0 {
+		fmt.Fprintf(&b, "[limits]\nshutdownGraceMs = %d\n", n.shutdownGrace)
+	}
 	Expect(os.WriteFile(n.settingsPath(), []byte(b.String()), 0o600)).To(Succeed())
 }
 
--- a/faults/shutdown_test.go
+++ b/faults/shutdown_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -38,6 +39,26 @@
 		})
 	})
 
+	// Guards against requests that an entry accepts late in its grace period
+	// and cuts at its end, because callers that do not follow lookups keep it
+	// busy.
+	It("of an entry under load that never ends cuts no request", func() {
+		forEachSeed(func(rng *rand.Rand) {
+			f := newFleet(fleetOptions{shutdownGrace: 3_000})
+			f.setServiceTime(catalogue, 400*time.Millisecond)
+			entry := f.entriesOnly()[rng.IntN(len(entryLocations))]
+			load := f.startTraffic(rng, "late", 24, []requestKind{browse, engrave}, func(_ *rand.Rand, req request) result {
+				return result{request: req, responses: []response{f.send(entry, req)}}
+			})
+			load.waitForResults(50)
+			entry.terminate()
+			results := load.stop()
+			expectNoneCut(results)
+			refused := slices.ContainsFunc(results, func(r result) bool { return r.last().refusal.Reason == azurestair.ReasonLedgerUnreachable })
+			Expect(refused).To(BeTrue(), "no request arrived late in the grace period")
+		})
+	})
+
 	// Guards against new requests to an upstream that an operator has drained
 	// or that drains itself, and against requests that such a drain interrupts.
 	It("of upstreams by drains interrupts no request and ends new ones to them", func() {
@@ -214,6 +235,17 @@
 	Expect(failed).To(BeEmpty(), "%d of %d requests not done at the first try", len(failed), len(results))
 }
 
+// expectNoneCut checks that every request that ran was answered.
+func expectNoneCut(results []result) {
+	var cut []string
+	for _, r := range results {
+		if r.last().err != nil && r.last().runsOnReceipt > 0 {
+			cut = append(cut, r.String())
+		}
+	}
+	Expect(cut).To(BeEmpty(), "%d of %d requests cut", len(cut), len(results))
+}
+
 // lookupCache holds the lookup responses of the workers, by their random
 // source.
 type lookupCache struct {
--- a/instance/entry.go
+++ b/instance/entry.go
@@ -60,8 +60,11 @@
 
 	bodyMemory bodyMemory
 	// panics records panics of attempts; it may be nil.
-	panics        *panicLog
-	view          atomic.Pointer[view]
+	panics *panicLog
+	view   atomic.Pointer[view]
+	// shutdown limits the requests that are accepted after a shutdown has
+	// begun; nil before that.
+	shutdown      atomic.Pointer[admission.Shutdown]
 	dispatchers   atomic.Pointer[map[azurestair.ServiceName]*dispatcher]
 	claimAttempts atomic.Uint64
 	inFlight      atomic.Int64
@@ -239,6 +242,16 @@
 	return false
 }
 
+// beginShutdown limits the requests that the entry still accepts.
+func (e *Entry) beginShutdown(s admission.Shutdown) { e.shutdown.Store(&s) }
+
+// admitsDuringShutdown reports whether a request can still be served. It is
+// true for all requests before a shutdown.
+func (e *Entry) admitsDuringShutdown(w azurestair.RequestInfo, now time.Time) bool {
+	s := e.shutdown.Load()
+	return s == nil || s.Admits(w, now)
+}
+
 // isIdle reports whether no request is in progress.
 func (e *Entry) isIdle() bool { return e == nil || e.inFlight.Load() == 0 }
 
--- a/instance/serve.go
+++ b/instance/serve.go
@@ -104,6 +104,9 @@
 			c.work.Object = r.Object
 		}
 	}
+	if !e.admitsDuringShutdown(c.work, now) {
+		return e.refuseInShutdown(r, v)
+	}
 	ctx, cancel := context.WithDeadline(ctx, c.work.Deadline)
 	done := func() {
 		cancel()
@@ -229,8 +232,9 @@
 const (
 	// retryAfter is how long a caller is asked to wait before it retries.
 	retryAfter azurestair.Millis = 500
-	// notReadyRetryAfter applies to an entry without a configuration. After all
-	// processes were killed, an entry reached a leader again after 1 to 1.5 s.
+	// notReadyRetryAfter applies to an entry without a configuration, and to one
+	// that shuts down while no other is ready. After all processes were killed,
+	// an entry reached a leader again after 1 to 1.5 s.
 	notReadyRetryAfter azurestair.Millis = 1500
 )
 
@@ -244,6 +248,20 @@
 	return refusedReply(reason)
 }
 
+// refuseInShutdown refuses a request that might outlast the shutdown of this
+// entry. The caller may retry at once if another entry is ready.
+func (e *Entry) refuseInShutdown(r *caller.Request, v *view) caller.Reply {
+	reply := refuseWithoutLedger(r, azurestair.ReasonShuttingDown)
+	reply.RetryAfter = notReadyRetryAfter
+	for _, i := range v.snapshot.Instances {
+		if i.ID != e.self.ID && i.CallerAddr != "" && i.Ready {
+			reply.RetryAfter = 0
+			break
+		}
+	}
+	return reply
+}
+
 // clearUnprovenNotRun clears NotRun in the reply to a request with a key if the
 // ledger was not queried, since the request may have run before under its key.
 func clearUnprovenNotRun(r *caller.Request, reply caller.Reply) caller.Reply {
--- a/instance/shutdown.go
+++ b/instance/shutdown.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"azurestair.example/azurestair/admission"
 )
 
 const (
@@ -23,18 +25,20 @@
 
 // stop removes the instance from lookups, waits until callers no longer use it
 // and its requests have ended, and then closes everything. The wait ends with
-// the configured grace period.
+// the configured grace period. Requests that might outlast it are refused, so
+// that none is cut however many keep coming.
 func (p *Process) stop(ctx context.Context) error {
-	graceCtx, cancel := context.WithTimeout(ctx, p.settings.Limits.ShutdownGraceMs.Duration())
+	start, grace := p.options.Clock.Now(), p.settings.Limits.ShutdownGraceMs.Duration()
+	graceCtx, cancel := context.WithTimeout(ctx, grace)
 	defer cancel()
 	p.log.Info("stopping", "graceMs", p.settings.Limits.ShutdownGraceMs)
-	p.leave(graceCtx)
-	for _, s := range p.servers {
-		if err := s.Shutdown(graceCtx); err != nil {
-			p.log.Warn("requests cut by shutdown", "err", err)
-			_ = s.Close()
-		}
+	shutdown := admission.NewShutdown(start, grace)
+	if p.entry != nil {
+		p.entry.beginShutdown(shutdown)
 	}
+	p.leaveUntil(graceCtx, shutdown.EndsAt)
+	// The other half of the remaining time is for signing off at the leader.
+	p.closeListeners(graceCtx, shutdown.EndsAt.Add(start.Add(grace).Sub(shutdown.EndsAt)/2))
 	p.sendFinalReport(graceCtx)
 	p.transferLeadership(graceCtx)
 	p.cancel()
@@ -53,6 +57,19 @@
 	return nil
 }
 
+// closeListeners closes the listeners and waits until the requests in progress
+// have ended, at the latest until the deadline.
+func (p *Process) closeListeners(ctx context.Context, deadline time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	for _, s := range p.servers {
+		if err := s.Shutdown(ctx); err != nil {
+			p.log.Warn("requests cut by shutdown", "err", err)
+			_ = s.Close()
+		}
+	}
+}
+
 // sendFinalReport sends the final report, on which the leader revokes the
 // leases.
 func (p *Process) sendFinalReport(ctx context.Context) {
@@ -97,6 +114,13 @@
 	}
 }
 
+// leaveUntil runs leave until the deadline.
+func (p *Process) leaveUntil(ctx context.Context, deadline time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	p.leave(ctx)
+}
+
 // leave removes the instance from lookups and returns when callers should no
 // longer be using it.
 func (p *Process) leave(ctx context.Context) {
--- a/request.go
+++ b/request.go
@@ -49,6 +49,7 @@
 	ReasonBadRequest        Reason = "badRequest"
 	ReasonBodyTooLarge      Reason = "bodyTooLarge"
 	ReasonNotReady          Reason = "notReady"
+	ReasonShuttingDown      Reason = "shuttingDown"
 	ReasonEntryLost         Reason = "entryLost"
 	ReasonAnswerDropped     Reason = "answerNoLongerKept"
 )
