Let a connection carry each attempt id only once

Callers saw: an order that an upstream had refused once ran twice. With one attempt fewer they were told that an order had not run, though it had.

Cause: on the platform all attempts of a request carry the id that the client gave it.

Change: a connection remembers hashes of the ids that it has carried and is not chosen for an attempt whose id it has carried before. After 512 attempts it is replaced, so that none is forgotten and the memory stays bounded. At the connection limit the longest idle connection makes room for a new one. Searched as well: late copies of 421 and of other responses (the same rule), refusals without an id (believed on new connections only, before), ids that a client uses twice (covered), the product's own interface (an id for each attempt), hedged attempts (always on connections of their own).

--- a/instance/leaving_test.go
+++ b/instance/leaving_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/caller"
 	"azurestair.example/azurestair/retry"
 	"azurestair.example/azurestair/routing"
 	"azurestair.example/azurestair/upstream"
@@ -113,17 +114,22 @@
 	Expect(routing.RetryAtOf(errors.New("other"))).To(BeZero())
 })
 
-// routedRequest sends a request of a route that is not idempotent.
-func sendRouted(r *entryFixture, body io.Reader, n int64) response {
+// routedRequest publishes a route that is not idempotent and returns a request
+// of it.
+func routedRequest(r *entryFixture, maxAttempts int, body io.Reader, n int64) *caller.Request {
 	s := testSnapshot(1)
 	s.Config.Routes = []azurestair.Route{{
-		Name: "upload", Host: "shop.example", PathPrefix: "/up/", Rank: azurestair.RankUrgent, TimeoutMs: 20_000, MaxAttempts: 3,
+		Name: "upload", Host: "shop.example", PathPrefix: "/up/", Rank: azurestair.RankUrgent, TimeoutMs: 20_000, MaxAttempts: maxAttempts,
 		MaxBodyBytes: 4 << 20, Services: []azurestair.RouteService{{Service: "shop", Weight: 1}},
 	}}
 	r.view.Store(&view{snapshot: s, routes: routing.NewRoutes(s.Config), controlDeadline: r.clock.Now().Add(time.Hour), heardAt: r.clock.Now()})
 	q := r.request("", "", longTimeout, body, n)
 	q.Host, q.Path, q.Service = "shop.example", "/up/x", ""
-	return r.send(context.Background(), q)
+	return q
+}
+
+func sendRouted(r *entryFixture, body io.Reader, n int64) response {
+	return r.send(context.Background(), routedRequest(r, 3, body, n))
 }
 
 var _ = ginkgo.Describe("an upload", func() {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -178,10 +178,10 @@
 func (c *Client) connect(ctx context.Context, p *pool, a Attempt) (*conn, error) {
 	var uc *conn
 	if !a.NewConn {
-		uc = p.take(c.maxIdleFor(a), c.clock.Now())
+		uc = p.take(a.ID, c.maxIdleFor(a), c.clock.Now())
 	}
 	if uc == nil {
-		if err := p.reserve(a.NewConn); err != nil {
+		if err := p.reserve(); err != nil {
 			return nil, err
 		}
 		nc, err := c.openConn(ctx, p)
@@ -191,6 +191,7 @@
 		}
 		uc = newConn(nc, p.addr, c.clock.Now())
 	}
+	uc.recordID(a.ID)
 	uc.written.Store(0)
 	uc.readErr = nil
 	if err := uc.SetDeadline(a.Deadline); err != nil {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -3,12 +3,16 @@
 import (
 	"bufio"
 	"errors"
+	"hash/maphash"
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"azurestair.example/azurestair"
 )
 
 // Limits for reading response headers.
@@ -17,7 +21,13 @@
 	readBufferSize = 8 << 10
 )
 
-// conn is a connection to an upstream. It carries one attempt at a time.
+// maxCarriedIDs is the number of attempts after which a connection is closed
+// rather than reused. It bounds the memory for their IDs to 4 KiB.
+const maxCarriedIDs = 512
+
+// conn is a connection to an upstream. It carries one attempt at a time, and
+// two attempts with the same ID never: an upstream may send a response a second
+// time where the next one is expected, and only the ID tells them apart.
 type conn struct {
 	net.Conn
 	addr string
@@ -43,6 +53,9 @@
 	reused          bool
 	// keepAlive is the idle timeout that the upstream advertised; zero if none.
 	keepAlive time.Duration
+	// carriedIDs holds the hashes of the IDs of the attempts so far. Two IDs with
+	// the same hash only cost another connection.
+	carriedIDs []uint64
 	// gotStaleResponse is true once a response to an earlier attempt has been
 	// received. The connection is not reused then, since more may follow.
 	gotStaleResponse bool
@@ -54,6 +67,20 @@
 	return uc
 }
 
+// idSeed seeds the hashes of attempt IDs, which callers may choose.
+var idSeed = maphash.MakeSeed()
+
+func hashID(id azurestair.RequestID) uint64 { return maphash.String(idSeed, string(id)) }
+
+// recordID records the ID of an attempt that the connection is about to carry.
+func (c *conn) recordID(id azurestair.RequestID) { c.carriedIDs = append(c.carriedIDs, hashID(id)) }
+
+// mayCarry reports whether a response to an attempt with this ID is certain to
+// be the response to the next one.
+func (c *conn) mayCarry(id azurestair.RequestID) bool {
+	return id == "" || !slices.Contains(c.carriedIDs, hashID(id))
+}
+
 // keepAliveFraction is the fraction of the advertised idle timeout for which a
 // connection is kept, so that a request is not sent while the upstream closes
 // it.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,11 +44,11 @@
 	closed bool
 }
 
-// take returns the most recently used connection that is still usable and has
-// been idle for at most maxIdleTime, or nil if there is none.
-func (p *pool) take(maxIdleTime time.Duration, now time.Time) *conn {
+// take returns the most recently used connection that is still usable for an
+// attempt and has been idle for at most maxIdleTime, or nil if there is none.
+func (p *pool) take(id azurestair.RequestID, maxIdleTime time.Duration, now time.Time) *conn {
 	for {
-		c := p.popIdle()
+		c := p.popIdle(id)
 		if c == nil {
 			return nil
 		}
@@ -65,16 +66,18 @@
 	}
 }
 
-func (p *pool) popIdle() *conn {
+// popIdle removes and returns the most recently used connection that may carry
+// an attempt, or nil if there is none.
+func (p *pool) popIdle(id azurestair.RequestID) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
-		return nil
+	for i, c := range slices.Backward(p.idle) {
+		if c.mayCarry(id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[n-1]
-	p.idle = p.idle[:n-1]
-	return c
+	return nil
 }
 
 func (p *pool) isRetired(c *conn) bool {
@@ -83,12 +86,12 @@
 	return c.opened.Before(p.retiredBefore)
 }
 
-// reserve reserves a slot for a connection that is about to be opened. With
-// evictIdle set, the longest idle connection is closed if the limit is reached.
-func (p *pool) reserve(evictIdle bool) error {
+// reserve reserves a slot for a connection that is about to be opened. If the
+// limit is reached, the longest idle connection is closed.
+func (p *pool) reserve() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if evictIdle && p.open >= p.maxOpen && len(p.idle) > 0 {
+	if p.open >= p.maxOpen && len(p.idle) > 0 {
 		_ = p.idle[0].Close()
 		p.idle = p.idle[1:]
 		p.open--
@@ -109,7 +112,7 @@
 // put returns a connection to the pool after a complete response.
 func (p *pool) put(c *conn, now time.Time) {
 	c.lastUsed = now
-	if p.isRetired(c) || c.SetDeadline(time.Time{}) != nil {
+	if p.isRetired(c) || len(c.carriedIDs) >= maxCarriedIDs || c.SetDeadline(time.Time{}) != nil {
 		p.discard(c)
 		return
 	}
--- a/upstream/trouble_test.go
+++ b/upstream/trouble_test.go
@@ -162,6 +162,61 @@
 	)
 })
 
+var _ = Describe("a connection that carried an attempt", func() {
+	var (
+		f *fakeUpstream
+		c *upstream.Client
+		a upstream.Attempt
+	)
+	again := func() result {
+		a.Body = strings.NewReader("12345")
+		return send(context.Background(), c, f.addr(), a)
+	}
+	BeforeEach(func() {
+		f = newFakeUpstream(rawResponse(shedResponse))
+		c = upstream.NewClient(nil, newFakeClock())
+		DeferCleanup(func() { c.Close() })
+		a = newAttempt(long)
+	})
+
+	// Guards against a refusal that is sent a second time and taken for the
+	// response to a later attempt with the same ID, which the upstream runs.
+	It("never carries another one with the same ID", func() {
+		expectResult(again(), azurestair.AttemptNotRun, azurestair.ReasonShed)
+		f.setHandler(func(s serverConn, r *http.Request) bool {
+			_, _ = io.Copy(io.Discard, r.Body)
+			late := ""
+			if f.accepted.Load() == 1 {
+				late = shedResponse
+			}
+			_, _ = io.WriteString(s, strings.ReplaceAll(late+okResponse, "ID", r.Header.Get(upstream.HeaderAttemptID)))
+			return true
+		})
+		res := again()
+		expectDone(res)
+		Expect(res.Reused).To(BeFalse())
+	})
+
+	It("still carries attempts with other IDs, at any limit", func() {
+		c.SetLimit(f.addr(), 1)
+		expectResult(again(), azurestair.AttemptNotRun, azurestair.ReasonShed)
+		Expect(send(context.Background(), c, f.addr(), newAttempt(long)).Reused).To(BeTrue())
+		expectResult(again(), azurestair.AttemptNotRun, azurestair.ReasonShed)
+		Expect(f.counts()).To(Equal([]int64{3, 2}))
+		Eventually(f.openConns).Should(BeEquivalentTo(1))
+	})
+
+	// Guards against memory for IDs that grows with the age of a connection.
+	It("is replaced after a number of attempts", func() {
+		f.setHandler(rawResponse(okResponse))
+		const attempts = 1500
+		for range attempts {
+			expectDone(send(context.Background(), c, f.addr(), newAttempt(long)))
+		}
+		Expect(f.counts()).To(Equal([]int64{attempts, 3}))
+	})
+})
+
 // anonymousDialect accepts responses that do not name their attempt.
 type anonymousDialect struct{}
 
