Count bytes that moved, not lengths that were announced

Callers saw: after one response that announced 1 TB and broke off, an entry refused nearly all requests of all services for minutes, with entryLinkFull, while it said that it was ready.

Cause: the limiter of the entry's own link learns the size of responses. It was given the length in the header, before any of the body had come, and one sample could raise the expected size without a bound.

Change: the limiter is told the bytes that were read from the caller and from the upstream, when the response has ended. One sample at most doubles an expected size, so that a response that really is huge, or bytes without end, cannot close the link either.

--- a/admission/link.go
+++ b/admission/link.go
@@ -72,8 +72,9 @@
 	return float64(defaultMessageSize)
 }
 
-// Observe updates the expected size of the operation with the size of a
-// request's body and its response.
+// Observe updates the expected size of the operation with the bytes that a
+// request's body and its response took. One response at most doubles it, so that
+// no single one closes the link to all others.
 func (l *LinkLimiter) Observe(op azurestair.OperationName, body azurestair.Bytes) {
 	if l.Rate <= 0 {
 		return
@@ -82,5 +83,6 @@
 		l.sizes = map[azurestair.OperationName]float64{}
 	}
 	old := l.expectedSize(op)
-	l.sizes[op] = old + sizeSmoothing*(float64(max(body, 0)+messageOverhead)-old)
+	size := min(float64(max(body, 0))+float64(messageOverhead), old+old/sizeSmoothing)
+	l.sizes[op] = old + sizeSmoothing*(size-old)
 }
--- a/admission/link_test.go
+++ b/admission/link_test.go
@@ -1,6 +1,7 @@
 package admission_test
 
 import (
+	"math"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -48,6 +49,25 @@
 		Expect(l.Admit("read", azurestair.RankUrgent, now)).To(BeTrue())
 	})
 
+	// Guards against one response of an absurd size after which everything is
+	// refused for as long as the link would take to carry it.
+	It("keeps admitting after one response of any size", func() {
+		for _, size := range []azurestair.Bytes{1 << 40, math.MaxInt64, math.MinInt64} {
+			l := &admission.LinkLimiter{Rate: 125_000_000}
+			l.Observe("read", size)
+			Expect(offer(l, azurestair.RankDeferred, 500)).To(Equal(500), "%d bytes", size)
+		}
+	})
+
+	// Guards against an estimate that follows larger responses too slowly.
+	It("learns of larger responses within a few of them", func() {
+		l := &admission.LinkLimiter{Rate: 12_500_000}
+		for range 40 {
+			l.Observe("read", 1<<20)
+		}
+		Expect(offer(l, azurestair.RankInteractive, 500)).To(BeNumerically("<", 30))
+	})
+
 	// Guards against a limit when no rate is set.
 	It("admits everything without a rate", func() {
 		l := &admission.LinkLimiter{}
--- a/instance/requestbody.go
+++ b/instance/requestbody.go
@@ -81,6 +81,14 @@
 // has ended.
 func (b *requestBody) rewind() bool { return b.stream == nil || b.stream.rewind() }
 
+// received returns how many bytes of the body have come from the caller.
+func (b *requestBody) received() azurestair.Bytes {
+	if b.stream != nil {
+		return azurestair.Bytes(b.stream.received.Load())
+	}
+	return azurestair.Bytes(len(b.data))
+}
+
 // errBodyMemory reports that the bodies of other requests use all memory.
 var errBodyMemory = errors.New("no memory for the request body")
 
@@ -123,8 +131,10 @@
 type replayableStream struct {
 	mu     sync.Mutex
 	source io.Reader
-	limit  int
-	kept   []byte
+	// received counts the bytes that the source has returned.
+	received atomic.Int64
+	limit    int
+	kept     []byte
 	// incomplete is true once more than limit bytes have been read.
 	incomplete bool
 	// sourceErr is the error that ended the source.
@@ -177,6 +187,7 @@
 		return 0, s.sourceErr
 	}
 	n, err := s.source.Read(p)
+	s.received.Add(int64(n))
 	s.sourceErr = err
 	if len(s.kept)+n > s.limit {
 		s.kept, s.incomplete = nil, true
--- a/instance/serve.go
+++ b/instance/serve.go
@@ -183,10 +183,26 @@
 		return refusedReply(reason)
 	}
 	reply := c.releaseSlotAfter(c.runAttempts(ctx, nil))
-	if reply.Outcome == azurestair.OutcomeDone {
-		c.entry.observeLink(c.work, azurestair.Bytes(c.body.length)+azurestair.Bytes(max(reply.Length, 0)))
+	if reply.Outcome != azurestair.OutcomeDone {
+		return reply
 	}
-	return reply
+	body := &countedBody{ReadCloser: reply.Body}
+	reply.Body = body
+	return releaseOnClose(reply, func() { c.entry.observeLink(c.work, c.body.received()+body.read) })
+}
+
+// countedBody counts the bytes of a body that have been read. What a header
+// announces may never come.
+type countedBody struct {
+	io.ReadCloser
+	read azurestair.Bytes
+}
+
+// Read implements io.Reader.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.read += azurestair.Bytes(n)
+	return n, err
 }
 
 // admitLink reports whether the entry's own network link has capacity for the
