--- a/instance/trouble_test.go
+++ b/instance/trouble_test.go
@@ -51,7 +51,7 @@
 }
 
 func (u *repeatingUpstream) loop(c net.Conn) {
-	defer c.Close() //nolint:errcheck // the connection is no longer used
+	defer c.Close()
 	in, late := bufio.NewReader(c), ""
 	for {
 		r, err := http.ReadRequest(in)
