--- a/control/address.go
+++ b/control/address.go
@@ -43,10 +43,10 @@
 	r.setAddrOwner(a)
 }
 
-// replaceInstancesAt unlists the control instances that reported the same peer address
-// under another id, and returns false if one of them started later, so that the
-// report was delayed. An instance that lost its disk has a new id at its old
-// address.
+// replaceInstancesAt unlists the control instances that reported the same peer
+// address under another id. It returns false if one of them started later,
+// which means that the report was delayed. An instance that lost its disk has a
+// new id at its old address.
 func (r *Registry) replaceInstancesAt(info azurestair.InstanceInfo, now time.Time) bool {
 	if !info.Control || info.PeerAddr == "" {
 		return true
