--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -75,8 +75,8 @@
 // recordID records the ID of an attempt that the connection is about to carry.
 func (c *conn) recordID(id azurestair.RequestID) { c.carriedIDs = append(c.carriedIDs, hashID(id)) }
 
-// mayCarry reports whether a response to an attempt with this ID is certain to
-// be the response to the next one.
+// mayCarry reports whether the connection has not carried this ID yet. Attempts
+// without an ID, such as probes, are not told apart.
 func (c *conn) mayCarry(id azurestair.RequestID) bool {
 	return id == "" || !slices.Contains(c.carriedIDs, hashID(id))
 }
