Log why the membership changes and what a shutdown still accepts

Cause: the line on a change of the membership did not say whether a member was removed because it was silent or because its disk was lost, and the line on a shutdown not from when requests are refused.

Change: the planner returns the reason with each step; both lines have it.

Result: the cases of the planner pass, and check that each step has a reason.

--- a/control/membershipplanner.go
+++ b/control/membershipplanner.go
@@ -36,6 +36,24 @@
 // they are known.
 type MemberAddrs map[azurestair.InstanceID]string
 
+// MemberReason is why a membership change is due.
+type MemberReason string
+
+// Reasons for membership changes.
+const (
+	ReasonSuperseded MemberReason = "superseded"
+	ReasonSilent     MemberReason = "silent"
+	ReasonSpare      MemberReason = "spare"
+	ReasonCaughtUp   MemberReason = "caughtUp"
+)
+
+// MembershipStep is one change of the membership of the log.
+type MembershipStep struct {
+	Action   azurestair.MemberAction
+	Instance azurestair.InstanceID
+	Reason   MemberReason
+}
+
 // MembershipPlanner decides how the membership of the log follows the live
 // control instances. It adds voters up to the wanted number, spread over
 // regions and failure domains, and replaces a lost voter with a spare.
@@ -58,29 +76,27 @@
 // Next returns the next change of the membership, or false if none is needed.
 // The caller must make one change at a time and call Next again once it is
 // committed.
-func (p *MembershipPlanner) Next(
-	m azurestair.Membership, addrs MemberAddrs, alive []Replica, now time.Time,
-) (azurestair.MemberAction, azurestair.InstanceID, bool) {
+func (p *MembershipPlanner) Next(m azurestair.Membership, addrs MemberAddrs, alive []Replica, now time.Time) (MembershipStep, bool) {
 	p.updateLastHeard(alive, now)
 	if id := superseded(m, addrs, alive); id != "" {
-		return azurestair.MemberRemove, id, true
+		return MembershipStep{azurestair.MemberRemove, id, ReasonSuperseded}, true
 	}
 	lost := p.longestLost(m.Voters, VoterLossTimeout, now)
 	if id := readyLearner(m, alive); id != "" {
 		if len(m.Voters) < p.voters() {
-			return azurestair.MemberPromote, id, true
+			return MembershipStep{azurestair.MemberPromote, id, ReasonCaughtUp}, true
 		}
 		if lost != "" {
-			return azurestair.MemberRemove, lost, true
+			return MembershipStep{azurestair.MemberRemove, lost, ReasonSilent}, true
 		}
 	}
 	if lost != "" && len(m.Voters)%2 == 0 {
 		// Without it, the quorum of an even number of voters is smaller by one,
 		// so that this tolerates the same losses even if it returns.
-		return azurestair.MemberRemove, lost, true
+		return MembershipStep{azurestair.MemberRemove, lost, ReasonSilent}, true
 	}
 	if id := p.longestLost(m.Learners, learnerLossAfter, now); id != "" {
-		return azurestair.MemberRemove, id, true
+		return MembershipStep{azurestair.MemberRemove, id, ReasonSilent}, true
 	}
 	wanted := p.voters() - len(m.Voters)
 	if lost != "" {
@@ -88,10 +104,10 @@
 	}
 	if len(m.Learners) < wanted && len(m.Learners) < azurestair.MaxVoters {
 		if id := bestSpare(m, alive); id != "" {
-			return azurestair.MemberAddLearner, id, true
+			return MembershipStep{azurestair.MemberAddLearner, id, ReasonSpare}, true
 		}
 	}
-	return "", "", false
+	return MembershipStep{}, false
 }
 
 func (p *MembershipPlanner) voters() int {
--- a/control/membershipplanner_test.go
+++ b/control/membershipplanner_test.go
@@ -73,17 +73,17 @@
 		for i := range alive {
 			alive[i].CaughtUp = slices.Contains(m.Learners, alive[i].ID)
 		}
-		action, id, ok := p.Next(*m, memberAddrs(*m), alive, at(ms))
+		step, ok := p.Next(*m, memberAddrs(*m), alive, at(ms))
 		if !ok {
 			return
 		}
-		is := func(other azurestair.InstanceID) bool { return other == id }
+		is := func(other azurestair.InstanceID) bool { return other == step.Instance }
 		m.Learners, m.Voters = slices.DeleteFunc(m.Learners, is), slices.DeleteFunc(m.Voters, is)
-		switch action {
+		switch step.Action {
 		case azurestair.MemberAddLearner:
-			m.Learners = append(m.Learners, id)
+			m.Learners = append(m.Learners, step.Instance)
 		case azurestair.MemberPromote:
-			m.Voters = append(m.Voters, id)
+			m.Voters = append(m.Voters, step.Instance)
 		}
 		expectQuorum(*m, alive)
 	}
@@ -101,16 +101,17 @@
 // expectChange checks the next membership change.
 func expectChange(p *control.MembershipPlanner, m azurestair.Membership, alive []control.Replica, ms int, action azurestair.MemberAction, id azurestair.InstanceID) {
 	GinkgoHelper()
-	a, got, ok := p.Next(m, memberAddrs(m), alive, at(ms))
+	step, ok := p.Next(m, memberAddrs(m), alive, at(ms))
 	Expect(ok).To(BeTrue())
-	Expect(a).To(Equal(action))
-	Expect(got).To(Equal(id))
+	Expect(step.Action).To(Equal(action))
+	Expect(step.Instance).To(Equal(id))
+	Expect(step.Reason).NotTo(BeEmpty())
 }
 
 func expectNoChange(p *control.MembershipPlanner, m azurestair.Membership, alive []control.Replica, ms int) {
 	GinkgoHelper()
-	_, id, ok := p.Next(m, memberAddrs(m), alive, at(ms))
-	Expect(ok).To(BeFalse(), "member %s", id)
+	step, ok := p.Next(m, memberAddrs(m), alive, at(ms))
+	Expect(ok).To(BeFalse(), "%v", step)
 }
 
 var _ = Describe("membership planner", func() {
--- a/instance/membership.go
+++ b/instance/membership.go
@@ -30,7 +30,7 @@
 	}
 	r.nextMembershipCheck = now.Add(membershipCheckInterval)
 	st := r.node.Status()
-	action, id, ok := r.membershipPlanner.Next(st.Membership, r.memberAddrs(st.Membership), r.liveReplicas(st), now)
+	step, ok := r.membershipPlanner.Next(st.Membership, r.memberAddrs(st.Membership), r.liveReplicas(st), now)
 	if !ok {
 		return
 	}
@@ -39,15 +39,15 @@
 			ID:       azurestair.ChangeID(fmt.Sprintf("roster-%d-%d", st.Term, st.Last)),
 			Operator: automaticOperator, Reason: "the control instances that are alive have changed",
 		},
-		Action: action, Instance: id,
+		Action: step.Action, Instance: step.Instance,
 	}
 	err := r.changeMembers(&change, now)
 	switch {
 	case err == nil:
-		r.log.Info("membership of the log changed", "action", action, "member", id, "voters", st.Membership.Voters, "term", st.Term)
+		r.log.Info("membership of the log changed", "action", step.Action, "member", step.Instance, "reason", step.Reason, "voters", st.Membership.Voters, "term", st.Term)
 		r.propose(proposeEvent{command: azurestair.Command{Members: &change}, reply: make(chan proposeReply, 1)}, now)
 	case !errors.Is(err, azurestair.ErrConflict):
-		r.log.Warn("membership of the log not changed", "action", action, "member", id, "err", err)
+		r.log.Warn("membership of the log not changed", "action", step.Action, "member", step.Instance, "reason", step.Reason, "err", err)
 	}
 }
 
--- a/instance/shutdown.go
+++ b/instance/shutdown.go
@@ -31,8 +31,9 @@
 	start, grace := p.options.Clock.Now(), p.settings.Limits.ShutdownGraceMs.Duration()
 	graceCtx, cancel := context.WithTimeout(ctx, grace)
 	defer cancel()
-	p.log.Info("stopping", "graceMs", p.settings.Limits.ShutdownGraceMs)
 	shutdown := admission.NewShutdown(start, grace)
+	p.log.Info("stopping", "graceMs", p.settings.Limits.ShutdownGraceMs,
+		"openMs", shutdown.OpenUntil.Sub(start).Milliseconds(), "requestsEndMs", shutdown.EndsAt.Sub(start).Milliseconds())
 	if p.entry != nil {
 		p.entry.beginShutdown(shutdown)
 	}
