--- a/admission/shutdown.go
+++ b/admission/shutdown.go
@@ -7,8 +7,8 @@
 )
 
 // Shutdown decides which requests an instance still accepts after it has begun
-// to shut down. Requests in progress when the grace period ends are cut, and an
-// upstream may have run them, so that nobody could say whether to repeat them.
+// to shut down. Requests in progress when the grace period ends are cut, and
+// their callers cannot tell whether an upstream has run them.
 //
 // For the first part of the grace period, callers still reach the instance
 // through lookups that name it, and every request is accepted. Later, only
