--- a/instance/shutdown.go
+++ b/instance/shutdown.go
@@ -25,8 +25,8 @@
 
 // stop removes the instance from lookups, waits until callers no longer use it
 // and its requests have ended, and then closes everything. The wait ends with
-// the configured grace period. Requests that might outlast it are refused, so
-// that none is cut however many keep coming.
+// the configured grace period. From its middle on, requests that might outlast
+// it are refused, so that requests that keep coming are not cut at its end.
 func (p *Process) stop(ctx context.Context) error {
 	start, grace := p.options.Clock.Now(), p.settings.Limits.ShutdownGraceMs.Duration()
 	graceCtx, cancel := context.WithTimeout(ctx, grace)
