Describe workspaces, shared limits and even load, and add their types

The configuration gets workspaces with digests of their keys, public routes, and fleet-wide settings for the key lease, the slack of quotas, the joint burst of retries and the distribution of objects. Nothing uses them yet; a configuration without them is unchanged. The tests of the root package pass.

--- a/config.go
+++ b/config.go
@@ -27,6 +27,9 @@
 	// Routes select the service of a request by host and path. If there are
 	// routes, requests are placed by object and no budgets are leased.
 	Routes []Route `cbor:"routes,omitempty" json:"routes,omitempty" toml:"routes"`
+	// Workspaces hold the API keys and rate limits of callers. If there are any,
+	// requests on routes that are not public need a key.
+	Workspaces []Workspace `cbor:"workspaces,omitempty" json:"workspaces,omitempty" toml:"workspaces"`
 	// Document is the configuration in the format in which it was received from
 	// the operator's front end. It is stored so that it can be read back
 	// unchanged.
@@ -66,6 +69,19 @@
 	LookupMovePercent Percent `cbor:"lookupMovePercent" json:"lookupMovePercent" toml:"lookupMovePercent"`
 	// ProbePercent limits the share of the slots that probes may use.
 	ProbePercent Percent `cbor:"probePercent" json:"probePercent" toml:"probePercent"`
+	// KeyLeaseMs is how long after its last contact with the leader an instance
+	// accepts API keys; zero means without limit.
+	KeyLeaseMs Millis `cbor:"keyLeaseMs,omitempty" json:"keyLeaseMs,omitempty" toml:"keyLeaseMs"`
+	// QuotaSlack is the number of requests beyond the burst of a workspace that
+	// all entries together may admit.
+	QuotaSlack int `cbor:"quotaSlack,omitempty" json:"quotaSlack,omitempty" toml:"quotaSlack"`
+	// RetryBurst is the number of retries of a service beyond RetryPercent that
+	// all entries together may send in a burst; zero means a fixed number for
+	// each entry.
+	RetryBurst int `cbor:"retryBurst,omitempty" json:"retryBurst,omitempty" toml:"retryBurst"`
+	// SpreadObjects makes the leader plan on how many upstreams each frequent
+	// object is served.
+	SpreadObjects bool `cbor:"spreadObjects,omitempty" json:"spreadObjects,omitempty" toml:"spreadObjects"`
 }
 
 // WithDefaults returns d with zero fields replaced by built-in values.
@@ -111,6 +127,9 @@
 		{"lookupTtlMs", int64(d.LookupTTLMs), 0, 300_000},
 		{"lookupMovePercent", int64(d.LookupMovePercent), 0, 100},
 		{"probePercent", int64(d.ProbePercent), 0, 20},
+		{"keyLeaseMs", int64(d.KeyLeaseMs), 0, 600_000},
+		{"quotaSlack", int64(d.QuotaSlack), 0, 100_000},
+		{"retryBurst", int64(d.RetryBurst), 0, 100_000},
 	}
 	for _, c := range checks {
 		if c.v < c.min || c.v > c.max {
@@ -296,6 +315,9 @@
 	if err := c.validateServices(); err != nil {
 		return err
 	}
+	if err := c.validateWorkspaces(); err != nil {
+		return err
+	}
 	if err := c.validateRoutes(); err != nil {
 		return err
 	}
--- a/request.go
+++ b/request.go
@@ -52,6 +52,13 @@
 	ReasonShuttingDown      Reason = "shuttingDown"
 	ReasonEntryLost         Reason = "entryLost"
 	ReasonAnswerDropped     Reason = "answerNoLongerKept"
+
+	ReasonWorkspaceKeyMissing Reason = "workspaceKeyMissing"
+	ReasonWorkspaceKeyUnknown Reason = "workspaceKeyUnknown"
+	ReasonKeysUnknown         Reason = "keysUnknown"
+	ReasonHomeRegions         Reason = "noCommonHomeRegion"
+	ReasonQuota               Reason = "quota"
+	ReasonQuotaUnreachable    Reason = "quotaUnreachable"
 )
 
 // AttemptResult is the result of an attempt at an upstream.
@@ -101,6 +108,9 @@
 	// MaxAttempts is the maximum number of attempts; zero means that the retry
 	// policy decides.
 	MaxAttempts int
+	// Workspace is the workspace of the caller's API key; empty if there is
+	// none.
+	Workspace WorkspaceName
 }
 
 // Choice is the upstream that a Picker has selected for an attempt.
--- a/route.go
+++ b/route.go
@@ -52,6 +52,8 @@
 	MaxAttempts int `cbor:"maxAttempts" json:"maxAttempts" toml:"maxAttempts"`
 	// Sticky routes select upstreams by the object of the request.
 	Sticky bool `cbor:"sticky,omitempty" json:"sticky,omitempty" toml:"sticky"`
+	// Public routes accept requests without an API key.
+	Public bool `cbor:"public,omitempty" json:"public,omitempty" toml:"public"`
 	// HomeRegions lists the only regions in which the requests may run; empty
 	// means all regions.
 	HomeRegions []RegionName   `cbor:"homeRegions,omitempty" json:"homeRegions,omitempty" toml:"homeRegions"`
