Serve requests in the workspace of their API key

Cause: no part of the request path looked at the key, and all headers but a few were forwarded.

Change: package workspace holds the index of the keys, built when a configuration takes effect, and the decision on one request. An entry serves a request with a key until the key lease ends, which counts from the last report that the leader answered. The product's own front end has the headers Azurestair-Key and Azurestair-Workspace. The protocol version becomes 6 for configurations with workspaces.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -27,6 +27,7 @@
 	HeaderReason   = "Azurestair-Reason"
 	HeaderReplayed = "Azurestair-Replayed"
 	HeaderKey      = "Idempotency-Key"
+	HeaderAPIKey   = "Azurestair-Key"
 	headerPrefix   = "Azurestair-"
 )
 
@@ -145,6 +146,7 @@
 		Key:       azurestair.RequestKey(req.Header.Get(HeaderKey)),
 		Caller:    azurestair.CallerID(req.Header.Get(HeaderCaller)),
 	}
+	r.APIKey, r.HasAPIKey = APIKeyDigest(req.Header[HeaderAPIKey])
 	if len(req.Header.Values(HeaderKey)) > 1 {
 		return r, fmt.Errorf("%w: more than one %s header", azurestair.ErrInvalid, HeaderKey)
 	}
@@ -238,7 +240,7 @@
 	case azurestair.OutcomeInvalid:
 		return invalidStatus(r.Reason)
 	}
-	if r.Reason == azurestair.ReasonCallerShare {
+	if r.Reason == azurestair.ReasonCallerShare || r.Reason == azurestair.ReasonQuota {
 		return http.StatusTooManyRequests
 	}
 	return http.StatusServiceUnavailable
@@ -250,6 +252,8 @@
 		return http.StatusNotFound
 	case azurestair.ReasonKeyReused:
 		return http.StatusUnprocessableEntity
+	case azurestair.ReasonWorkspaceKeyMissing, azurestair.ReasonWorkspaceKeyUnknown:
+		return http.StatusUnauthorized
 	}
 	return http.StatusBadRequest
 }
--- a/caller/request.go
+++ b/caller/request.go
@@ -31,7 +31,11 @@
 	Body    io.Reader
 	BodyLen int64
 	Key     azurestair.RequestKey
-	Caller  azurestair.CallerID
+	// HasAPIKey is true if the caller sent an API key, and APIKey is then its
+	// digest. The key itself is not kept.
+	HasAPIKey bool
+	APIKey    azurestair.KeyDigest
+	Caller    azurestair.CallerID
 	// Deadline is zero if the caller gave none.
 	Deadline time.Time
 }
@@ -99,3 +103,16 @@
 	// reason otherwise.
 	Ready() error
 }
+
+// APIKeyDigest returns the digest of the API key in the values of a header. ok is
+// false if there is no key. Several values are one key that belongs to no
+// workspace, since they do not tell which one counts.
+func APIKeyDigest(values []string) (d azurestair.KeyDigest, ok bool) {
+	switch {
+	case len(values) == 0, len(values) == 1 && values[0] == "":
+		return azurestair.KeyDigest{}, false
+	case len(values) > 1:
+		return azurestair.KeyDigest{}, true
+	}
+	return azurestair.KeyDigestOf(values[0]), true
+}
--- a/config.go
+++ b/config.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
 )
 
 // Limits on the size of a configuration.
@@ -446,6 +447,14 @@
 	return Operation{}, false
 }
 
+// needsWorkspaceProtocol reports whether the configuration uses features that
+// were introduced with ProtocolWorkspaces.
+func (c *Config) needsWorkspaceProtocol() bool {
+	d := c.Defaults
+	return len(c.Workspaces) > 0 || d.KeyLeaseMs != 0 || d.QuotaSlack != 0 || d.RetryBurst != 0 || d.SpreadObjects ||
+		slices.ContainsFunc(c.Routes, func(r Route) bool { return r.Public })
+}
+
 // needsRoutedProtocol reports whether the configuration uses features that were
 // introduced with ProtocolRouted.
 func (c *Config) needsRoutedProtocol() bool {
--- a/instance/attemptrunner.go
+++ b/instance/attemptrunner.go
@@ -140,7 +140,7 @@
 	a := &attempt{runner: r, choice: choice, ctx: attemptCtx, cancel: cancel, startedAt: now, params: upstream.Attempt{
 		ID: r.attemptID(), Upstream: choice.Upstream, Host: c.req.Host,
 		Method: c.req.Method, Path: c.req.Path, Header: c.req.Header, Body: body, BodyLen: n,
-		Rank: c.work.Rank, Idempotent: c.work.Idempotent, NewConn: r.freshConn,
+		Rank: c.work.Rank, Workspace: c.work.Workspace, Idempotent: c.work.Idempotent, NewConn: r.freshConn,
 		Deadline: c.dispatcher.attemptDeadline(&r.retryReq, now), BeforeSend: r.beforeSend,
 	}}
 	if slices.Contains(r.retryReq.Avoid(), choice.Upstream) {
--- a/instance/member.go
+++ b/instance/member.go
@@ -12,7 +12,6 @@
 	"azurestair.example/azurestair/control"
 	"azurestair.example/azurestair/lookup"
 	"azurestair.example/azurestair/peer"
-	"azurestair.example/azurestair/routing"
 )
 
 const (
@@ -82,7 +81,7 @@
 	trafficMeter    control.TrafficMeter
 	table           *lookup.Table
 	locations       *lookup.LocationIndex
-	routes          *routing.Routes
+	index           configIndex
 	tableComplete   bool
 	announced       map[azurestair.UpstreamID]*announcedUpstream
 
@@ -497,7 +496,7 @@
 		m.learnPeers(controlPeers(m.snapshot))
 	}
 	if before == nil || before.Config != m.snapshot.Config {
-		m.routes = routing.NewRoutes(m.snapshot.Config)
+		m.index = newConfigIndex(m.snapshot.Config)
 	}
 	if before.ConfigVersion() != m.snapshot.ConfigVersion() {
 		m.log.Info("configuration in force", "version", m.snapshot.ConfigVersion(), "commit", m.snapshot.Commit)
@@ -547,8 +546,8 @@
 	}
 	wasReady := m.entry.isReady(now)
 	v := &view{
-		snapshot: m.snapshot, table: m.table, locations: m.locations, routes: m.routes, leases: m.holder.Leases(),
-		controlDeadline: m.controlDeadline, heardAt: m.heardAt, leaving: m.leaving,
+		snapshot: m.snapshot, table: m.table, locations: m.locations, routes: m.index.routes, workspaces: m.index.workspaces, leases: m.holder.Leases(),
+		controlDeadline: m.controlDeadline, heardAt: m.heardAt, contact: m.contact(), leaving: m.leaving,
 	}
 	if m.startBy.IsZero() {
 		m.startBy = now.Add(maxStartWait)
--- a/instance/serve.go
+++ b/instance/serve.go
@@ -93,7 +93,6 @@
 	if !ok || d == nil {
 		return clearUnprovenNotRun(r, invalidReply(azurestair.ReasonUnknownOperation))
 	}
-	d.countRequest()
 	c := &call{entry: e, dispatcher: d, req: r, op: op, config: v.snapshot.Config, route: route, work: azurestair.RequestInfo{
 		Service: r.Service, Operation: r.Operation, Rank: op.Rank, Idempotent: op.Idempotent, Caller: r.Caller,
 		Deadline: deadlineOf(r, op, now),
@@ -104,6 +103,10 @@
 			c.work.Object = r.Object
 		}
 	}
+	if reply, ok := c.assignWorkspace(v, now); !ok {
+		return reply
+	}
+	d.countRequest()
 	if !e.admitsDuringShutdown(c.work, now) {
 		return e.refuseInShutdown(r, v)
 	}
@@ -112,6 +115,9 @@
 		cancel()
 		c.body.close()
 	}
+	if reason := e.admitQuota(ctx, c.work); reason != azurestair.ReasonNone {
+		return releaseOnClose(clearUnprovenNotRun(r, refusedReply(reason)), done)
+	}
 	if c.isUnkeyed() {
 		return releaseOnClose(c.serveUnkeyed(ctx), done)
 	}
--- a/instance/view.go
+++ b/instance/view.go
@@ -7,6 +7,7 @@
 	"azurestair.example/azurestair/control"
 	"azurestair.example/azurestair/lookup"
 	"azurestair.example/azurestair/routing"
+	"azurestair.example/azurestair/workspace"
 )
 
 // view is the state that traffic is served from: the latest snapshot and data
@@ -17,12 +18,17 @@
 	table     *lookup.Table
 	locations *lookup.LocationIndex
 	routes    *routing.Routes
-	leases    control.Leases
+	// workspaces is the index of the API keys.
+	workspaces *workspace.Index
+	leases     control.Leases
 	// controlDeadline is the time until which this instance may assume that its
 	// configuration is the newest.
 	controlDeadline time.Time
 	// heardAt is the send time of the last report that the leader answered.
 	heardAt time.Time
+	// contact tells how far the configuration can be trusted to have all API
+	// keys, and no revoked ones.
+	contact workspace.Contact
 	// leaving is true once the instance has begun its shutdown.
 	leaving bool
 	// starting is true until the instance has received its first budgets.
--- /dev/null
+++ b/instance/workspaces.go
@@ -0,0 +1,51 @@
+package instance
+
+import (
+	"time"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/caller"
+	"azurestair.example/azurestair/routing"
+	"azurestair.example/azurestair/workspace"
+)
+
+// configIndex holds the indexes that are built when a configuration takes
+// effect.
+type configIndex struct {
+	routes     *routing.Routes
+	workspaces *workspace.Index
+}
+
+func newConfigIndex(cfg *azurestair.Config) configIndex {
+	return configIndex{routes: routing.NewRoutes(cfg), workspaces: workspace.NewIndex(cfg)}
+}
+
+// contact returns how far the configuration in the snapshot can be trusted.
+func (m *Member) contact() workspace.Contact {
+	heardAt := m.heardAt
+	if m.provisional {
+		// No leader has confirmed the snapshot, however recent it is.
+		heardAt = time.Time{}
+	}
+	return workspace.NewContact(heardAt, maxRouteAge, m.snapshot.Config.Defaults.KeyLeaseMs)
+}
+
+// assignWorkspace determines the workspace of a request and applies its rank
+// and home regions. ok is false if the request is rejected with the reply.
+func (c *call) assignWorkspace(v *view, now time.Time) (reply caller.Reply, ok bool) {
+	d := v.workspaces.Decide(workspace.Request{
+		Public: c.route != nil && c.route.Public, HasKey: c.req.HasAPIKey, Key: c.req.APIKey,
+	}, v.contact, now)
+	reason := d.Verdict.Reason()
+	if d.Identity != nil {
+		reason = d.Identity.Assign(&c.work)
+	}
+	switch reason {
+	case azurestair.ReasonNone:
+		return caller.Reply{}, true
+	case azurestair.ReasonWorkspaceKeyMissing, azurestair.ReasonWorkspaceKeyUnknown:
+		return clearUnprovenNotRun(c.req, invalidReply(reason)), false
+	default:
+		return clearUnprovenNotRun(c.req, refusedReply(reason)), false
+	}
+}
--- /dev/null
+++ b/instance/workspaces_test.go
@@ -0,0 +1,239 @@
+package instance
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/caller"
+	"azurestair.example/azurestair/upstream"
+)
+
+const testKeyLease azurestair.Millis = 4500
+
+// workspaceSnapshot returns a snapshot with workspaces, a public route and one
+// that is not.
+func workspaceSnapshot(cfg azurestair.ConfigVersion, list ...azurestair.Workspace) *azurestair.Snapshot {
+	s := testSnapshot(cfg)
+	route := func(name azurestair.RouteName, prefix string, public bool, homes ...azurestair.RegionName) azurestair.Route {
+		return azurestair.Route{
+			Name: name, Host: "shop.example", PathPrefix: prefix, Rank: azurestair.RankInteractive, Idempotent: true, TimeoutMs: 20_000,
+			MaxAttempts: 1, Public: public, HomeRegions: homes, Services: []azurestair.RouteService{{Service: "shop", Weight: 1}},
+		}
+	}
+	s.Config.Routes = []azurestair.Route{
+		route("read", "/read/", false), route("open", "/open/", true), route("home", "/home/", false, "kigali", "huye"),
+	}
+	s.Config.Workspaces = list
+	s.Config.Defaults.KeyLeaseMs = testKeyLease
+	return s
+}
+
+func workspaceOf(name azurestair.WorkspaceName, keys ...string) azurestair.Workspace {
+	w := azurestair.Workspace{Name: name}
+	for _, k := range keys {
+		w.Keys = append(w.Keys, azurestair.KeyDigestOf(k))
+	}
+	return w
+}
+
+// workspaceFixture is an entry whose member gets snapshots from a leader.
+type workspaceFixture struct {
+	*entryFixture
+	clk    *fakeClock
+	member *Member
+	// received holds the headers of the last request at the upstream.
+	received http.Header
+	// work is the last request that reached the picker.
+	work azurestair.RequestInfo
+}
+
+// workPicker records the requests for which an upstream is picked.
+type workPicker struct {
+	*fakePicker
+	fixture *workspaceFixture
+}
+
+func (p workPicker) Pick(w azurestair.RequestInfo, avoid []azurestair.UpstreamID, now time.Time) (azurestair.Choice, error) {
+	p.fixture.work = w
+	return p.fakePicker.Pick(w, avoid, now)
+}
+
+func newWorkspaceFixture() *workspaceFixture {
+	clk := newFakeClock()
+	u := newFakeUpstream()
+	f := &workspaceFixture{clk: clk}
+	u.handle = func(w http.ResponseWriter, r *http.Request) {
+		f.received = r.Header.Clone()
+		w.WriteHeader(http.StatusNoContent)
+	}
+	f.entryFixture = newEntryFixture(clk, &fakeLedger{}, u)
+	f.dispatcher.picker = workPicker{f.picker, f}
+	f.member = newMember(f.self, f.Entry, nil, slog.New(slog.DiscardHandler))
+	return f
+}
+
+// hear makes the leader answer a report that was sent now.
+func (f *workspaceFixture) hear(s *azurestair.Snapshot) {
+	ginkgo.GinkgoHelper()
+	now := f.clk.Now()
+	f.member.handleReportDone(reportDoneEvent{sent: now, reply: azurestair.ReportReply{Term: 5, ControlTTLMs: 3000, Snapshot: s}}, now)
+	Expect(f.view.Load().snapshot.ConfigVersion()).To(Equal(f.member.snapshot.ConfigVersion()))
+}
+
+// get sends a request with the values of the key header.
+func (f *workspaceFixture) get(path string, keys ...string) response {
+	q := f.request("", "", longTimeout, strings.NewReader(""), 0)
+	q.Host, q.Path, q.Service, q.Method = "shop.example", path, "", http.MethodGet
+	q.APIKey, q.HasAPIKey = caller.APIKeyDigest(keys)
+	f.received, f.work = nil, azurestair.RequestInfo{}
+	return f.send(context.Background(), q)
+}
+
+// expectServed asserts that a request ran in the workspace; an empty name stands
+// for none.
+func (f *workspaceFixture) expectServed(resp response, name azurestair.WorkspaceName) {
+	ginkgo.GinkgoHelper()
+	Expect([]any{resp.Outcome, resp.Reason}).To(Equal([]any{azurestair.OutcomeDone, azurestair.ReasonNone}))
+	Expect(f.received.Get(upstream.HeaderWorkspace)).To(BeEquivalentTo(name))
+	Expect(f.work.Workspace).To(Equal(name))
+}
+
+// expectRejected asserts that a request did not reach the upstream.
+func (f *workspaceFixture) expectRejected(resp response, o azurestair.Outcome, reason azurestair.Reason) {
+	ginkgo.GinkgoHelper()
+	expectReply(resp, o, reason, true)
+	Expect(f.received).To(BeNil())
+}
+
+var _ = ginkgo.Describe("a request at an entry with workspaces", func() {
+	var f *workspaceFixture
+	ginkgo.BeforeEach(func() {
+		f = newWorkspaceFixture()
+		f.hear(workspaceSnapshot(7, workspaceOf("acme", "k-1", "k-2"), workspaceOf("bell", "k-3")))
+	})
+
+	// Guards against a request that runs without a key, in a wrong workspace, or
+	// under the name that its caller has chosen.
+	ginkgo.It("runs in the workspace of its key only", func() {
+		f.expectServed(f.get("/read/1", "k-1"), "acme")
+		f.expectServed(f.get("/read/1", "k-2"), "acme")
+		f.expectServed(f.get("/read/1", "k-3"), "bell")
+		f.expectServed(f.get("/open/1"), "")
+		f.expectServed(f.get("/open/1", "nosuch"), "")
+		f.expectRejected(f.get("/read/1"), azurestair.OutcomeInvalid, azurestair.ReasonWorkspaceKeyMissing)
+		f.expectRejected(f.get("/read/1", ""), azurestair.OutcomeInvalid, azurestair.ReasonWorkspaceKeyMissing)
+		f.expectRejected(f.get("/read/1", "nosuch"), azurestair.OutcomeInvalid, azurestair.ReasonWorkspaceKeyUnknown)
+		f.expectRejected(f.get("/read/1", "k-1", "k-1"), azurestair.OutcomeInvalid, azurestair.ReasonWorkspaceKeyUnknown)
+	})
+
+	// Guards against planning of regions, and retries, for requests that are
+	// rejected for want of a key.
+	ginkgo.It("counts as traffic of the service only if its key is known", func() {
+		before := f.dispatcher.trafficCount()
+		f.get("/read/1")
+		f.get("/read/1", "nosuch")
+		Expect(f.dispatcher.trafficCount()).To(Equal(before))
+		f.get("/read/1", "k-1")
+		Expect(f.dispatcher.trafficCount()).NotTo(Equal(before))
+	})
+
+	// Guards against a rejection by an instance that has not heard of the
+	// configuration with the key, and against a revoked key that an instance
+	// which is cut off serves for longer than its lease.
+	ginkgo.It("depends on when the leader was heard", func() {
+		f.clk.advance(maxRouteAge)
+		f.expectRejected(f.get("/read/1", "nosuch"), azurestair.OutcomeInvalid, azurestair.ReasonWorkspaceKeyUnknown)
+		f.clk.advance(time.Millisecond)
+		f.expectRejected(f.get("/read/1", "nosuch"), azurestair.OutcomeRefused, azurestair.ReasonKeysUnknown)
+		f.expectRejected(f.get("/read/1"), azurestair.OutcomeRefused, azurestair.ReasonKeysUnknown)
+		f.expectServed(f.get("/read/1", "k-1"), "acme")
+		f.clk.advance(testKeyLease.Duration() - maxRouteAge - time.Millisecond)
+		f.expectRejected(f.get("/read/1", "k-1"), azurestair.OutcomeRefused, azurestair.ReasonKeysUnknown)
+		f.expectServed(f.get("/open/1", "k-1"), "")
+		f.hear(nil)
+		f.expectServed(f.get("/read/1", "k-1"), "acme")
+	})
+
+	// Guards against a failed report that prolongs the lease of the keys.
+	ginkgo.It("with a key is not served longer because of a report without an answer", func() {
+		f.clk.advance(testKeyLease.Duration())
+		f.member.handleReportDone(reportDoneEvent{sent: f.clk.Now(), err: azurestair.ErrNoQuorum}, f.clk.Now())
+		f.member.handleReportDone(reportDoneEvent{sent: f.clk.Now(), reply: azurestair.ReportReply{Term: 4, ControlTTLMs: 3000}}, f.clk.Now())
+		f.expectRejected(f.get("/read/1", "k-1"), azurestair.OutcomeRefused, azurestair.ReasonKeysUnknown)
+	})
+
+	// Guards against a lease that counts from the receipt of an answer: the key
+	// may have been revoked while the answer was on its way.
+	ginkgo.It("with a key is served for a time that counts from the report", func() {
+		sent := f.clk.Now()
+		f.clk.advance(time.Second)
+		f.member.handleReportDone(reportDoneEvent{sent: sent, reply: azurestair.ReportReply{Term: 5, ControlTTLMs: 3000}}, f.clk.Now())
+		f.clk.advance(testKeyLease.Duration() - time.Second)
+		f.expectRejected(f.get("/read/1", "k-1"), azurestair.OutcomeRefused, azurestair.ReasonKeysUnknown)
+	})
+
+	// Guards against a revoked key that still works.
+	ginkgo.It("with a revoked key is rejected by the next configuration", func() {
+		f.hear(workspaceSnapshot(8, workspaceOf("acme", "k-2")))
+		f.expectRejected(f.get("/read/1", "k-1"), azurestair.OutcomeInvalid, azurestair.ReasonWorkspaceKeyUnknown)
+		f.expectRejected(f.get("/read/1", "k-3"), azurestair.OutcomeInvalid, azurestair.ReasonWorkspaceKeyUnknown)
+		f.expectServed(f.get("/read/1", "k-2"), "acme")
+		f.hear(workspaceSnapshot(9))
+		f.expectServed(f.get("/read/1"), "")
+	})
+
+	// Guards against work that is queued by the rank of its route, shares
+	// capacity with other workspaces of the same client block, or leaves the
+	// regions in which the data of its workspace must stay.
+	ginkgo.It("has the rank, the fair share and the home regions of its workspace", func() {
+		w := workspaceOf("acme", "k-1")
+		rank := azurestair.RankUrgent
+		w.Rank, w.HomeRegions = &rank, []azurestair.RegionName{"huye"}
+		f.hear(workspaceSnapshot(8, w, workspaceOf("bell", "k-3")))
+		f.expectServed(f.get("/home/1", "k-1"), "acme")
+		Expect([]any{f.work.Rank, f.work.HomeRegions}).To(Equal([]any{azurestair.RankUrgent, w.HomeRegions}))
+		acme := f.work.Caller
+		f.expectServed(f.get("/home/1", "k-3"), "bell")
+		Expect([]any{f.work.Rank, f.work.HomeRegions}).To(Equal([]any{azurestair.RankInteractive, []azurestair.RegionName{"kigali", "huye"}}))
+		Expect([]azurestair.CallerID{acme, f.work.Caller}).To(Equal([]azurestair.CallerID{"workspace/acme", "workspace/bell"}))
+
+		w.HomeRegions = []azurestair.RegionName{"musanze"}
+		f.hear(workspaceSnapshot(9, w))
+		f.expectRejected(f.get("/home/1", "k-1"), azurestair.OutcomeRefused, azurestair.ReasonHomeRegions)
+		f.expectServed(f.get("/read/1", "k-1"), "acme")
+	})
+})
+
+var _ = ginkgo.Describe("an entry that starts from a stored snapshot", func() {
+	// Guards against a revoked key that is served after a restart, when the
+	// stored snapshot is older than the revocation.
+	ginkgo.It("serves public routes, and requests with keys once a leader has answered", func() {
+		f := newWorkspaceFixture()
+		stored := workspaceSnapshot(7, workspaceOf("acme", "k-1"))
+		f.member.adoptProvisional(stored, f.clk.Now())
+		f.expectServed(f.get("/open/1"), "")
+		f.expectRejected(f.get("/read/1", "k-1"), azurestair.OutcomeRefused, azurestair.ReasonKeysUnknown)
+		f.expectRejected(f.get("/read/1", "nosuch"), azurestair.OutcomeRefused, azurestair.ReasonKeysUnknown)
+		f.expectRejected(f.get("/read/1"), azurestair.OutcomeRefused, azurestair.ReasonKeysUnknown)
+		f.hear(stored)
+		f.expectServed(f.get("/read/1", "k-1"), "acme")
+	})
+
+	// Guards against an entry that rejects what it served before a restart, in a
+	// deployment that does not limit how long keys are served.
+	ginkgo.It("serves requests with keys if there is no lease", func() {
+		f := newWorkspaceFixture()
+		stored := workspaceSnapshot(7, workspaceOf("acme", "k-1"))
+		stored.Config.Defaults.KeyLeaseMs = 0
+		f.member.adoptProvisional(stored, f.clk.Now())
+		f.expectServed(f.get("/read/1", "k-1"), "acme")
+		f.expectRejected(f.get("/read/1", "nosuch"), azurestair.OutcomeRefused, azurestair.ReasonKeysUnknown)
+	})
+})
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -20,6 +20,7 @@
 	HeaderAttemptID = "Azurestair-Request"
 	HeaderTimeLeft  = "Azurestair-Time-Left-Ms"
 	HeaderRank      = "Azurestair-Rank"
+	HeaderWorkspace = "Azurestair-Workspace"
 	HeaderState     = "Azurestair-State"
 	HeaderNotRun    = "Azurestair-Not-Run"
 )
@@ -31,11 +32,13 @@
 	Path   string
 	// Host is the value of the Host header; if empty, the upstream's address is
 	// used.
-	Host       string
-	Header     http.Header
-	Body       io.Reader
-	BodyLen    int64
-	Rank       azurestair.Rank
+	Host    string
+	Header  http.Header
+	Body    io.Reader
+	BodyLen int64
+	Rank    azurestair.Rank
+	// Workspace is the workspace of the request; empty if it has none.
+	Workspace  azurestair.WorkspaceName
 	Idempotent bool
 	// Upstream identifies the upstream that may run the attempt.
 	Upstream azurestair.UpstreamID
--- a/upstream/dialect.go
+++ b/upstream/dialect.go
@@ -60,6 +60,9 @@
 		h[HeaderTimeLeft] = []string{strconv.FormatInt(max(0, a.Deadline.Sub(now).Milliseconds()), 10)}
 	}
 	h[HeaderRank] = []string{a.Rank.String()}
+	if a.Workspace != "" {
+		h[HeaderWorkspace] = []string{string(a.Workspace)}
+	}
 }
 
 func (defaultDialect) ParseResponse(r *http.Response, a Attempt) ResponseInfo {
--- a/version.go
+++ b/version.go
@@ -24,8 +24,12 @@
 	ProtocolCompressed ProtocolVersion = 4
 	// ProtocolFleet is the first version in which the log holds a fleet id.
 	ProtocolFleet ProtocolVersion = 5
+	// ProtocolWorkspaces is the first version with workspaces, public routes and
+	// the defaults that belong to them. A program of an earlier version would
+	// serve requests without a key and forward keys to upstreams.
+	ProtocolWorkspaces ProtocolVersion = 6
 	// ProtocolCurrent is the version of this program.
-	ProtocolCurrent = ProtocolFleet
+	ProtocolCurrent = ProtocolWorkspaces
 	// ProtocolOldest is the oldest version with which this program
 	// communicates.
 	ProtocolOldest = ProtocolUnannounced
@@ -70,6 +74,9 @@
 // a field or a value of a field that was added later, it must return the
 // version that introduced the addition.
 func (c Command) RequiredVersion() ProtocolVersion {
+	if c.Config != nil && c.Config.Config.needsWorkspaceProtocol() {
+		return ProtocolWorkspaces
+	}
 	if c.Fleet != "" {
 		return ProtocolFleet
 	}
