Judge leases by a clock that counts suspensions

An entry that is suspended with its machine and resumes would serve a revoked key for as long as its lease had left when it was suspended, and a leader would answer reports by a quorum lease that has long been given to another.

Cause: Go's monotonic clock does not count the time for which a machine is suspended.

Change: azurestair.LeaseClock is the monotonic clock plus the growth of CLOCK_BOOTTIME - CLOCK_MONOTONIC since the process started; package instance implements it. The control goroutine and all that traffic compares with what it publishes use it: key lease, age of the last contact, control deadline, budgets, link budgets and the send time of reports. Probes, whose deadline is one of a socket, now take theirs from the system clock. A clock given by Options.Clock is its own lease clock, as before.

--- a/instance/attemptrunner.go
+++ b/instance/attemptrunner.go
@@ -170,7 +170,7 @@
 	if reason != azurestair.ReasonShiftCap {
 		return reason
 	}
-	v, now, used := c.entry.view.Load(), c.entry.clock.Now(), c.dispatcher.usage().inFlight
+	v, now, used := c.entry.view.Load(), c.entry.leaseNow(), c.dispatcher.usage().inFlight
 	for _, r := range v.snapshot.Config.Regions {
 		if r.Name == c.entry.self.Region || used[r.Name] >= v.shiftLimit(c.work.Service, r.Name, now) {
 			continue
--- a/instance/backend.go
+++ b/instance/backend.go
@@ -40,7 +40,7 @@
 
 // Status returns the state of this instance.
 func (b *backend) Status(ctx context.Context) operator.Status {
-	now := b.p.options.Clock.Now()
+	now := b.p.options.LeaseClock.Now()
 	st := operator.Status{
 		Self: b.p.self, Protocol: b.p.versions.Own(), VersionMismatch: b.p.versions.Mismatches(),
 		Refusals: map[azurestair.Reason]int64{}, Outcomes: map[azurestair.Outcome]int64{},
--- a/instance/claim.go
+++ b/instance/claim.go
@@ -39,7 +39,7 @@
 	if c.req.Key == "" {
 		return invalidReply(azurestair.ReasonKeyMissing)
 	}
-	if !c.entry.view.Load().isCurrent(c.entry.clock.Now()) {
+	if !c.entry.view.Load().isCurrent(c.entry.leaseNow()) {
 		return unknownReply(azurestair.ReasonLedgerUnreachable)
 	}
 	if reason := c.readBody(); reason != azurestair.ReasonNone {
--- a/instance/controller.go
+++ b/instance/controller.go
@@ -24,7 +24,8 @@
 	maxBatchDuration = 5 * time.Millisecond
 )
 
-// Controller owns the control state of a process.
+// Controller owns the control state of a process. Its clock is the lease clock,
+// so that a leader that was suspended knows that its lease is over.
 type Controller struct {
 	clock      azurestair.Clock
 	log        *slog.Logger
--- a/instance/entry.go
+++ b/instance/entry.go
@@ -30,8 +30,11 @@
 // except for publish, update, tick, demands and hasWaiting, which only the
 // control goroutine calls.
 type Entry struct {
-	self           azurestair.InstanceInfo
-	clock          azurestair.Clock
+	self  azurestair.InstanceInfo
+	clock azurestair.Clock
+	// leaseClock judges leases and the age of what the control goroutine
+	// publishes; nil stands for clock.
+	leaseClock     azurestair.LeaseClock
 	log            *slog.Logger
 	upstreamClient *upstream.Client
 	ledger         Ledger
@@ -76,7 +79,7 @@
 // publish makes a view visible to traffic.
 func (e *Entry) publish(v *view) {
 	e.view.Store(v)
-	e.updateSlots(e.clock.Now())
+	e.updateSlots(e.leaseNow())
 }
 
 // update applies the services and upstreams of a new snapshot.
@@ -129,10 +132,11 @@
 	e.upstreamClient.RetainOnly(keep)
 }
 
-// tick adjusts the slots to leases that have expired and probes upstreams.
+// tick adjusts the slots to leases that have expired and probes upstreams. now is
+// a time of the lease clock.
 func (e *Entry) tick(now time.Time) {
 	e.updateSlots(now)
-	e.probe(now)
+	e.probe(e.clock.Now())
 }
 
 // updateSlots sets the slots of each dispatcher from the leases valid at now.
@@ -260,7 +264,7 @@
 
 // Ready returns nil if lookups may return this entry, and otherwise the reason
 // why not.
-func (e *Entry) Ready() error { return e.readyAt(e.clock.Now()) }
+func (e *Entry) Ready() error { return e.readyAt(e.leaseNow()) }
 
 func (e *Entry) readyAt(now time.Time) error {
 	v := e.view.Load()
@@ -296,7 +300,7 @@
 		ConfigVersion: v.snapshot.ConfigVersion(),
 		Entries:       make([]caller.Entry, 0, found.Len()),
 	}
-	current := v.isCurrent(e.clock.Now())
+	current := v.isCurrent(e.leaseNow())
 	for i := range found.Len() {
 		info := found.At(i)
 		if info.ID == e.self.ID && !current && found.Len() > 1 {
--- a/instance/linkpacer.go
+++ b/instance/linkpacer.go
@@ -52,7 +52,7 @@
 	if v == nil || !isLinkLimited(v.snapshot.Config, r.From, r.Region) {
 		return 0
 	}
-	now := l.entry.clock.Now()
+	now := l.entry.leaseNow()
 	limit := azurestair.BytesPerSecond(v.leases.Limit(r, now))
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/instance/process.go
+++ b/instance/process.go
@@ -33,6 +33,8 @@
 // Options replaces parts of a process. The zero value selects the defaults.
 type Options struct {
 	Clock azurestair.Clock
+	// LeaseClock judges leases; nil selects Clock, or that of the system.
+	LeaseClock azurestair.LeaseClock
 	// LogOutput receives the log lines; nil discards them.
 	LogOutput io.Writer
 	// Reload delivers changed settings. Tokens and the log level take effect
@@ -52,13 +54,10 @@
 	FrontEnd *FrontEnd
 }
 
-// SystemClock is a Clock that returns the system time.
-type SystemClock struct{}
-
-// Now returns the current time.
-func (SystemClock) Now() time.Time { return time.Now() }
-
 func (o Options) withDefaults() Options {
+	if o.LeaseClock == nil {
+		o.LeaseClock = leaseClockFor(o.Clock)
+	}
 	if o.Clock == nil {
 		o.Clock = SystemClock{}
 	}
@@ -175,7 +174,7 @@
 		return nil
 	}
 	e := &Entry{
-		self: instanceInfo(s, o), clock: o.Clock, log: log, metrics: m, ledger: client,
+		self: instanceInfo(s, o), clock: o.Clock, leaseClock: o.LeaseClock, log: log, metrics: m, ledger: client,
 		upstreamClient: upstream.NewClient(o.DialUpstream, o.Clock), makeDispatcher: weightedDispatcher, ctx: context.Background(),
 		maxInFlight: int64(s.Limits.MaxRequestsInFlight),
 	}
@@ -190,12 +189,12 @@
 // weightedDispatcher returns the dispatcher for configurations with leased
 // slots. It distributes requests by weight.
 func weightedDispatcher(s azurestair.ServiceName, e *Entry) *dispatcher {
-	homeAllowed := func(region azurestair.RegionName, inFlight azurestair.Slots, now time.Time) bool {
+	homeAllowed := func(region azurestair.RegionName, inFlight azurestair.Slots, _ time.Time) bool {
 		v := e.view.Load()
-		return v != nil && inFlight < v.slotLimit(s, region, now)
+		return v != nil && inFlight < v.slotLimit(s, region, e.leaseNow())
 	}
-	shiftAllowed := func(region azurestair.RegionName, inFlight azurestair.Slots, now time.Time) bool {
-		v := e.view.Load()
+	shiftAllowed := func(region azurestair.RegionName, inFlight azurestair.Slots, _ time.Time) bool {
+		v, now := e.view.Load(), e.leaseNow()
 		return v != nil && inFlight < v.shiftLimit(s, region, now) && e.linkPacer.hasBudget(v, region, now)
 	}
 	p := routing.NewWeighted(routing.Options{
@@ -270,10 +269,10 @@
 	if p.entry != nil && p.options.FrontEnd != nil {
 		p.entry.leaving = newLeavingReporter(p.entry, p.peerClient, p.log)
 	}
-	p.reporter = newReporter(p.peerClient, p.options.Clock)
+	p.reporter = newReporter(p.peerClient, p.options.LeaseClock)
 	p.reporter.proposer = p.peerClient
 	member := newMember(p.self, p.entry, p.reporter, p.log)
-	member.startedAt = p.options.Clock.Now()
+	member.startedAt = p.options.LeaseClock.Now()
 	member.learnPeers, member.followLeader = p.peerClient.SetAlive, p.peerClient.SetLeader
 	var fetcher *snapshotFetcher
 	if p.entry != nil && p.options.FrontEnd != nil {
@@ -286,7 +285,7 @@
 	if p.settings.Instance.Has(settings.RoleControl) {
 		p.transport = peer.NewTransport(p.peerConns, p.options.Clock, otherVoters(p.settings))
 	}
-	p.controller = newController(p.options.Clock, p.log, member, p.transport)
+	p.controller = newController(p.options.LeaseClock, p.log, member, p.transport)
 	p.controller.panics = p.panics
 	p.reporter.post = p.post
 	if p.transport != nil {
@@ -360,7 +359,7 @@
 	if p.transport == nil {
 		return nil
 	}
-	began := p.options.Clock.Now()
+	began := p.options.LeaseClock.Now()
 	store, state, err := p.options.OpenStore(p.settings.Instance.DataDir, p.settings.Instance.ID)
 	if errors.Is(err, azurestair.ErrNoIdentity) {
 		return fmt.Errorf("data folder %s: %w; run 'azurestair init' for a new instance, "+
@@ -383,14 +382,14 @@
 			opts.Membership.Voters = append(opts.Membership.Voters, v.ID)
 		}
 	}
-	r, err := newReplica(opts, state, p.options.Clock.Now(), p.log)
+	r, err := newReplica(opts, state, p.options.LeaseClock.Now(), p.log)
 	if err != nil {
 		_ = store.Close()
 		return err
 	}
 	p.log.Info("log opened", "snapshot", state.Snapshot.Index, "entries", len(state.Entries), "commit", state.HardState.Commit,
-		"tookMs", p.options.Clock.Now().Sub(began).Milliseconds())
-	r.joining, r.peers, r.knownLeader = joining, p.transport, p.peerClient.Leader
+		"tookMs", p.options.LeaseClock.Now().Sub(began).Milliseconds())
+	r.joining, r.peers, r.knownLeader, r.logTime.timeOfDay = joining, p.transport, p.peerClient.Leader, p.options.Clock
 	p.startHints(r)
 	p.store = store
 	p.writer = newLogWriter(store, p.transport, p.post)
@@ -404,7 +403,7 @@
 	r.transport, r.writer, r.imageEncoder, r.notifier = p.transport, p.writer, p.imageEncoder, p.notifier
 	p.controller.replica = r
 	if s, ok := store.(repairer); ok && s.NeedsRepair() {
-		r.startRepair(p.options.Clock.Now())
+		r.startRepair(p.options.LeaseClock.Now())
 	}
 	p.writers.Go(p.writer.run)
 	p.writers.Go(p.imageEncoder.run)
@@ -416,7 +415,7 @@
 // startHints loads the stored contacts and the stored snapshot, and creates their
 // writers.
 func (p *Process) startHints(r *Replica) {
-	dir, now := p.settings.Instance.DataDir, p.options.Clock.Now()
+	dir, now := p.settings.Instance.DataDir, p.options.LeaseClock.Now()
 	contacts := disk.HintFile{Dir: dir, Name: disk.ContactsFile}
 	l := loadContacts(contacts, r.state.Fleet(), p.log)
 	p.contactWriter = newHintWriter("contacts", contacts, encodeContacts, contactsInterval, p.log)
--- a/instance/replica.go
+++ b/instance/replica.go
@@ -75,7 +75,7 @@
 	self         azurestair.InstanceID
 
 	// logTime assigns timestamps to the commands that this instance proposes.
-	logTime control.LogTime
+	logTime logClock
 
 	// pendingProposals holds the commands for the next log entry.
 	pendingProposals []proposeEvent
--- a/instance/reporter.go
+++ b/instance/reporter.go
@@ -38,7 +38,9 @@
 	leader azurestair.Reporter
 	// proposer reaches the leader over the network.
 	proposer azurestair.Proposer
-	clock    azurestair.Clock
+	// clock is the lease clock: what a reply grants counts from the time at
+	// which the report was sent.
+	clock azurestair.Clock
 	// failures is the number of consecutive failed exchanges.
 	failures int
 	// recentDuration is a decaying maximum of the duration of exchanges.
@@ -99,7 +101,10 @@
 	r.failures++
 	if err == nil {
 		r.failures = 0
-		r.recentDuration = max(r.clock.Now().Sub(sent), time.Duration(durationDecay*float64(r.recentDuration)))
+		// The time for which the machine was suspended says nothing about the
+		// network.
+		took := min(r.clock.Now().Sub(sent), reportTimeoutMax)
+		r.recentDuration = max(took, time.Duration(durationDecay*float64(r.recentDuration)))
 	}
 	return reportDoneEvent{sent: sent, reply: reply, err: err}
 }
--- a/instance/requestlog.go
+++ b/instance/requestlog.go
@@ -51,7 +51,7 @@
 		"tookMs", took.Milliseconds(), "caller", r.Caller,
 	}
 	if v := e.view.Load(); v != nil {
-		args = append(args, "configVersion", v.snapshot.ConfigVersion(), "revision", v.snapshot.Revision, "heardMs", now.Sub(v.heardAt).Milliseconds())
+		args = append(args, "configVersion", v.snapshot.ConfigVersion(), "revision", v.snapshot.Revision, "heardMs", e.leaseNow().Sub(v.heardAt).Milliseconds())
 	}
 	e.log.Info(msg, args...)
 }
--- a/instance/serve.go
+++ b/instance/serve.go
@@ -86,7 +86,7 @@
 	}
 	route, op, ok := e.resolveOperation(v, r)
 	d := e.allDispatchers()[r.Service]
-	if !ok && r.Host != "" && now.Sub(v.heardAt) > maxRouteAge {
+	if !ok && r.Host != "" && e.leaseNow().Sub(v.heardAt) > maxRouteAge {
 		// A newer configuration may have the route.
 		return refusedReply(azurestair.ReasonNotReady)
 	}
@@ -103,7 +103,7 @@
 			c.work.Object = r.Object
 		}
 	}
-	if reply, ok := c.assignWorkspace(v, now); !ok {
+	if reply, ok := c.assignWorkspace(v); !ok {
 		return reply
 	}
 	d.countRequest()
--- a/instance/view.go
+++ b/instance/view.go
@@ -11,7 +11,7 @@
 )
 
 // view is the state that traffic is served from: the latest snapshot and data
-// derived from it. The control goroutine publishes views; a published view is
+// derived from it. Its times are those of the lease clock. The control goroutine publishes views; a published view is
 // immutable.
 type view struct {
 	snapshot  *azurestair.Snapshot
--- a/instance/workspaces.go
+++ b/instance/workspaces.go
@@ -32,10 +32,13 @@
 
 // assignWorkspace determines the workspace of a request and applies its rank
 // and home regions. ok is false if the request is rejected with the reply.
-func (c *call) assignWorkspace(v *view, now time.Time) (reply caller.Reply, ok bool) {
+func (c *call) assignWorkspace(v *view) (reply caller.Reply, ok bool) {
+	if v.workspaces.Len() == 0 {
+		return caller.Reply{}, true
+	}
 	d := v.workspaces.Decide(workspace.Request{
 		Public: c.route != nil && c.route.Public, HasKey: c.req.HasAPIKey, Key: c.req.APIKey,
-	}, v.contact, now)
+	}, v.contact, c.entry.leaseNow())
 	reason := d.Verdict.Reason()
 	if d.Identity != nil {
 		reason = d.Identity.Assign(&c.work)
--- a/instance/workspaces_test.go
+++ b/instance/workspaces_test.go
@@ -46,8 +46,11 @@
 // workspaceFixture is an entry whose member gets snapshots from a leader.
 type workspaceFixture struct {
 	*entryFixture
-	clk    *fakeClock
-	member *Member
+	clk *fakeClock
+	// suspended is the time for which the machine was suspended; clk does not
+	// count it.
+	suspended time.Duration
+	member    *Member
 	// received holds the headers of the last request at the upstream.
 	received http.Header
 	// work is the last request that reached the picker.
@@ -74,6 +77,7 @@
 		w.WriteHeader(http.StatusNoContent)
 	}
 	f.entryFixture = newEntryFixture(clk, &fakeLedger{}, u)
+	f.leaseClock = &leaseClock{Clock: clk, offset: func() time.Duration { return f.suspended }}
 	f.dispatcher.picker = workPicker{f.picker, f}
 	f.member = newMember(f.self, f.Entry, nil, slog.New(slog.DiscardHandler))
 	return f
@@ -82,7 +86,7 @@
 // hear makes the leader answer a report that was sent now.
 func (f *workspaceFixture) hear(s *azurestair.Snapshot) {
 	ginkgo.GinkgoHelper()
-	now := f.clk.Now()
+	now := f.leaseNow()
 	f.member.handleReportDone(reportDoneEvent{sent: now, reply: azurestair.ReportReply{Term: 5, ControlTTLMs: 3000, Snapshot: s}}, now)
 	Expect(f.view.Load().snapshot.ConfigVersion()).To(Equal(f.member.snapshot.ConfigVersion()))
 }
@@ -179,6 +183,30 @@
 		f.expectRejected(f.get("/read/1", "k-1"), azurestair.OutcomeRefused, azurestair.ReasonKeysUnknown)
 	})
 
+	// Guards against a revoked key that is served by an entry that was suspended:
+	// the monotonic clock does not count that time.
+	ginkgo.It("with a key is not served after a suspension that outlasts the lease", func() {
+		f.suspended += testKeyLease.Duration() - 1
+		f.expectServed(f.get("/read/1", "k-1"), "acme")
+		f.suspended++
+		f.expectRejected(f.get("/read/1", "k-1"), azurestair.OutcomeRefused, azurestair.ReasonKeysUnknown)
+		f.expectRejected(f.get("/read/1", "nosuch"), azurestair.OutcomeRefused, azurestair.ReasonKeysUnknown)
+		f.expectRejected(f.get("/nosuch/1", "k-1"), azurestair.OutcomeRefused, azurestair.ReasonNotReady)
+		f.expectServed(f.get("/open/1"), "")
+		f.hear(nil)
+		f.expectServed(f.get("/read/1", "k-1"), "acme")
+		f.expectRejected(f.get("/read/1", "nosuch"), azurestair.OutcomeInvalid, azurestair.ReasonWorkspaceKeyUnknown)
+	})
+
+	// Guards against a report that was sent before a suspension and answered
+	// after it: the answer may have been given before the key was revoked.
+	ginkgo.It("with a key is not served by an answer from before a suspension", func() {
+		sent := f.leaseNow()
+		f.suspended += testKeyLease.Duration()
+		f.member.handleReportDone(reportDoneEvent{sent: sent, reply: azurestair.ReportReply{Term: 5, ControlTTLMs: 3000}}, f.leaseNow())
+		f.expectRejected(f.get("/read/1", "k-1"), azurestair.OutcomeRefused, azurestair.ReasonKeysUnknown)
+	})
+
 	// Guards against a revoked key that still works.
 	ginkgo.It("with a revoked key is rejected by the next configuration", func() {
 		f.hear(workspaceSnapshot(8, workspaceOf("acme", "k-2")))
--- a/interfaces.go
+++ b/interfaces.go
@@ -10,6 +10,20 @@
 	Now() time.Time
 }
 
+// LeaseClock is the clock of leases. Its time also advances while the machine is
+// suspended, which the monotonic clock does not count: a process that resumes
+// would otherwise trust a lease that others consider over.
+//
+// Its times must be compared with each other only. They are no deadlines of
+// sockets, contexts and timers, which follow the monotonic clock, and they are
+// ahead of the time of day by SuspendedFor.
+type LeaseClock interface {
+	Clock
+	// SuspendedFor returns for how long the machine has been suspended since the
+	// process started.
+	SuspendedFor() time.Duration
+}
+
 // Rand is a source of random numbers. *math/rand/v2.PCG implements it.
 type Rand interface {
 	Uint64() uint64
