Divide a burst of retries among the entries

A service with 125 entries received 1,780 retries of 6,924 requests in 10 s, where 0.2 x 6,924 + 314 = 1,699 were allowed. Each entry has a burst of 10 of its own, so that 125 entries have 1,250 beyond the percentage.

A retry budget can now be the part of one entry in a joint burst. No message is needed.

The time is now an argument of Spend and Available; retry_test.go passes it.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -32,6 +32,8 @@
 	deficit int
 	// saturatedAt is when the upstreams last had no capacity left.
 	saturatedAt time.Time
+	// share replaces Burst while it is active.
+	share share
 }
 
 // hedgePause is how long no hedge is sent after the upstreams had no capacity
@@ -48,10 +50,10 @@
 	if !b.saturatedAt.IsZero() && now.Sub(b.saturatedAt) < hedgePause {
 		return false
 	}
-	if !b.Unlimited && b.Available() <= b.burst()/2 {
+	if !b.Unlimited && b.Available(now) <= b.limit()/2 {
 		return false
 	}
-	return b.Spend()
+	return b.Spend(now)
 }
 
 func (b *Budget) burst() int {
@@ -70,21 +72,36 @@
 	b.deficit = max(0, b.deficit-int(percent))
 }
 
-// Spend takes one token and reports whether one was available.
-func (b *Budget) Spend() bool {
-	if b.Unlimited {
-		return true
-	}
-	if b.Available() < 1 {
+// Spend takes one token and reports whether one was available. Credit is taken
+// before slots, since credit beyond the capacity is lost.
+func (b *Budget) Spend(now time.Time) bool {
+	switch {
+	case b.Unlimited:
+	case b.tokens() > 0:
+		b.deficit += unitsPerToken
+	case b.share.freeSlots(now) > 0:
+		b.share.usedAt = append(b.share.usedAt, now)
+	default:
 		return false
 	}
-	b.deficit += unitsPerToken
 	return true
 }
 
 // Available returns how many retries are possible now.
-func (b *Budget) Available() int {
-	return max(0, b.burst()*unitsPerToken-b.deficit) / unitsPerToken
+func (b *Budget) Available(now time.Time) int { return b.tokens() + b.share.freeSlots(now) }
+
+// tokens returns the number of whole tokens in the bucket.
+func (b *Budget) tokens() int { return max(0, b.capacity()-b.deficit) / unitsPerToken }
+
+// capacity returns the capacity of the bucket in units of 1/unitsPerToken.
+func (b *Budget) capacity() int {
+	if b.share.active {
+		return b.share.credit
+	}
+	return b.burst() * unitsPerToken
 }
 
+// limit returns the largest number of retries that can be available.
+func (b *Budget) limit() int { return b.capacity()/unitsPerToken + b.share.activeSlots() }
+
 const unitsPerToken = 100
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -107,7 +107,7 @@
 	if !latest.IsZero() && latest.Before(now) {
 		return r.Refuse(a.reason())
 	}
-	if !b.Spend() {
+	if !b.Spend(now) {
 		return r.Refuse(a.reason())
 	}
 	bound := p.backoff(r.attempts, a.Result)
@@ -179,7 +179,7 @@
 	left := max(deadline.Sub(now), 0)
 	// Close to the deadline, the attempt gets half of the remaining time.
 	reserve := min(p.RefusalReserve, left/2)
-	if p.allowsTimeoutRetry(r, left) && (b.Unlimited || b.Available() > 0) {
+	if p.allowsTimeoutRetry(r, left) && (b.Unlimited || b.Available(now) > 0) {
 		share := left * time.Duration(p.ReservePercent) / 100
 		reserve = max(reserve, min(max(share, p.MinReserve), p.MaxReserve))
 	}
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -111,7 +111,7 @@
 			if i < 1000 || i >= 2000 {
 				b.AddRequest()
 			}
-			if i >= 1000 && b.Spend() {
+			if i >= 1000 && b.Spend(start) {
 				granted++
 			}
 		}
@@ -134,7 +134,7 @@
 			r, b := request(idempotent, left), retry.Budget{Burst: burst}
 			for range begun {
 				r.Begin("u1")
-				b.Spend()
+				b.Spend(start)
 			}
 			got := retry.Policy{}.AttemptDeadline(&r, &b, start)
 			Expect(start.Add(left).Sub(got)).To(Equal(reserve))
