Use the joint burst of retries in the entries

Operators could set retryBurst, but each entry still had a burst of 10 for each service.

With a joint burst, the retry after an attempt without a working connection is charged like any other, since the limit covers all attempts beyond the first, and only requests that were sent earn retries. Without one, nothing changes except that a request that may not be repeated, for example because its caller is gone, no longer takes a retry from the budget that it does not send.

The new tests fail when the free retry is not charged, when requests earn retries before they are sent, and when an abandoned request takes a retry. The race tests of instance pass.

--- a/control/config.go
+++ b/control/config.go
@@ -214,5 +214,6 @@
 		{"defaults.lookupTtlMs", fmt.Sprint(d.LookupTTLMs)},
 		{"defaults.lookupMovePercent", fmt.Sprint(d.LookupMovePercent)},
 		{"defaults.probePercent", fmt.Sprint(d.ProbePercent)},
+		{"defaults.retryBurst", fmt.Sprint(d.RetryBurst)},
 	}
 }
--- a/instance/attemptrunner.go
+++ b/instance/attemptrunner.go
@@ -48,7 +48,7 @@
 // runs directly before the first byte of each attempt.
 func (c *call) runAttempts(ctx context.Context, beforeSend func() error) caller.Reply {
 	r := &attemptRunner{call: c, beforeSend: beforeSend, retryReq: retry.NewRequest(c.work), completed: make(chan *attempt, maxAttempts)}
-	c.dispatcher.creditRetryBudget()
+	c.dispatcher.creditRetryBudget(false)
 	reply := r.run(ctx)
 	reply.Attempts = r.retryReq.Attempts()
 	if tried := r.retryReq.Avoid(); len(tried) > 0 && reply.Upstream == "" {
@@ -137,6 +137,9 @@
 		body = c.entry.linkPacer.pacedReader(attemptCtx, body, c.entry.self.Region, choice.Region)
 	}
 	r.attemptCount++
+	if r.attemptCount == 1 {
+		c.dispatcher.creditRetryBudget(true)
+	}
 	a := &attempt{runner: r, choice: choice, ctx: attemptCtx, cancel: cancel, startedAt: now, params: upstream.Attempt{
 		ID: r.attemptID(), Upstream: choice.Upstream, Host: c.req.Host,
 		Method: c.req.Method, Path: c.req.Path, Header: c.req.Header, Body: body, BodyLen: n,
@@ -236,7 +239,7 @@
 		return r.giveUp(resp)
 	}
 	// An attempt that found no working connection put no load on the upstream,
-	// so its retry is free.
+	// so its retry is free unless the burst is a joint one.
 	free := (resp.ConnStalled || resp.Unreachable) && !r.freeRetryUsed
 	r.freeRetryUsed = r.freeRetryUsed || free
 	return r.call.dispatcher.decideRetry(&r.retryReq, retry.AttemptOutcome{Result: resp.Result, Reason: resp.Reason}, free)
@@ -254,7 +257,7 @@
 // giveUp records the result of an attempt and returns the decision to end the
 // request.
 func (r *attemptRunner) giveUp(resp upstream.Response) retry.Decision {
-	r.call.dispatcher.decideRetry(&r.retryReq, retry.AttemptOutcome{Result: resp.Result, Reason: resp.Reason}, false)
+	r.call.dispatcher.recordLastAttempt(&r.retryReq, retry.AttemptOutcome{Result: resp.Result, Reason: resp.Reason})
 	return r.retryReq.Refuse(resp.Reason)
 }
 
--- a/instance/dispatcher.go
+++ b/instance/dispatcher.go
@@ -401,30 +401,12 @@
 	d.traffic.BusyTime += took
 }
 
-// creditRetryBudget adds one request's share to the retry budget.
-func (d *dispatcher) creditRetryBudget() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.retryBudget.AddRequest()
-}
-
 func (d *dispatcher) attemptDeadline(r *retry.Request, now time.Time) time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.retryPolicy.AttemptDeadline(r, &d.retryBudget, now)
 }
 
-// decideRetry returns the decision that follows an attempt. A free retry is not
-// charged to the retry budget.
-func (d *dispatcher) decideRetry(r *retry.Request, a retry.AttemptOutcome, free bool) retry.Decision {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if free {
-		return d.retryPolicy.Next(r, &retry.Budget{Unlimited: true}, a, d.clock.Now(), d.rand)
-	}
-	return d.retryPolicy.Next(r, &d.retryBudget, a, d.clock.Now(), d.rand)
-}
-
 func (d *dispatcher) hedgeAt(r *retry.Request, sent time.Time) (time.Time, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -551,7 +533,7 @@
 	if c, ok := d.admitter.(azurestair.Configurer); ok {
 		c.Configure(defaults, now)
 	}
-	d.retryBudget.Percent = defaults.RetryPercent
+	d.configureRetryBudget(s, defaults)
 }
 
 func (d *dispatcher) wakeTimer() {
--- a/instance/entry.go
+++ b/instance/entry.go
@@ -109,14 +109,7 @@
 // limitConns divides each upstream's connection limit among the entries.
 func (e *Entry) limitConns(s *azurestair.Snapshot) {
 	keep := map[string]bool{}
-	entries := 0
-	for _, i := range s.Instances {
-		if i.CallerAddr != "" {
-			entries++
-		}
-	}
-	// Entries that have just joined or left may be missing from the list.
-	entries = max(entries+1, control.DefaultMaxHolders)
+	entries := entryCount(s)
 	for _, u := range s.Upstreams {
 		a := u.Announcement
 		keep[a.Addr] = true
