Model the retries of 125 entries under a heavy load

No load pattern had as many entries, and the model's entries did not retry.

The pattern manyEntries has 125 entries, 50 upstreams with short queues and a burst of 1.6 times the rate. Entries send a refused request to at most two other upstreams, within their retry budgets.

--- a/model/doc.go
+++ b/model/doc.go
@@ -6,8 +6,9 @@
 // upstream has slots, a queue and a cache of the most recently used objects; a
 // request for a cached object takes a fraction of the service time. Upstreams
 // can fail and return with an empty cache, the request rate can have bursts,
-// and the load of the regions can peak at different times. A Result holds what
-// the clients observe.
+// and the load of the regions can peak at different times. Entries can send
+// refused requests to other upstreams, within their retry budgets. A Result
+// holds what the clients observe.
 //
 // The model omits everything that does not depend on placement: connections,
 // bytes, processor time, configuration and the delays between regions.
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -86,3 +86,20 @@
 		})
 	})
 })
+
+var _ = Describe("retries of many entries", func() {
+	// Guards against bursts that add up over the entries: 125 entries with a
+	// burst of 10 each sent 1,780 retries of 6,924 requests to a service that
+	// allowed 0.2 x 6,924 + 314.
+	It("stay within what a service allows while its upstreams refuse much", func() {
+		s := pattern("manyEntries")
+		eachSeed(s, func(r model.Result) {
+			Expect(r.RetryExcess(20)).To(BeNumerically("<=", 314))
+		})
+		// The load is only a test if a burst for each entry exceeds the limit.
+		s.RetryBurst = 0
+		eachSeed(s, func(r model.Result) {
+			Expect(r.RetryExcess(20)).To(BeNumerically(">", 314))
+		})
+	})
+})
--- a/model/patterns.go
+++ b/model/patterns.go
@@ -10,6 +10,10 @@
 		{Pattern: "zoneLoss", Rate: 160, Outage: Outage{From: 10 * time.Second, To: 15 * time.Second, Upstreams: 4, Cold: 3 * time.Second, ColdPerSecond: 9.7}},
 		{Pattern: "busyHours", Rate: 210, Length: 72 * time.Second, Wave: Wave{Amplitude: 0.55, Period: 36 * time.Second}},
 		{Pattern: "manyObjects", Objects: 400},
+		{
+			Pattern: "manyEntries", Regions: 5, Entries: 25, Upstreams: 10, Slots: 3, QueueLimit: 2, Objects: 120, CacheSize: 12, Rate: 90,
+			RetryPercent: 15, RetryBurst: 282, Burst: Burst{From: 20 * time.Second, To: 30 * time.Second, Factor: 1.6},
+		},
 		{Pattern: "spareMemory", Objects: 40, Upstreams: 24, Entries: 6, Rate: 360},
 	}
 }
--- a/model/run.go
+++ b/model/run.go
@@ -11,6 +11,7 @@
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/control"
 	"azurestair.example/azurestair/placement"
+	"azurestair.example/azurestair/retry"
 )
 
 const (
@@ -63,6 +64,8 @@
 	allUpstreams []*upstream
 	// pickers holds the pickers of the entries of each region.
 	pickers [][]*placement.Picker
+	// budgets holds the retry budgets of the entries of each region.
+	budgets [][]*retry.Budget
 	planner control.RegionPlanner
 	plans   []azurestair.RegionPlan
 	// meters and counts hold the traffic of each region.
@@ -122,11 +125,23 @@
 			}))
 		}
 		sim.pickers = append(sim.pickers, list)
+		sim.budgets = append(sim.budgets, sim.newBudgets())
 		sim.meters = append(sim.meters, control.TrafficMeter{})
 		sim.counts = append(sim.counts, control.TrafficCount{})
 	}
 }
 
+// newBudgets returns the retry budgets of the entries of a region.
+func (sim *simulation) newBudgets() []*retry.Budget {
+	var out []*retry.Budget
+	for range sim.Entries {
+		b := &retry.Budget{Percent: sim.RetryPercent}
+		b.Share(sim.RetryBurst, sim.Regions*sim.Entries+1, sim.virtualTime())
+		out = append(out, b)
+	}
+	return out
+}
+
 func entryID(r, i int) azurestair.InstanceID {
 	return azurestair.InstanceID(fmt.Sprintf("e%d-%d", r, i))
 }
@@ -242,13 +257,21 @@
 func (q *request) attempt() {
 	q.attempts++
 	q.counts[q.region].Requests++
-	p := q.pickers[q.region][q.rng.IntN(q.Entries)]
+	entry := q.rng.IntN(q.Entries)
+	q.budgets[q.region][entry].AddRequest()
+	q.send(entry, nil)
+}
+
+// send sends the request from an entry to an upstream that was not tried.
+func (q *request) send(entry int, tried []azurestair.UpstreamID) {
+	p := q.pickers[q.region][entry]
 	work := azurestair.RequestInfo{Service: service, Rank: azurestair.RankInteractive, Idempotent: true, Object: q.object}
-	c, err := p.Pick(work, nil, q.virtualTime())
+	c, err := p.Pick(work, tried, q.virtualTime())
 	if err != nil {
 		q.handleRefusal()
 		return
 	}
+	q.countArrival(len(tried) > 0)
 	u := q.upstreams[c.Upstream]
 	sent := q.now
 	q.attemptSentAt = sent
@@ -259,6 +282,10 @@
 	}
 	if u.down || len(u.waiting) >= q.QueueLimit {
 		end(azurestair.AttemptNotRun)
+		if q.mayRetry(entry, tried) {
+			q.send(entry, append(tried, c.Upstream))
+			return
+		}
 		q.handleRefusal()
 		return
 	}
@@ -271,6 +298,23 @@
 	u.waiting = append(u.waiting, begin)
 }
 
+// maxRetries is the number of upstreams to which an entry sends a request again.
+const maxRetries = 2
+
+// mayRetry reports whether an entry may send the request again, and takes the
+// retry from its budget.
+func (q *request) mayRetry(entry int, tried []azurestair.UpstreamID) bool {
+	return q.RetryPercent > 0 && len(tried) < maxRetries && q.budgets[q.region][entry].Spend(q.virtualTime())
+}
+
+func (q *request) countArrival(isRetry bool) {
+	if isRetry {
+		q.window(q.now).Retries++
+	} else {
+		q.window(q.now).FirstArrivals++
+	}
+}
+
 // countCold counts the requests that a cold upstream received within the last
 // second and updates MaxColdRate.
 func (q *request) countCold(u *upstream) {
--- a/model/scenario.go
+++ b/model/scenario.go
@@ -33,6 +33,11 @@
 	// Target and Deadline are measured from the first attempt of a client.
 	Target, Deadline time.Duration
 
+	// RetryPercent and RetryBurst are the settings of the same names. Without a
+	// percentage, entries do not retry.
+	RetryPercent azurestair.Percent
+	RetryBurst   int
+
 	Burst  Burst
 	Outage Outage
 	Wave   Wave
@@ -95,6 +100,9 @@
 // Window counts the requests whose first attempt was sent within a time window.
 type Window struct {
 	Requests, WithinTarget, Late, Refused int
+	// FirstArrivals and Retries count what reached the upstreams within the
+	// window: the first attempt of an entry for a request, and its later ones.
+	FirstArrivals, Retries int
 }
 
 // lateAnswerValue is the value of a response that arrives after the target but
@@ -116,6 +124,8 @@
 	w.WithinTarget += o.WithinTarget
 	w.Late += o.Late
 	w.Refused += o.Refused
+	w.FirstArrivals += o.FirstArrivals
+	w.Retries += o.Retries
 }
 
 // Result holds what the clients observed.
@@ -143,6 +153,21 @@
 // Total returns the sum of all windows.
 func (r Result) Total() Window { return r.Between(0, time.Duration(len(r.Windows))*windowLength) }
 
+// retryWindow is the length of the window in which services count retries.
+const retryWindow = 10 * time.Second
+
+// RetryExcess returns the largest number of retries beyond a percentage of the
+// first arrivals within retryWindow.
+func (r Result) RetryExcess(percent azurestair.Percent) int {
+	worst := 0
+	for i := range r.Windows {
+		from := time.Duration(i) * windowLength
+		w := r.Between(from, from+retryWindow)
+		worst = max(worst, w.Retries-w.FirstArrivals*int(percent)/100)
+	}
+	return worst
+}
+
 // LowestScore returns the lowest score of a window with requests.
 func (r Result) LowestScore() float64 {
 	worst := 1.0
