End every wait of a shutdown with the grace period

With 125 entries under load, nine processes were killed at the end of their grace period, and nothing told what they waited for.

The waits for lookups, requests, the final report and the leadership ended with the grace period; what followed did not. Reading the code and tests that fail before show these waits without a bound: for a write to a stalled disk, and for standard output that nobody reads, without end; for the handshake of a peer that has connected and says nothing, 5 s in gRPC's server; for the last bytes to a peer whose connection takes no more, 5 s for each in gRPC's client; and for space for the identity on a full disk, where SIGTERM was not noticed. A link that is saturated makes handshakes last seconds. Whether it was one of these that killed the nine processes is not known.

The last quarter of the time after the requests is kept for closing, so signing off ends 100 ms earlier than before if requests last to the end; requests have as long as before. The output gets 250 ms.

--- a/cmd/azurestair/platform.go
+++ b/cmd/azurestair/platform.go
@@ -21,7 +21,7 @@
 			}
 			logs := stdout.New(os.Stdout)
 			defer logs.Close()
-			app, err := platform.New(b, logs)
+			app, err := platform.New(ctx, b, logs)
 			if err != nil {
 				return err
 			}
--- a/instance/shutdown.go
+++ b/instance/shutdown.go
@@ -38,26 +38,24 @@
 		p.entry.beginShutdown(shutdown)
 	}
 	p.leaveUntil(graceCtx, shutdown.EndsAt)
-	// The other half of the remaining time is for signing off at the leader.
-	p.closeListeners(graceCtx, shutdown.EndsAt.Add(start.Add(grace).Sub(shutdown.EndsAt)/2))
-	p.sendFinalReport(graceCtx)
-	p.transferLeadership(graceCtx)
-	p.cancel()
-	<-p.controller.stopped
-	p.closeReplica()
-	if p.transport != nil {
-		p.transport.Close()
-	}
-	p.peerServer.Stop()
-	p.wg.Wait()
-	if p.entry != nil {
-		p.entry.close()
-	}
-	p.peerConns.Close()
+	// Half of the remaining time is for the last responses. The rest is for
+	// signing off at the leader and for closing everything else.
+	left := start.Add(grace).Sub(shutdown.EndsAt)
+	p.closeListeners(graceCtx, shutdown.EndsAt.Add(left/2))
+	p.signOff(graceCtx, shutdown.EndsAt.Add(left*3/4))
+	p.closeAll(graceCtx)
 	p.log.Info("stopped")
 	return nil
 }
 
+// signOff returns the leases and the leadership, at the latest at the deadline.
+func (p *Process) signOff(ctx context.Context, deadline time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	p.sendFinalReport(ctx)
+	p.transferLeadership(ctx)
+}
+
 // closeListeners closes the listeners and waits until the requests in progress
 // have ended, at the latest until the deadline.
 func (p *Process) closeListeners(ctx context.Context, deadline time.Time) {
--- a/stdout/writer.go
+++ b/stdout/writer.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"sync/atomic"
+	"time"
 )
 
 // maxQueuedLines limits the lines that wait for the output. At the usual 200
@@ -49,9 +50,19 @@
 	}
 }
 
-// Close writes the queued lines and stops the goroutine. Write must not be
-// called after Close.
+// closeTimeout bounds the wait for the output at the end of a process. It is
+// less than the half second that a process has after its shutdown.
+const closeTimeout = 250 * time.Millisecond
+
+// Close writes the queued lines and stops the goroutine. Lines that the output
+// does not take within closeTimeout are lost. Write must not be called after
+// Close.
 func (w *Writer) Close() {
 	close(w.lines)
-	<-w.done
+	t := time.NewTimer(closeTimeout)
+	defer t.Stop()
+	select {
+	case <-w.done:
+	case <-t.C:
+	}
 }
--- a/stdout/writer_test.go
+++ b/stdout/writer_test.go
@@ -41,3 +41,17 @@
 	g.Expect(len(out.lines)).To(BeNumerically("<", lines))
 	g.Expect(strings.Join(out.lines, "")).To(ContainSubstring("log lines dropped"))
 }
+
+// Guards against a process that never ends because nobody reads its output.
+func TestCloseDoesNotWaitForABlockedOutput(t *testing.T) {
+	out := &blockingWriter{open: make(chan struct{})}
+	w := stdout.New(out)
+	_, _ = w.Write([]byte("line\n"))
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		w.Close()
+	}()
+	NewWithT(t).Eventually(closed, "10s").Should(BeClosed())
+	close(out.open)
+}
