Scope idempotency keys and the weighted picker by workspace

Two workspaces that choose the same idempotency key would see each other's requests: the second one got the recorded answer of the first, or was refused for as long as the record is kept. Requests of operations ran outside the home regions of their workspace.

Cause: the ledger knew a key by its service only, and the picker for leased budgets did not read home regions, which only routes had.

Change: claims, completions, queries and records of the ledger name the workspace. While workspaces are introduced or removed, one entry may see a request with a workspace and another one without; a request that may have run in one of these two scopes is not granted in the other and its answer is not handed out there. The weighted picker chooses among the home regions only. The list of changes between two configurations names workspaces with the beginning of the digests of their keys. Earlier versions of the configuration are kept while they have at most 20,000 workspaces together, since 50 versions of 10,000 workspaces would take 150 MB by estimate.

--- a/claim.go
+++ b/claim.go
@@ -33,9 +33,11 @@
 
 // Claim requests the right to send a non-idempotent request.
 type Claim struct {
-	Service     ServiceName   `cbor:"service" json:"service"`
-	Operation   OperationName `cbor:"operation" json:"operation"`
-	Key         RequestKey    `cbor:"key" json:"key"`
+	Service   ServiceName   `cbor:"service" json:"service"`
+	Operation OperationName `cbor:"operation" json:"operation"`
+	Key       RequestKey    `cbor:"key" json:"key"`
+	// Workspace is the scope of the key; empty for requests without a workspace.
+	Workspace   WorkspaceName `cbor:"workspace,omitempty" json:"workspace,omitempty"`
 	Fingerprint []byte        `cbor:"fingerprint" json:"fingerprint"`
 	Instance    InstanceID    `cbor:"instance" json:"instance"`
 	Incarnation Incarnation   `cbor:"incarnation" json:"incarnation"`
@@ -75,6 +77,9 @@
 	if err := c.Key.Validate(); err != nil {
 		return err
 	}
+	if err := c.Workspace.validateScope(); err != nil {
+		return err
+	}
 	if len(c.Fingerprint) > 64 {
 		return fmt.Errorf("%w: claim fingerprint is longer than 64 bytes", ErrInvalid)
 	}
@@ -87,13 +92,15 @@
 // ClaimCompletion records the final state of a claim. It is sent by the entry
 // that holds the claim.
 type ClaimCompletion struct {
-	Service     ServiceName `cbor:"service" json:"service"`
-	Key         RequestKey  `cbor:"key" json:"key"`
-	Instance    InstanceID  `cbor:"instance" json:"instance"`
-	Incarnation Incarnation `cbor:"incarnation" json:"incarnation"`
-	Attempt     uint64      `cbor:"attempt" json:"attempt"`
-	State       ClaimState  `cbor:"state" json:"state"`
-	Answer      *Answer     `cbor:"answer,omitempty" json:"answer,omitempty"`
+	Service ServiceName `cbor:"service" json:"service"`
+	Key     RequestKey  `cbor:"key" json:"key"`
+	// Workspace is the scope of the key, as in the claim.
+	Workspace   WorkspaceName `cbor:"workspace,omitempty" json:"workspace,omitempty"`
+	Instance    InstanceID    `cbor:"instance" json:"instance"`
+	Incarnation Incarnation   `cbor:"incarnation" json:"incarnation"`
+	Attempt     uint64        `cbor:"attempt" json:"attempt"`
+	State       ClaimState    `cbor:"state" json:"state"`
+	Answer      *Answer       `cbor:"answer,omitempty" json:"answer,omitempty"`
 }
 
 // Validate checks the completion.
@@ -112,6 +119,9 @@
 	if err := f.Key.Validate(); err != nil {
 		return err
 	}
+	if err := f.Workspace.validateScope(); err != nil {
+		return err
+	}
 	return CheckName("service", string(f.Service))
 }
 
--- a/control/config.go
+++ b/control/config.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"encoding/hex"
 	"fmt"
 
 	"azurestair.example/azurestair"
@@ -9,6 +10,11 @@
 const (
 	// MaxHistory bounds the configuration versions that the state keeps.
 	MaxHistory = 50
+	// MaxHistoryWorkspaces bounds the workspaces of all versions together; the
+	// current version is always kept. A version with the largest number of
+	// workspaces takes 3 MB with its document, so that 50 of them would not fit
+	// into the memory of a small control instance.
+	MaxHistoryWorkspaces = 20_000
 	// MaxDiffLines bounds the diff in the result of a conflict.
 	MaxDiffLines = 64
 )
@@ -80,10 +86,23 @@
 		Reason:   c.Config.Change.Reason,
 		ChangeID: c.Config.Change.ID,
 		At:       c.At,
-	}, MaxHistory)
+	}, s.historyLimit(next))
 	return azurestair.Result{Code: azurestair.ResultAccepted, Version: next.Version}
 }
 
+// historyLimit returns how many versions are kept once next has been added.
+func (s *State) historyLimit(next *azurestair.Config) int {
+	n, total := 1, len(next.Workspaces)
+	for i := len(s.history.items) - 1; i >= 0 && n < MaxHistory; i-- {
+		total += len(s.history.items[i].Config.Workspaces)
+		if total > MaxHistoryWorkspaces {
+			break
+		}
+		n++
+	}
+	return n
+}
+
 // applyHighest applies a configuration if its version is higher than the
 // current one. Any other version is outdated. That is not an error, because the
 // sender has no reason to send it again.
@@ -181,8 +200,14 @@
 	for _, r := range c.Routes {
 		value := fmt.Sprintf("rank=%s idempotent=%t timeoutMs=%d maxAttempts=%d parts=%v homes=%v",
 			r.Rank, r.Idempotent, r.TimeoutMs, r.MaxAttempts, r.Services, r.HomeRegions)
+		if r.Public {
+			value += " public"
+		}
 		fields = append(fields, configField{fmt.Sprintf("route %s%s", r.Host, r.PathPrefix), value})
 	}
+	for _, w := range c.Workspaces {
+		fields = append(fields, configField{fmt.Sprintf("workspace %s", w.Name), workspaceValue(w)})
+	}
 	for _, r := range c.Regions {
 		fields = append(fields, configField{fmt.Sprintf("region %s", r.Name), fmt.Sprintf("failureDomains=%v", r.FailureDomains)})
 	}
@@ -214,5 +239,27 @@
 		{"defaults.lookupTtlMs", fmt.Sprint(d.LookupTTLMs)},
 		{"defaults.lookupMovePercent", fmt.Sprint(d.LookupMovePercent)},
 		{"defaults.probePercent", fmt.Sprint(d.ProbePercent)},
+		{"defaults.keyLeaseMs", fmt.Sprint(d.KeyLeaseMs)},
+		{"defaults.quotaSlack", fmt.Sprint(d.QuotaSlack)},
+		{"defaults.retryBurst", fmt.Sprint(d.RetryBurst)},
+		{"defaults.spreadObjects", fmt.Sprint(d.SpreadObjects)},
+	}
+}
+
+// digestPrefixBytes is the number of bytes of a key's digest that a diff shows:
+// enough to tell keys apart.
+const digestPrefixBytes = 4
+
+// workspaceValue describes a workspace. Of each key it shows the beginning of
+// the digest.
+func workspaceValue(w azurestair.Workspace) string {
+	keys := make([]string, len(w.Keys))
+	for i, k := range w.Keys {
+		keys[i] = hex.EncodeToString(k[:digestPrefixBytes])
+	}
+	rank := "of route"
+	if w.Rank != nil {
+		rank = w.Rank.String()
 	}
+	return fmt.Sprintf("rank=%s homes=%v ratePerSecond=%v burst=%v keys=%v", rank, w.HomeRegions, w.RatePerSecond, w.Burst, keys)
 }
--- a/control/ledger.go
+++ b/control/ledger.go
@@ -45,6 +45,8 @@
 	// AnswerSeq orders the stored answers by age. It is zero if the record has
 	// none.
 	AnswerSeq uint64 `cbor:"12,keyasint,omitempty" json:"kept,omitempty"`
+	// Workspace is the scope of the key.
+	Workspace azurestair.WorkspaceName `cbor:"13,keyasint,omitempty" json:"workspace,omitempty"`
 }
 
 // Validate checks the record.
@@ -78,6 +80,7 @@
 		Service:     r.Service,
 		Operation:   r.Operation,
 		Key:         r.Key,
+		Workspace:   r.Workspace,
 		Fingerprint: r.Fingerprint,
 		Instance:    r.Instance,
 		Incarnation: r.Incarnation,
@@ -91,7 +94,7 @@
 	return &azurestair.ClaimRecord{Claim: r.toClaim(), State: r.State, Answer: r.Answer}
 }
 
-func (r *LedgerRecord) key() claimKey { return claimKey{r.Service, r.Key} }
+func (r *LedgerRecord) key() claimKey { return claimKey{r.Service, r.Key, r.Workspace} }
 
 func (r *LedgerRecord) isHolder(instance azurestair.InstanceID, inc azurestair.Incarnation, attempt uint64) bool {
 	return r.Instance == instance && r.Incarnation == inc && r.Attempt == attempt
@@ -120,20 +123,23 @@
 }
 
 type claimKey struct {
-	service azurestair.ServiceName
-	key     azurestair.RequestKey
+	service   azurestair.ServiceName
+	key       azurestair.RequestKey
+	workspace azurestair.WorkspaceName
 }
 
 // ledger holds one record for each key.
 type ledger struct {
-	byKey   map[claimKey]*expiryNode
+	byKey map[claimKey]*expiryNode
+	// scoped lists the records that have a workspace by their key without it.
+	scoped  map[claimKey][]*expiryNode
 	expiry  expiryHeap
 	answers answerQueue
 }
 
-// Claim returns the ledger record of a key.
+// Claim returns the ledger record of a key that has no workspace.
 func (s *State) Claim(service azurestair.ServiceName, key azurestair.RequestKey) (azurestair.ClaimRecord, bool) {
-	n, ok := s.ledger.byKey[claimKey{service, key}]
+	n, ok := s.ledger.byKey[claimKey{service: service, key: key}]
 	if !ok {
 		return azurestair.ClaimRecord{}, false
 	}
@@ -145,7 +151,12 @@
 
 func (l *ledger) claim(at azurestair.UnixMillis, c azurestair.Claim) azurestair.Result {
 	l.expire(at)
-	n, ok := l.byKey[claimKey{c.Service, c.Key}]
+	n, ok := l.byKey[claimKey{c.Service, c.Key, c.Workspace}]
+	if !ok || n.record.State == azurestair.ClaimNotRun {
+		if l.mayHaveRunInOtherScope(c) {
+			return azurestair.Result{Code: azurestair.ResultKeyReused}
+		}
+	}
 	if !ok {
 		return l.insert(newClaim(at, c), azurestair.ResultGranted)
 	}
@@ -194,6 +205,7 @@
 	return &LedgerRecord{
 		Service:     c.Service,
 		Key:         c.Key,
+		Workspace:   c.Workspace,
 		Operation:   c.Operation,
 		Fingerprint: c.Fingerprint,
 		Instance:    c.Instance,
@@ -210,7 +222,7 @@
 		return azurestair.Result{Code: azurestair.ResultInvalid, Detail: err.Error()}
 	}
 	l.expire(at)
-	n, ok := l.byKey[claimKey{f.Service, f.Key}]
+	n, ok := l.byKey[claimKey{f.Service, f.Key, f.Workspace}]
 	if !ok {
 		return l.finishUnclaimed(at, f)
 	}
@@ -253,6 +265,7 @@
 	return l.insert(&LedgerRecord{
 		Service:     f.Service,
 		Key:         f.Key,
+		Workspace:   f.Workspace,
 		Instance:    f.Instance,
 		Incarnation: f.Incarnation,
 		Attempt:     f.Attempt,
@@ -276,6 +289,7 @@
 	}
 	n := &expiryNode{record: r}
 	l.byKey[r.key()] = n
+	l.addScoped(n)
 	l.expiry.add(n)
 	return n
 }
@@ -295,5 +309,6 @@
 		l.expiry.remove(n)
 		l.answers.remove(n)
 		delete(l.byKey, n.record.key())
+		l.removeScoped(n)
 	}
 }
--- a/control/query.go
+++ b/control/query.go
@@ -56,7 +56,7 @@
 func (s *State) Query(q Query) QueryResult {
 	var r QueryResult
 	if q.Claim != nil {
-		if record, ok := s.Claim(q.Claim.Service, q.Claim.Key); ok {
+		if record, ok := s.queryClaim(*q.Claim); ok {
 			r.Claim = &record
 		}
 	}
--- a/instance/claim.go
+++ b/instance/claim.go
@@ -83,7 +83,7 @@
 
 func (c *call) newClaim() azurestair.Claim {
 	return azurestair.Claim{
-		Service: c.work.Service, Operation: c.work.Operation, Key: c.req.Key, Fingerprint: c.fingerprint(),
+		Service: c.work.Service, Operation: c.work.Operation, Key: c.req.Key, Workspace: c.work.Workspace, Fingerprint: c.fingerprint(),
 		Instance: c.entry.self.ID, Incarnation: c.entry.self.Incarnation, Attempt: c.entry.claimAttempts.Add(1),
 		Deadline:    azurestair.UnixMillisOf(c.work.Deadline),
 		RemainingMs: azurestair.MillisOf(max(time.Millisecond, c.work.Deadline.Sub(c.entry.clock.Now()))),
@@ -96,12 +96,16 @@
 func (c *call) refuseKeyed(ctx context.Context, reason azurestair.Reason) caller.Reply {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimQueryTimeout)
 	defer cancel()
-	st, err := c.entry.ledger.QueryClaim(ctx, azurestair.ClaimQuery{Service: c.work.Service, Key: c.req.Key})
+	st, err := c.entry.ledger.QueryClaim(ctx, azurestair.ClaimQuery{Service: c.work.Service, Key: c.req.Key, Workspace: c.work.Workspace})
 	switch {
 	case err != nil:
 		return unknownReply(azurestair.ReasonLedgerUnreachable)
 	case st.Record == nil || st.Record.State == azurestair.ClaimNotRun:
 		return refusedReply(reason)
+	case st.Record.Claim.Workspace != c.work.Workspace:
+		// The request may have run before workspaces were introduced, or at an
+		// entry that does not know of them yet.
+		return unknownReply(reason)
 	case st.Record.Claim.Operation != c.work.Operation || !bytes.Equal(st.Record.Claim.Fingerprint, c.fingerprint()):
 		return caller.Reply{Outcome: azurestair.OutcomeInvalid, Reason: azurestair.ReasonKeyReused}
 	}
@@ -286,7 +290,7 @@
 // closed when that has ended.
 func (c *call) recordAsync(claim azurestair.Claim, state azurestair.ClaimState, a *azurestair.Answer) <-chan struct{} {
 	r := &outcomeRecorder{ledger: c.entry.ledger, done: make(chan struct{}), completion: azurestair.ClaimCompletion{
-		Service: claim.Service, Key: claim.Key, Instance: claim.Instance, Incarnation: claim.Incarnation,
+		Service: claim.Service, Key: claim.Key, Workspace: claim.Workspace, Instance: claim.Instance, Incarnation: claim.Incarnation,
 		Attempt: claim.Attempt, State: state, Answer: a,
 	}}
 	c.entry.inFlight.Add(1)
--- a/instance/workspaces_test.go
+++ b/instance/workspaces_test.go
@@ -12,6 +12,7 @@
 
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/caller"
+	"azurestair.example/azurestair/control"
 	"azurestair.example/azurestair/upstream"
 )
 
@@ -265,3 +266,90 @@
 		f.expectRejected(f.get("/read/1", "nosuch"), azurestair.OutcomeRefused, azurestair.ReasonKeysUnknown)
 	})
 })
+
+// holdSlots gives the entry slots for as long as the fixture lives.
+func (f *workspaceFixture) holdSlots() {
+	v := *f.view.Load()
+	budget := azurestair.Resource{Kind: azurestair.ResourceSlots, Service: "shop", Region: "kigali"}
+	v.leases = control.Leases{budget: {Floor: fixtureSlots}}
+	f.publish(&v)
+}
+
+// scopedState returns the state of the claim of a key in a workspace.
+func (f *workspaceFixture) scopedState(w azurestair.WorkspaceName, key azurestair.RequestKey) azurestair.ClaimState {
+	st, err := f.ledger.QueryClaim(context.Background(), azurestair.ClaimQuery{Service: "shop", Key: key, Workspace: w})
+	if err != nil || st.Record == nil {
+		return ""
+	}
+	return st.Record.State
+}
+
+// sendOperation sends a request that names its operation.
+func (f *workspaceFixture) sendOperation(op azurestair.OperationName, idempotencyKey azurestair.RequestKey, keys ...string) response {
+	return f.sendOperationFor(longTimeout, op, idempotencyKey, keys...)
+}
+
+func (f *workspaceFixture) sendOperationFor(d time.Duration, op azurestair.OperationName, idempotencyKey azurestair.RequestKey, keys ...string) response {
+	q := f.request(op, idempotencyKey, d, strings.NewReader("x"), 1)
+	q.APIKey, q.HasAPIKey = caller.APIKeyDigest(keys)
+	f.received, f.work = nil, azurestair.RequestInfo{}
+	return f.send(context.Background(), q)
+}
+
+var _ = ginkgo.Describe("an operation at an entry with workspaces", func() {
+	var f *workspaceFixture
+	ginkgo.BeforeEach(func() {
+		f = newWorkspaceFixture()
+		s := workspaceSnapshot(7, workspaceOf("acme", "k-1"), workspaceOf("bell", "k-3"))
+		s.Config.Routes = nil
+		f.hear(s)
+		f.holdSlots()
+	})
+
+	// Guards against operations that need no key, since there are no public
+	// ones.
+	ginkgo.It("needs a key", func() {
+		f.expectServed(f.sendOperation("read", "", "k-1"), "acme")
+		f.expectRejected(f.sendOperation("read", ""), azurestair.OutcomeInvalid, azurestair.ReasonWorkspaceKeyMissing)
+		f.expectRejected(f.sendOperation("pay", "", "nosuch"), azurestair.OutcomeInvalid, azurestair.ReasonWorkspaceKeyUnknown)
+	})
+
+	// Guards against a false "not run": a request with an idempotency key may
+	// have run before its API key was revoked.
+	ginkgo.It("with an idempotency key is not said to have not run", func() {
+		expectReply(f.sendOperation("pay", "p1", "nosuch"), azurestair.OutcomeInvalid, azurestair.ReasonWorkspaceKeyUnknown, false)
+		f.clk.advance(testKeyLease.Duration())
+		expectReply(f.sendOperation("pay", "p1", "k-1"), azurestair.OutcomeUnknown, azurestair.ReasonKeysUnknown, false)
+	})
+
+	// Guards against a workspace that gets the answer to the payment of another
+	// one.
+	ginkgo.It("does not get the recorded answer of another workspace", func() {
+		f.expectServed(f.sendOperation("pay", "p1", "k-1"), "acme")
+		Eventually(func() azurestair.ClaimState { return f.scopedState("acme", "p1") }).Should(Equal(azurestair.ClaimDone))
+		f.expectServed(f.sendOperation("pay", "p1", "k-3"), "bell")
+		resp := f.sendOperation("pay", "p1", "k-1")
+		Expect([]any{resp.Replayed, f.received}).To(Equal([]any{true, http.Header(nil)}))
+		Expect(f.upstream.ran.Load()).To(BeEquivalentTo(2))
+	})
+
+	// Guards against a payment that runs twice because its caller repeats it
+	// after workspaces were introduced.
+	ginkgo.It("that ran before workspaces were introduced does not run again", func() {
+		s := workspaceSnapshot(8)
+		s.Config.Routes = nil
+		f.hear(s)
+		f.holdSlots()
+		f.expectServed(f.sendOperation("pay", "p1"), "")
+		s = workspaceSnapshot(9, workspaceOf("acme", "k-1"))
+		s.Config.Routes = nil
+		f.hear(s)
+		f.holdSlots()
+		resp := f.sendOperation("pay", "p1", "k-1")
+		expectReply(resp, azurestair.OutcomeInvalid, azurestair.ReasonKeyReused, false)
+		f.dispatcher.setSlots(0)
+		resp = f.sendOperationFor(shortTimeout, "pay", "p1", "k-1")
+		Expect([]any{resp.Outcome, resp.NotRun}).To(Equal([]any{azurestair.OutcomeUnknown, false}))
+		Expect(f.upstream.ran.Load()).To(BeEquivalentTo(1))
+	})
+})
--- a/routing/weighted.go
+++ b/routing/weighted.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"azurestair.example/azurestair"
@@ -60,7 +61,7 @@
 // flight. The error is a *PickError.
 func (p *Weighted) Pick(work azurestair.RequestInfo, avoid []azurestair.UpstreamID, now time.Time) (azurestair.Choice, error) {
 	p.advance(now)
-	r := pickRequest{avoid: avoid, idempotent: work.Idempotent, now: now}
+	r := pickRequest{avoid: avoid, idempotent: work.Idempotent, homes: work.HomeRegions, now: now}
 	u, err := p.choose(r)
 	if err != nil && len(avoid) > 0 {
 		r.avoid = nil
@@ -84,11 +85,18 @@
 type pickRequest struct {
 	avoid      []azurestair.UpstreamID
 	idempotent bool
-	now        time.Time
+	// homes lists the only regions that may be chosen; empty means all.
+	homes []azurestair.RegionName
+	now   time.Time
 	// ignoreWeight accepts upstreams of reduced weight when no other is left.
 	ignoreWeight bool
 }
 
+// allows reports whether an upstream in the region may be chosen.
+func (r pickRequest) allows(region azurestair.RegionName) bool {
+	return len(r.homes) == 0 || slices.Contains(r.homes, region)
+}
+
 func (p *Weighted) choose(r pickRequest) (*upstream, error) {
 	if u := p.chooseLocal(r); u != nil {
 		return u, nil
@@ -110,6 +118,9 @@
 // chooseLocal considers upstreams that would queue the request only if no free
 // candidate was found or the best one is slow.
 func (p *Weighted) chooseLocal(r pickRequest) *upstream {
+	if !r.allows(p.opts.Region) {
+		return nil
+	}
 	if p.opts.HomeBudget != nil && !p.opts.HomeBudget(p.opts.Region, p.domainTier.inFlight+p.regionTier.inFlight, r.now) {
 		return nil
 	}
@@ -134,6 +145,9 @@
 	capped := false
 	for i := range p.remoteTiers {
 		t := p.remoteTiers[(p.nextRemote+i)%len(p.remoteTiers)]
+		if !r.allows(t.region) {
+			continue
+		}
 		c := p.bestOf(&t.free, r)
 		if c.upstream == nil {
 			c = p.bestOf(&t.queueing, r)
--- a/version.go
+++ b/version.go
@@ -74,7 +74,7 @@
 // a field or a value of a field that was added later, it must return the
 // version that introduced the addition.
 func (c Command) RequiredVersion() ProtocolVersion {
-	if c.Config != nil && c.Config.Config.needsWorkspaceProtocol() {
+	if c.needsWorkspaceProtocol() {
 		return ProtocolWorkspaces
 	}
 	if c.Fleet != "" {
@@ -88,3 +88,17 @@
 	}
 	return ProtocolUnannounced
 }
+
+// needsWorkspaceProtocol reports whether the command uses features that were
+// introduced with ProtocolWorkspaces.
+func (c Command) needsWorkspaceProtocol() bool {
+	switch {
+	case c.Config != nil:
+		return c.Config.Config.needsWorkspaceProtocol()
+	case c.Claim != nil:
+		return c.Claim.Workspace != ""
+	case c.Completion != nil:
+		return c.Completion.Workspace != ""
+	}
+	return false
+}
--- a/workspace.go
+++ b/workspace.go
@@ -22,6 +22,15 @@
 // keys and a rate limit.
 type WorkspaceName string
 
+// validateScope checks the name as the scope of an idempotency key, which is
+// empty for requests without a workspace.
+func (n WorkspaceName) validateScope() error {
+	if n == "" {
+		return nil
+	}
+	return CheckName("workspace", string(n))
+}
+
 // KeyDigest is the SHA-256 digest of an API key. Keys are stored and compared as
 // digests only, so that snapshots and the log do not reveal them.
 type KeyDigest [sha256.Size]byte
