Read workspaces from the product's own configuration

Operators could not submit workspaces in a TOML file: numbers with a fraction and optional values were refused, and 10,000 workspaces exceed the limits of the file (512 KiB) and of the administration API (1 MiB).

Cause: the decoder knew neither floating-point fields nor pointers, and the limits are from configurations without workspaces.

Change: the decoder reads both, so that services[].coldPerSecond and weights may have fractions too. Faults of workspaces are reported with line and key, never with an API key. Both limits become 4 MiB; the case "oversized" of the administration API exceeds the new limit instead of the old one.

--- a/operator/handler.go
+++ b/operator/handler.go
@@ -31,7 +31,9 @@
 
 // Limits of the administration API.
 const (
-	maxBodyBytes   = 1 << 20
+	// A configuration with the largest number of workspaces, each with two
+	// digests of keys, takes 2.2 MB.
+	maxBodyBytes   = 4 << 20
 	requestTimeout = 10 * time.Second
 	// pollInterval is the interval between two checks of a condition.
 	pollInterval = 20 * time.Millisecond
--- a/operator/handler_test.go
+++ b/operator/handler_test.go
@@ -141,7 +141,7 @@
 		Entry("unknown field of the configuration", "PUT", "/v1/config", configChange("c1", 0, `{"version":0,"default":{}}`), 400),
 		Entry("two values", "PUT", "/v1/config", configChange("c1", 0, config)+configChange("c2", 0, config), 400),
 		Entry("trailing text", "PUT", "/v1/config", configChange("c1", 0, config)+"x", 400),
-		Entry("oversized", "PUT", "/v1/config", configChange("c1", 0, strings.Repeat(" ", 1<<20)+config), 413),
+		Entry("oversized", "PUT", "/v1/config", configChange("c1", 0, strings.Repeat(" ", 4<<20)+config), 413),
 		Entry("no id", "PUT", "/v1/config", configChange("", 0, config), 400),
 		Entry("no reason", "PUT", "/v1/config", `{"changeId":"c1","config":`+config+`}`, 400),
 		Entry("negative base", "PUT", "/v1/config", configChange("c1", -1, config), 400),
--- a/settings/decode.go
+++ b/settings/decode.go
@@ -15,8 +15,8 @@
 )
 
 // MaxFileBytes is the largest accepted file. A fleet configuration with the
-// maximum number of every element is smaller.
-const MaxFileBytes azurestair.Bytes = 512 << 10
+// largest number of workspaces, each with two digests of keys, takes 2.3 MB.
+const MaxFileBytes azurestair.Bytes = 4 << 20
 
 // maxErrors limits the number of errors reported for one file.
 const maxErrors = 100
@@ -117,6 +117,9 @@
 		return
 	}
 	switch dst.Kind() {
+	case reflect.Pointer:
+		dst.Set(reflect.New(dst.Type().Elem()))
+		d.decodeValue(path, v, dst.Elem())
 	case reflect.Struct:
 		d.decodeTable(path, v, dst)
 	case reflect.Slice, reflect.Array:
@@ -166,7 +169,16 @@
 			dst.SetBool(x)
 			return
 		}
+	case float64:
+		if dst.CanFloat() {
+			dst.SetFloat(x)
+			return
+		}
 	case int64:
+		if dst.CanFloat() {
+			dst.SetFloat(float64(x))
+			return
+		}
 		if dst.CanInt() && !dst.OverflowInt(x) {
 			dst.SetInt(x)
 			return
@@ -206,6 +218,8 @@
 		return "true or false"
 	case reflect.Uint64:
 		return "an integer of at least 0"
+	case reflect.Float64:
+		return "a number"
 	}
 	return "an integer"
 }
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -37,6 +37,7 @@
 	}
 	d.checkRegions(c.Regions)
 	d.checkLinks(c)
+	d.checkWorkspaces(c.Workspaces)
 	valid := azurestair.Exception{
 		Target:  azurestair.Target{Kind: azurestair.TargetUpstream, Name: "name"},
 		Setting: azurestair.SettingWeight,
--- a/settings/fuzz_test.go
+++ b/settings/fuzz_test.go
@@ -58,6 +58,7 @@
 // instances would reject.
 func FuzzParseFleet(f *testing.F) {
 	addSeeds(f, "../examples/*/fleet.toml")
+	f.Add([]byte(workspacesText))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		c, err := settings.ParseFleet("f.toml", data)
 		if err != nil {
