--- a/budget.go
+++ b/budget.go
@@ -81,8 +81,11 @@
 // Report is the message that an instance sends to the leader at each report
 // interval.
 type Report struct {
-	Instance      InstanceInfo   `cbor:"1,keyasint,omitzero" json:"instance"`
-	Announcements []Announcement `cbor:"2,keyasint,omitempty" json:"announcements,omitempty"`
+	// Sender is the protocol version that the sender announces with the message;
+	// zero for this process itself.
+	Sender        ProtocolVersion `cbor:"-" json:"-"`
+	Instance      InstanceInfo    `cbor:"1,keyasint,omitzero" json:"instance"`
+	Announcements []Announcement  `cbor:"2,keyasint,omitempty" json:"announcements,omitempty"`
 	// Alive lists the upstreams whose announcements have not changed.
 	Alive   []UpstreamID `cbor:"3,keyasint,omitempty" json:"alive,omitempty"`
 	Demands []Demand     `cbor:"4,keyasint,omitempty" json:"demands,omitempty"`
--- a/config.go
+++ b/config.go
@@ -447,6 +447,30 @@
 	return Operation{}, false
 }
 
+// RequiredVersion returns the oldest protocol version whose programs serve
+// requests by the configuration as this program does.
+func (c *Config) RequiredVersion() ProtocolVersion {
+	switch {
+	case c == nil:
+		return ProtocolUnannounced
+	case c.needsWorkspaceProtocol():
+		return ProtocolWorkspaces
+	case c.needsRoutedProtocol():
+		return ProtocolRouted
+	default:
+		return ProtocolUnannounced
+	}
+}
+
+// CheckProgram returns an ErrVersion if a program of the given version would not
+// serve requests by the configuration as this program does.
+func (c *Config) CheckProgram(v ProtocolVersion) error {
+	if required := c.RequiredVersion(); v < required {
+		return fmt.Errorf("%w: the configuration needs version %d and the instance has %d", ErrVersion, required, v)
+	}
+	return nil
+}
+
 // needsWorkspaceProtocol reports whether the configuration uses features that
 // were introduced with ProtocolWorkspaces.
 func (c *Config) needsWorkspaceProtocol() bool {
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -216,6 +216,12 @@
 	if r.state.Fleet().Conflicts(report.Fleet) {
 		return reply, fmt.Errorf("%w: %s belongs to fleet %s", azurestair.ErrOtherFleet, report.Instance.ID, report.Fleet)
 	}
+	if report.Sender != 0 {
+		// An instance that is refused drops out of lookups.
+		if err := r.state.Config().CheckProgram(report.Sender); err != nil {
+			return reply, err
+		}
+	}
 	report, known := r.reportReceiver.Expand(report)
 	if !known {
 		return azurestair.ReportReply{Term: r.leaderTerm, Resend: true}, nil
--- a/instance/workspaces_test.go
+++ b/instance/workspaces_test.go
@@ -330,6 +330,11 @@
 		f.expectServed(f.sendOperation("pay", "p1", "k-3"), "bell")
 		resp := f.sendOperation("pay", "p1", "k-1")
 		Expect([]any{resp.Replayed, f.received}).To(Equal([]any{true, http.Header(nil)}))
+		f.dispatcher.setSlots(0)
+		for _, key := range []string{"k-1", "k-3"} {
+			resp = f.sendOperationFor(shortTimeout, "pay", "p1", key)
+			Expect([]any{resp.Outcome, resp.Replayed, resp.Reason}).To(Equal([]any{azurestair.OutcomeDone, true, azurestair.ReasonNone}), key)
+		}
 		Expect(f.upstream.ran.Load()).To(BeEquivalentTo(2))
 	})
 
@@ -353,3 +358,28 @@
 		Expect(f.upstream.ran.Load()).To(BeEquivalentTo(1))
 	})
 })
+
+var _ = ginkgo.Describe("a leader whose configuration has workspaces", func() {
+	report := func(l *leadingReplica, v azurestair.ProtocolVersion) error {
+		_, err := l.report(azurestair.Report{Number: 1, Sender: v, Instance: azurestair.InstanceInfo{
+			ID: "e1", Incarnation: 1, CallerAddr: "127.0.0.1:1", PeerAddr: "127.0.0.1:2", Region: "huye", FailureDomain: "huye-a",
+		}}, l.now)
+		return err
+	}
+
+	// Guards against an entry of an earlier version that serves requests without
+	// a key, forwards keys to upstreams and is listed in lookups.
+	ginkgo.It("refuses the reports of programs that do not know them", func() {
+		l := newLeadingReplica()
+		Expect(report(l, azurestair.ProtocolFleet)).To(Succeed(), "without workspaces")
+		done := make(chan proposeReply, 1)
+		l.propose(proposeEvent{reply: done, command: azurestair.Command{Config: &azurestair.ConfigChange{
+			Change: azurestair.Change{ID: "c1", Operator: "o", Reason: "first"}, Config: *workspaceSnapshot(0, workspaceOf("acme", "k-1")).Config,
+		}}}, l.now)
+		l.run(2)
+		Expect((<-done).result.Code).To(Equal(azurestair.ResultAccepted))
+		Expect(report(l, azurestair.ProtocolFleet)).To(MatchError(azurestair.ErrVersion))
+		Expect(report(l, azurestair.ProtocolWorkspaces)).To(Succeed())
+		Expect(report(l, 0)).To(Succeed(), "itself")
+	})
+})
--- a/peer/server.go
+++ b/peer/server.go
@@ -152,12 +152,13 @@
 }
 
 func report(s *service, ctx context.Context, rep azurestair.Report) (encodedReply, error) { //nolint:revive // in a method expression the receiver comes first
+	md, _ := metadata.FromIncomingContext(ctx)
+	rep.Sender = parseRange(md).Current
 	r, err := s.Report(ctx, rep)
 	if err != nil {
 		return encodedReply{}, err
 	}
-	md, _ := metadata.FromIncomingContext(ctx)
-	return s.replies.encodeReply(r, parseRange(md).Current)
+	return s.replies.encodeReply(r, rep.Sender)
 }
 
 func notify(s *service, ctx context.Context, n azurestair.SnapshotNotice) (empty, error) { //nolint:revive // in a method expression the receiver comes first
@@ -176,7 +177,11 @@
 		return encodedReply{}, err
 	}
 	md, _ := metadata.FromIncomingContext(ctx)
-	return s.held.encodeReply(azurestair.ReportReply{Snapshot: snap}, parseRange(md).Current)
+	version := parseRange(md).Current
+	if err := snap.Config.CheckProgram(version); err != nil {
+		return encodedReply{}, err
+	}
+	return s.held.encodeReply(azurestair.ReportReply{Snapshot: snap}, version)
 }
 
 // unary adapts a Handler method to a gRPC method. The message is decoded behind
