Keep callers in their region where its links carry its busiest time

Callers of 125 entries with links of 1.4 Mbit/s were sent to entries of all regions, since their links are narrower than their processors: each request crossed regions twice, 21% of the calm requests were late and bytes between regions were the largest cost. But an entry there gets 6 requests per second, a sixth of what its link carries.

The links of a region have to carry its busy hour. The planner now compares them with a region's even share of what all upstreams can serve, from their slots and the latency objectives of the routes. With three times that share, callers stay in their region. The decision is part of the region plans, so that entries and the next leader follow it; while there is traffic it changes only after 10 s.

On fleets with few entries the same had filled links in the busy hour (docs/platform.md); they have at most 2.3 times the share and are served as before.

--- a/control/plan.go
+++ b/control/plan.go
@@ -77,6 +77,7 @@
 	// immediateUntil is the time until which the plan of a service that has
 	// lost capacity may change without a rate limit.
 	immediateUntil map[azurestair.ServiceName]time.Time
+	locality       callerLocality
 }
 
 type regionKey struct {
@@ -93,7 +94,8 @@
 	p.steppedAt = now
 	p.updateDemand(traffic, elapsed)
 	var out []azurestair.RegionPlan
-	spread := s.SpreadsCallers()
+	local := p.locality.update(s, len(p.demand) > 0, now)
+	spread := s.HasNarrowLinks() && !local
 	for _, service := range s.Config.Services {
 		slots := slotsByRegion(s, service.Name)
 		if len(slots) == 0 {
@@ -103,6 +105,9 @@
 		pl.spread = spread
 		out = append(out, p.step(service.Name, pl, known, s.PlansOf(service.Name), elapsed)...)
 	}
+	for i := range out {
+		out[i].LocalCallers = local
+	}
 	slices.SortFunc(out, func(a, b azurestair.RegionPlan) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Region, b.Region))
 	})
@@ -397,7 +402,7 @@
 // minimum published changes.
 func plansDiffer(old, cur []azurestair.RegionPlan) bool {
 	return !slices.EqualFunc(old, cur, func(a, b azurestair.RegionPlan) bool {
-		return a.Service == b.Service && a.Region == b.Region && a.Capacity == b.Capacity &&
+		return a.Service == b.Service && a.Region == b.Region && a.Capacity == b.Capacity && a.LocalCallers == b.LocalCallers &&
 			math.Abs(float64(a.PlannedSlots-b.PlannedSlots)) <= minLoadChange*float64(a.Capacity) && math.Abs(a.TargetUtilization-b.TargetUtilization) <= minLoadChange &&
 			slices.EqualFunc(a.Shares, b.Shares, func(x, y azurestair.RegionShare) bool {
 				return x.Region == y.Region && math.Abs(x.Share-y.Share) < minShareChange
--- a/snapshot.go
+++ b/snapshot.go
@@ -153,8 +153,14 @@
 }
 
 // SpreadsCallers reports whether lookups return entries of all regions, because
-// most entries are limited by their links.
+// most entries are limited by their links and the links of one region may not
+// carry its busiest time.
 func (s *Snapshot) SpreadsCallers() bool {
+	return s.HasNarrowLinks() && (len(s.Plans) == 0 || !s.Plans[0].LocalCallers)
+}
+
+// HasNarrowLinks reports whether most entries are limited by their links.
+func (s *Snapshot) HasNarrowLinks() bool {
 	entries, narrow := 0, 0
 	for _, i := range s.Instances {
 		if i.CallerAddr == "" {
--- a/traffic.go
+++ b/traffic.go
@@ -57,6 +57,9 @@
 	TargetUtilization float64   `cbor:"6,keyasint,omitempty" json:"fill,omitempty"`
 	// Shares is sorted by region; the shares sum to 1.
 	Shares []RegionShare `cbor:"4,keyasint" json:"shares"`
+	// LocalCallers is true if callers use the entries of their own region
+	// although entries are limited by their links. It is the same in all plans.
+	LocalCallers bool `cbor:"7,keyasint,omitempty" json:"localCallers,omitempty"`
 }
 
 // RegionShare is the fraction of the objects that is placed in a region.
