Leave the rest of a shutdown to the end of the process after 1 s

A process whose requests had ended waited for the rest of its grace period for a peer that said nothing, and had half a second left before it would be killed.

Closing now takes at most one second of the grace period. Requests have the same time as before.

--- a/instance/closer.go
+++ b/instance/closer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 )
 
 // closeStep is a part of a process that is closed at shutdown.
@@ -29,10 +30,17 @@
 	}
 }
 
-// closeAll ends all goroutines and closes what they use. When ctx ends it
-// returns nevertheless: the log is durable without being closed, and the end of
-// the process closes the rest.
+// closeTimeout bounds the wait until everything is closed. A few syncs of a disk
+// that takes 125 ms for each fit in; the requests have ended by then, so that
+// waiting longer serves nobody.
+const closeTimeout = time.Second
+
+// closeAll ends all goroutines and closes what they use. After closeTimeout, or
+// when ctx ends, it returns nevertheless: the log is durable without being
+// closed, and the end of the process closes the rest.
 func (p *Process) closeAll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
 	p.cancel()
 	c := &closer{steps: p.closeSteps(), done: make(chan struct{})}
 	go c.run()
