Close stalled connections to peers in the background

A call that ended at its deadline on a connection that takes no more bytes returned up to 5 s later, since it closed the connection and gRPC waits that long for the last bytes. The lock of all connections was held meanwhile, so that calls to other instances waited too.

Connections that are replaced are closed by a goroutine of their own. At the end of a process all are closed at the same time. The new test fails before (no answer within 3 s for a deadline of 0.1 s); the race tests of peer and instance pass.

--- a/peer/conns.go
+++ b/peer/conns.go
@@ -45,6 +45,10 @@
 	responses atomic.Int64
 }
 
+// run closes the connection. gRPC waits up to 5 s for one that takes no more
+// bytes.
+func (c *conn) run() { _ = c.cc.Close() }
+
 // NewConns returns an empty set of connections; dial, tlsCfg and versions may
 // be nil.
 func NewConns(dial Dialer, tlsCfg *tls.Config, versions *Versions) *ConnPool {
@@ -68,7 +72,7 @@
 		if old.addr == addr {
 			return old, nil
 		}
-		_ = old.cc.Close()
+		go old.run()
 		delete(c.conns, id)
 	}
 	slow := !c.voters[id]
@@ -141,17 +145,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if old, ok := c.conns[id]; ok && old == cn {
-		_ = cn.cc.Close()
+		go cn.run()
 		delete(c.conns, id)
 	}
 }
 
-// Close closes all connections.
+// Close closes all connections and waits for them.
 func (c *ConnPool) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	var wg sync.WaitGroup
 	for id, old := range c.conns {
-		_ = old.cc.Close()
+		wg.Go(old.run)
 		delete(c.conns, id)
 	}
+	wg.Wait()
 }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -309,6 +309,34 @@
 	return ctx
 }
 
+// stallingConn is a connection whose writes block once stalled is closed, until
+// it is closed itself.
+type stallingConn struct {
+	net.Conn
+	stalled, blocked, closed chan struct{}
+	once                     sync.Once
+}
+
+// Write implements net.Conn.
+func (c *stallingConn) Write(p []byte) (int, error) {
+	select {
+	case <-c.stalled:
+		select {
+		case c.blocked <- struct{}{}:
+		default:
+		}
+		<-c.closed
+	default:
+	}
+	return c.Conn.Write(p)
+}
+
+// Close implements net.Conn.
+func (c *stallingConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
 const (
 	long  = 15 * time.Second
 	short = 100 * time.Millisecond
@@ -445,6 +473,29 @@
 		Expect(l.accepted.Load()).To(BeEquivalentTo(2))
 	})
 
+	// Guards against a call that outlasts its deadline by the 5 s that gRPC
+	// waits for a connection that takes no more bytes, and against calls to
+	// other instances that wait with it.
+	It("do not wait until a stalled connection is closed", func() {
+		h := &fakeHandler{}
+		stalled, blocked := make(chan struct{}), make(chan struct{}, 1)
+		conns := peer.NewConns(func(ctx context.Context, addr string) (net.Conn, error) {
+			c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+			return &stallingConn{Conn: c, stalled: stalled, blocked: blocked, closed: make(chan struct{})}, err
+		}, nil, nil)
+		c := peer.NewClient(conns, []peer.Address{addressOf("c1", serve(h, nil))})
+		_, err := c.Report(contextWithTimeout(long), azurestair.Report{Instance: instance})
+		Expect(err).NotTo(HaveOccurred())
+		close(stalled)
+		done := make(chan error, 1)
+		go func() {
+			_, err := c.Report(contextWithTimeout(short), azurestair.Report{Instance: instance})
+			done <- err
+		}()
+		Eventually(blocked, "10s").Should(Receive())
+		Eventually(done, "3s").Should(Receive(HaveOccurred()))
+	})
+
 	// Guards against an entry behind a saturated link that opens a new
 	// connection for each attempt, none of which is established in time.
 	// Entries took 4 to 8 s to find the next leader.
