Check workspaces in the embedded fleet

`azurestair try` runs the whole path and knew nothing of API keys.

Change: a step introduces a workspace and checks that requests without its key and with another one get 401 at each entry, that the upstream is told the workspace and not the key, and that a payment from before is not run again when it is repeated with a key. The stub tells what it received. The audit trail has one record more.

--- a/stub/upstream.go
+++ b/stub/upstream.go
@@ -207,6 +207,11 @@
 	HeaderTestID = "Stub-Request"
 	// HeaderUpstream is the id of the stub that responded.
 	HeaderUpstream = "Stub-Upstream"
+	// HeaderWorkspace is the workspace that the request named.
+	HeaderWorkspace = "Stub-Workspace"
+	// HeaderHasKey is set if the request carried an API key, which an entry must
+	// not forward.
+	HeaderHasKey = "Stub-Has-Key"
 )
 
 // acquireSlot waits for a slot. It returns false if the request must be shed:
@@ -252,6 +257,12 @@
 	id := r.Header.Get(upstream.HeaderAttemptID)
 	w.Header().Set(upstream.HeaderAttemptID, id)
 	w.Header().Set(HeaderUpstream, string(u.opts.ID))
+	if workspace := r.Header.Get(upstream.HeaderWorkspace); workspace != "" {
+		w.Header().Set(HeaderWorkspace, workspace)
+	}
+	if r.Header.Get("Azurestair-Key") != "" || r.Header.Get("Key") != "" {
+		w.Header().Set(HeaderHasKey, "true")
+	}
 	u.mu.Lock()
 	w.Header().Set(upstream.HeaderState, string(u.reportedState()))
 	u.mu.Unlock()
--- a/try/run.go
+++ b/try/run.go
@@ -75,6 +75,8 @@
 	cluster *Cluster
 	http    *http.Client
 	report  Report
+	// apiKey is sent with each request; empty means none.
+	apiKey string
 }
 
 func (r *run) runSteps(ctx context.Context) {
@@ -89,6 +91,7 @@
 		{"deferred request runs once", r.engrave},
 		{"same key gets the recorded answer", r.repeatKey},
 		{"drained upstream gets no new work", r.drain},
+		{"requests need a key of a workspace", r.workspaces},
 		{"entry stops without a cut request", r.stopEntry},
 		{"changes stand in the audit trail", r.audit},
 	}
@@ -200,6 +203,7 @@
 // response is the result of a request.
 type response struct {
 	status   int
+	header   http.Header
 	outcome  string
 	replayed bool
 	body     string
@@ -216,6 +220,9 @@
 		req.Header.Set(caller.HeaderKey, key)
 		req.Header.Set(stub.HeaderTestID, key)
 	}
+	if r.apiKey != "" {
+		req.Header.Set(caller.HeaderAPIKey, r.apiKey)
+	}
 	resp, err := r.http.Do(req)
 	if err != nil {
 		return response{}, err
@@ -223,7 +230,7 @@
 	defer resp.Body.Close() //nolint:errcheck // the body was read
 	data, err := io.ReadAll(resp.Body)
 	return response{
-		status: resp.StatusCode, outcome: resp.Header.Get(caller.HeaderOutcome),
+		status: resp.StatusCode, header: resp.Header, outcome: resp.Header.Get(caller.HeaderOutcome),
 		replayed: resp.Header.Get(caller.HeaderReplayed) == "true", body: string(data),
 	}, err
 }
@@ -361,8 +368,8 @@
 	if err != nil {
 		return "", err
 	}
-	if len(resp.Records) != 2 {
-		return "", fmt.Errorf("the audit trail has %d records instead of 2", len(resp.Records))
+	if len(resp.Records) != 3 {
+		return "", fmt.Errorf("the audit trail has %d records instead of 3", len(resp.Records))
 	}
 	return fmt.Sprintf("%d records", len(resp.Records)), nil
 }
