Test that all parts of a process share one lease clock

With the lease clock replaced by the system clock in one place each, the control goroutine, the reporter, the link budget and the check before a claim were not noticed by any test.

Change: one process is started and its clocks compared; the case of a suspended entry covers the link budget and the claim.

Result: `go test -race ./instance` passes.

--- a/instance/clock_test.go
+++ b/instance/clock_test.go
@@ -1,15 +1,19 @@
 package instance
 
 import (
+	"context"
 	"log/slog"
+	"net"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/fx"
 
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/control"
 	"azurestair.example/azurestair/raft"
+	"azurestair.example/azurestair/settings"
 )
 
 // suspendedClock is a lease clock of a machine that tests suspend.
@@ -70,14 +74,21 @@
 		r := newEntryFixture(clk.fakeClock, &fakeLedger{}, newFakeUpstream())
 		r.leaseClock = clk
 		slots := azurestair.Resource{Kind: azurestair.ResourceSlots, Service: "shop", Region: "kigali"}
-		r.publish(&view{
-			snapshot: testSnapshot(1), controlDeadline: clk.Now().Add(3 * time.Second),
-			leases: control.Leases{slots: {Amount: 10, Deadline: clk.Now().Add(3 * time.Second)}},
-		})
+		link := linkResource("kigali", "huye")
+		s := testSnapshot(1)
+		s.Config.Links = []azurestair.Link{{From: "kigali", To: "huye", Limit: 1 << 30}}
+		until := clk.Now().Add(3 * time.Second)
+		r.publish(&view{snapshot: s, controlDeadline: until, leases: control.Leases{
+			slots: {Amount: 10, Deadline: until}, link: {Amount: 1 << 30, Deadline: until},
+		}})
 		Expect(r.Ready()).To(Succeed())
 		Expect(r.freeSlots()).To(Equal(10))
+		Expect(r.linkPacer.recordBytes(link, 1)).To(BeNumerically("<", time.Millisecond))
 		clk.suspended = 3 * time.Second
 		Expect(r.Ready()).To(MatchError(azurestair.ErrNoQuorum))
+		Expect(r.linkPacer.recordBytes(link, 1)).To(BeNumerically(">", 100*time.Millisecond))
+		resp := r.sendDefault("pay", "p1", longTimeout)
+		Expect([]any{resp.Outcome, resp.Reason, r.ledger.claims}).To(Equal([]any{azurestair.OutcomeUnknown, azurestair.ReasonLedgerUnreachable, 0}))
 		r.tick(clk.Now())
 		Expect(r.freeSlots()).To(BeZero())
 	})
@@ -94,6 +105,24 @@
 		Expect(c.Next(lease.Now())).To(Equal(azurestair.UnixMillisOf(day.Now())))
 	})
 
+	// Guards against parts of a process that judge leases by another clock.
+	ginkgo.It("has one lease clock for all its parts", func() {
+		clk := &suspendedClock{fakeClock: newFakeClock()}
+		s := settings.Default()
+		s.Instance = settings.Instance{ID: "e1", Region: "kigali", FailureDomain: "kigali-a", Roles: []settings.Role{settings.RoleEntry}}
+		s.Limits.ShutdownGraceMs = 1
+		listen := func(network, _ string) (net.Listener, error) { return net.Listen(network, "127.0.0.1:0") }
+		var p *Process
+		app := fx.New(Module(s, Options{LeaseClock: clk, Listen: listen}), fx.Populate(&p))
+		Expect(app.Start(context.Background())).To(Succeed())
+		defer func() { Expect(app.Stop(context.Background())).To(Succeed()) }()
+		for _, got := range []azurestair.Clock{p.controller.clock, p.reporter.clock, p.entry.leaseClock} {
+			Expect(got).To(BeIdenticalTo(clk))
+		}
+		Expect(p.controller.member.startedAt).To(Equal(clk.Now()))
+		Expect(p.entry.clock).To(Equal(SystemClock{}))
+	})
+
 	// Guards against a leader that answers a report with a configuration that
 	// the next leader has replaced meanwhile.
 	ginkgo.It("does not answer reports as the leader that it was", func() {
