Space out quota asks while no leader answers

Entries that look for a leader every 50 ms would load the control instances while they elect one; hundreds of them at 25 ms have kept five from it before.

The interval between asks doubles with each failure, up to 400 ms. A run of an entry with a lower incarnation, after its clock was set back, is answered once the tokens of the earlier run have expired; it was refused for the whole term.

--- a/quota/holder.go
+++ b/quota/holder.go
@@ -63,6 +63,8 @@
 	// urgentAt is when an ask is due that can't wait for AskInterval; zero means
 	// none.
 	urgentAt time.Time
+	// failures counts the asks in a row that were abandoned.
+	failures int
 }
 
 // NewHolder returns the Holder of a run of an entry.
@@ -167,12 +169,19 @@
 	if !h.urgentAt.IsZero() && h.urgentAt.Before(due) {
 		due = h.urgentAt
 	}
-	if earliest := h.sentAt.Add(MinAskInterval); due.Before(earliest) {
+	if earliest := h.sentAt.Add(h.minInterval()); due.Before(earliest) {
 		return earliest
 	}
 	return due
 }
 
+// minInterval returns the minimum time between two asks. It doubles while no
+// leader answers: hundreds of entries that each look for one every 25 ms kept
+// control instances from electing one.
+func (h *Holder) minInterval() time.Duration {
+	return min(MinAskInterval<<min(h.failures, 8), maxAskInterval)
+}
+
 // Ask returns the next ask, which the caller sends at once to one instance. It
 // must be followed by Answer or Abandon.
 func (h *Holder) Ask(now time.Time) azurestair.QuotaAsk {
@@ -226,6 +235,7 @@
 		}
 	}
 	h.inFlight = nil
+	h.failures++
 }
 
 // Answer processes an answer and returns the decisions on waiting requests. It
@@ -239,7 +249,7 @@
 		h.Abandon(ans.Sequence)
 		return nil
 	}
-	h.term = ans.Term
+	h.term, h.failures = ans.Term, 0
 	var decisions []Decision
 	idle := false
 	for i, a := range h.inFlight {
--- a/quota/issuer.go
+++ b/quota/issuer.go
@@ -77,6 +77,16 @@
 // one that is delivered late is recognized. Calls time out long before.
 const holderRetention = time.Minute
 
+// overtakes reports whether an ask was sent before the last known one. A clock
+// that was set back gives a later run a lower incarnation, which counts once the
+// earlier one has no tokens left.
+func (h *holderState) overtakes(ask azurestair.QuotaAsk, now time.Time) bool {
+	if ask.Incarnation < h.incarnation {
+		return now.Sub(h.askedAt) < issuerLeaseTime
+	}
+	return ask.Incarnation == h.incarnation && ask.Sequence <= h.sequence
+}
+
 func (i *Issuer) isQuiet(now time.Time) bool { return now.Before(i.quietUntil) }
 
 // Answer answers an ask. It returns ErrConflict for one that was overtaken by a
@@ -87,7 +97,7 @@
 		h = &holderState{}
 		i.holders[ask.Holder] = h
 	}
-	if ask.Incarnation < h.incarnation || (ask.Incarnation == h.incarnation && ask.Sequence <= h.sequence) {
+	if h.overtakes(ask, now) {
 		return azurestair.QuotaAnswer{}, fmt.Errorf("%w: quota ask %d of %s was overtaken", azurestair.ErrConflict, ask.Sequence, ask.Holder)
 	}
 	*h = holderState{incarnation: ask.Incarnation, sequence: ask.Sequence, askedAt: now}
--- a/quota/issuer_test.go
+++ b/quota/issuer_test.go
@@ -46,7 +46,7 @@
 	Expect(answer(i, ask(holder, seq, azurestair.QuotaDemand{Waiting: waiting}), now).Granted).To(Equal(want))
 }
 
-func statusOf(i *Issuer, now time.Time) Status {
+func statusOf(i *Issuer, now time.Time) azurestair.QuotaStatus {
 	GinkgoHelper()
 	all := i.Status(now)
 	Expect(all).To(HaveLen(1))
--- a/quota/limits.go
+++ b/quota/limits.go
@@ -18,6 +18,8 @@
 	MaxWait = 150 * time.Millisecond
 	// MinAskInterval is the minimum time between two asks.
 	MinAskInterval = 50 * time.Millisecond
+	// maxAskInterval is that time while no leader answers.
+	maxAskInterval = 400 * time.Millisecond
 	// AskInterval is the time between two asks when no request waits.
 	AskInterval = 500 * time.Millisecond
 	// refillInterval is the minimum time between two asks if no request waits,
--- a/quota/status.go
+++ b/quota/status.go
@@ -39,39 +39,21 @@
 	u.total.unreachable += c.unreachable
 }
 
-// Status is what the leader knows of a workspace.
-type Status struct {
-	Workspace azurestair.WorkspaceName `json:"workspace"`
-	Limit     azurestair.PerSecond     `json:"limit"`
-	// Rate is the rate of the admitted requests in the last second.
-	Rate azurestair.PerSecond `json:"rate"`
-	// Leased is the number of tokens that entries hold, and Available the number
-	// of those that can still be leased.
-	Leased    azurestair.Tokens `json:"leased"`
-	Available azurestair.Tokens `json:"available"`
-	// Admitted, OverLimit and Unreachable count requests since the term began:
-	// those that used a token, those refused because the workspace was over its
-	// limit and those refused because their entry did not reach the leader.
-	Admitted    azurestair.Tokens `json:"admitted"`
-	OverLimit   azurestair.Tokens `json:"overLimit"`
-	Unreachable azurestair.Tokens `json:"unreachable"`
-}
-
 // Status returns the state of all workspaces with a limit, sorted by name.
-func (i *Issuer) Status(now time.Time) []Status {
-	var all []Status
+func (i *Issuer) Status(now time.Time) []azurestair.QuotaStatus {
+	var all []azurestair.QuotaStatus
 	for name, b := range i.buckets {
 		if !b.limited {
 			continue
 		}
 		b.advance(now, i.quietUntil)
-		all = append(all, Status{
+		all = append(all, azurestair.QuotaStatus{
 			Workspace: name, Limit: azurestair.PerSecond(b.rate), Rate: b.usage.admitted.rate(now),
 			Leased: b.outstanding, Available: azurestair.Tokens(b.level), Admitted: b.usage.total.used,
 			OverLimit: b.usage.total.overLimit, Unreachable: b.usage.total.unreachable,
 		})
 	}
-	slices.SortFunc(all, func(x, y Status) int { return cmp.Compare(x.Workspace, y.Workspace) })
+	slices.SortFunc(all, func(x, y azurestair.QuotaStatus) int { return cmp.Compare(x.Workspace, y.Workspace) })
 	return all
 }
 
--- a/quotalease.go
+++ b/quotalease.go
@@ -1,6 +1,9 @@
 package azurestair
 
-import "fmt"
+import (
+	"context"
+	"fmt"
+)
 
 // Tokens is a number of requests that may be sent to upstreams.
 type Tokens int64
@@ -15,6 +18,30 @@
 	maxQuotaDelayMs Millis = 60_000
 )
 
+// QuotaAsker asks the leader for rate tokens. An ask is sent to one instance
+// only and is not repeated.
+type QuotaAsker interface {
+	AskQuota(ctx context.Context, ask QuotaAsk) (QuotaAnswer, error)
+}
+
+// QuotaStatus is what the leader knows of the rate limit of a workspace.
+type QuotaStatus struct {
+	Workspace WorkspaceName `cbor:"1,keyasint" json:"workspace"`
+	Limit     PerSecond     `cbor:"2,keyasint" json:"limit"`
+	// Rate is the rate of the admitted requests in the last second.
+	Rate PerSecond `cbor:"3,keyasint" json:"rate"`
+	// Leased is the number of tokens that entries hold, and Available the number
+	// of those that can still be leased.
+	Leased    Tokens `cbor:"4,keyasint" json:"leased"`
+	Available Tokens `cbor:"5,keyasint" json:"available"`
+	// Admitted counts the requests that used a token since the term of the leader
+	// began. OverLimit are those refused because the workspace was over its limit,
+	// Unreachable those whose entry got no answer or no token in time.
+	Admitted    Tokens `cbor:"6,keyasint" json:"admitted"`
+	OverLimit   Tokens `cbor:"7,keyasint" json:"overLimit"`
+	Unreachable Tokens `cbor:"8,keyasint" json:"unreachable"`
+}
+
 // QuotaAsk is the request of an entry for rate tokens.
 type QuotaAsk struct {
 	Holder      InstanceID  `cbor:"1,keyasint" json:"holder"`
