Add the call by which entries ask the leader for rate tokens

An entry needs tokens while requests wait, several times a second. Reports are once a second and carry much else.

Queries can read the state of the limits.

--- a/control/query.go
+++ b/control/query.go
@@ -18,6 +18,8 @@
 	// Local requests the state that the receiving replica has applied, which
 	// may be behind. It is also answered while there is no leader.
 	Local bool `cbor:"5,keyasint,omitempty"`
+	// Quotas requests the rate limits of the workspaces.
+	Quotas bool `cbor:"7,keyasint,omitempty"`
 	// Departure requests the propagation state of a departure.
 	Departure *azurestair.Departure `cbor:"6,keyasint,omitempty"`
 }
@@ -50,6 +52,8 @@
 	// Departure is set by the leader, which knows the revisions that the
 	// entries hold.
 	Departure *DepartureStatus `cbor:"5,keyasint,omitempty"`
+	// Quotas is set by the leader, which leases the rate tokens.
+	Quotas []azurestair.QuotaStatus `cbor:"6,keyasint,omitempty"`
 }
 
 // Query reads parts of the state.
--- a/operator/messages.go
+++ b/operator/messages.go
@@ -163,6 +163,9 @@
 	Refusals      map[azurestair.Reason]int64  `json:"refusals"`
 	Outcomes      map[azurestair.Outcome]int64 `json:"outcomes"`
 	Replica       *ReplicaStatus               `json:"replica,omitempty"`
+	// Workspaces holds the rate limits as the leader knows them; it is empty
+	// while no leader answers.
+	Workspaces []azurestair.QuotaStatus `json:"workspaces,omitempty"`
 }
 
 // ReplicaStatus is the state of the replicated log on an instance.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -50,6 +50,7 @@
 // validMessages holds values of each message type; invalidMessages holds values
 // that must be rejected.
 var validMessages = []any{
+	&quotaAsk, &quotaAnswer,
 	&azurestair.Report{Instance: instance, Announcements: []azurestair.Announcement{announcement}, Demands: []azurestair.Demand{{Want: 3}}},
 	&azurestair.ReportReply{Term: 1, Delta: &azurestair.SnapshotDelta{Base: 1, Revision: 2, Upstreams: []azurestair.UpstreamInfo{{Announcement: announcement}}}},
 	&azurestair.Report{Instance: instance, Traffic: []azurestair.Traffic{{Service: "desk", Rate: 3, MeanSlots: 1.5}}},
@@ -107,6 +108,10 @@
 		return &azurestair.Command{}
 	case *azurestair.RaftMessage:
 		return &azurestair.RaftMessage{}
+	case *azurestair.QuotaAsk:
+		return &azurestair.QuotaAsk{}
+	case *azurestair.QuotaAnswer:
+		return &azurestair.QuotaAnswer{}
 	default:
 		return &control.Query{}
 	}
@@ -251,6 +256,10 @@
 	return h.held, h.respond(ctx)
 }
 
+func (h *fakeHandler) AskQuota(ctx context.Context, ask azurestair.QuotaAsk) (azurestair.QuotaAnswer, error) {
+	return azurestair.QuotaAnswer{Term: 7, Sequence: ask.Sequence, Grants: make([]azurestair.QuotaGrant, len(ask.Demands))}, h.respond(ctx)
+}
+
 // panickingHandler panics in reports while isOn is set.
 type panickingHandler struct {
 	fakeHandler
--- a/peer/server.go
+++ b/peer/server.go
@@ -23,6 +23,7 @@
 type Handler interface {
 	azurestair.Proposer
 	azurestair.Reporter
+	azurestair.QuotaAsker
 	// Query reads the control state of the leader.
 	Query(ctx context.Context, q control.Query) (control.QueryResult, error)
 	// Step processes a raft message. It must not block for long.
@@ -139,6 +140,7 @@
 			unary("Query", (*service).Query),
 			unary("Notify", notify),
 			unary("Held", held),
+			unary("Quota", (*service).AskQuota),
 		},
 		Streams: []grpc.StreamDesc{{StreamName: "Step", Handler: stepStream, ClientStreams: true}},
 	}
