Enforce the rate limits of workspaces at the entries

The limit of a workspace holds over all entries together; each entry needs to admit, delay or refuse a request without a call for each.

The gate of an entry takes a token before a request gets a slot, lets a request without one wait for the next answer for at most 150 ms, and returns the token of a request that did not run. 429 with the reason quota means that the workspace is over its limit, 503 with quotaUnreachable that the entry does not know. The leader answers on its control goroutine from soft state that starts anew with each term. Operators see the limits in the status, in metrics of up to 200 workspaces and in log lines at a bounded rate.

Three entries and a leader in one process admit no more than the limit, and an entry that is cut off refuses once its tokens are used up.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -238,7 +238,7 @@
 	case azurestair.OutcomeInvalid:
 		return invalidStatus(r.Reason)
 	}
-	if r.Reason == azurestair.ReasonCallerShare {
+	if r.Reason == azurestair.ReasonCallerShare || r.Reason == azurestair.ReasonQuota {
 		return http.StatusTooManyRequests
 	}
 	return http.StatusServiceUnavailable
--- a/instance/backend.go
+++ b/instance/backend.go
@@ -54,6 +54,7 @@
 		st.Replica = replicaStatus(r)
 		st.Leader = r.Raft.Leader
 	}
+	st.Workspaces = b.quotaStatus(ctx)
 	return st
 }
 
--- a/instance/claim.go
+++ b/instance/claim.go
@@ -45,7 +45,7 @@
 	if reason := c.readBody(); reason != azurestair.ReasonNone {
 		return clearUnprovenNotRun(c.req, bodyReply(reason))
 	}
-	if reason := c.dispatcher.admit(ctx, c.work); reason != azurestair.ReasonNone {
+	if reason := c.admit(ctx); reason != azurestair.ReasonNone {
 		return c.refuseKeyed(ctx, reason)
 	}
 	return c.releaseSlotAfter(c.claimAndSend(ctx))
--- a/instance/contacts.go
+++ b/instance/contacts.go
@@ -6,6 +6,7 @@
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/control"
 	"azurestair.example/azurestair/peer"
+	"azurestair.example/azurestair/settings"
 )
 
 const (
@@ -91,3 +92,14 @@
 	}
 	return out
 }
+
+// otherVoters returns the configured voters without this instance.
+func otherVoters(s settings.Settings) []peer.Address {
+	var out []peer.Address
+	for _, a := range addresses(s) {
+		if a.ID != s.Instance.ID {
+			out = append(out, a)
+		}
+	}
+	return out
+}
--- a/instance/entry.go
+++ b/instance/entry.go
@@ -38,6 +38,8 @@
 	metrics        *processMetrics
 	makeDispatcher dispatcherFactory
 	linkPacer      *linkPacer
+	// quota admits requests by the rate limits of workspaces; it may be nil.
+	quota *quotaGate
 	// maxInFlight bounds the requests in progress; zero means no limit.
 	maxInFlight int64
 
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -51,6 +51,7 @@
 	}
 	r.registry.Expire(now)
 	r.publish(now)
+	r.updateQuotas(now)
 	r.introduce(now)
 	r.proposeHolderChanges(now)
 	r.maintainMembership(now)
@@ -280,6 +281,9 @@
 	if q.Instances && r.registry != nil {
 		res.Instances = r.registry.Instances()
 	}
+	if q.Quotas {
+		res.Quotas = r.quotaStatus(now)
+	}
 	return res
 }
 
--- a/instance/process.go
+++ b/instance/process.go
@@ -184,6 +184,7 @@
 		e.upstreamClient.SetDialect(o.FrontEnd.Dialect, o.FrontEnd.MaxReuseIdle)
 	}
 	e.linkPacer = &linkPacer{entry: e, limiters: map[azurestair.Resource]*routing.LinkPacer{}}
+	e.quota = newQuotaGate(e.self, o.Clock, log, m)
 	return e
 }
 
@@ -305,6 +306,7 @@
 		p.wg.Go(func() { p.notifier.run(ctx) })
 	}
 	p.wg.Go(func() { p.reporter.run(ctx) })
+	p.startQuota(ctx)
 	if fetcher != nil {
 		p.wg.Go(func() { p.entry.leaving.run(ctx) })
 		p.wg.Go(func() { fetcher.run(ctx) })
@@ -343,16 +345,6 @@
 	}
 }
 
-func otherVoters(s settings.Settings) []peer.Address {
-	var out []peer.Address
-	for _, a := range addresses(s) {
-		if a.ID != s.Instance.ID {
-			out = append(out, a)
-		}
-	}
-	return out
-}
-
 // post queues an event for the control goroutine.
 func (p *Process) post(e event) { _ = p.controller.post(context.Background(), e) }
 
--- a/instance/serve.go
+++ b/instance/serve.go
@@ -25,6 +25,7 @@
 	// names its operation.
 	route *azurestair.Route
 	body  requestBody
+	quota quotaUse
 	// releaseOnce ensures that the admitted slot is released only once.
 	releaseOnce sync.Once
 }
@@ -113,12 +114,12 @@
 		c.body.close()
 	}
 	if c.isUnkeyed() {
-		return releaseOnClose(c.serveUnkeyed(ctx), done)
+		return releaseOnClose(c.settleQuota(c.serveUnkeyed(ctx)), done)
 	}
 	if op.Idempotent {
-		return releaseOnClose(clearUnprovenNotRun(r, c.serveIdempotent(ctx)), done)
+		return releaseOnClose(clearUnprovenNotRun(r, c.settleQuota(c.serveIdempotent(ctx))), done)
 	}
-	return releaseOnClose(c.serveAtMostOnce(ctx), done)
+	return releaseOnClose(c.settleQuota(c.serveAtMostOnce(ctx)), done)
 }
 
 // maxRouteAge is how old the leader's last reply may be for a request without a
@@ -179,7 +180,7 @@
 	if reason := c.readBody(); reason != azurestair.ReasonNone {
 		return bodyReply(reason)
 	}
-	if reason := c.dispatcher.admit(ctx, c.work); reason != azurestair.ReasonNone {
+	if reason := c.admit(ctx); reason != azurestair.ReasonNone {
 		return refusedReply(reason)
 	}
 	reply := c.releaseSlotAfter(c.runAttempts(ctx, nil))
@@ -323,7 +324,7 @@
 	if reason := c.readBody(); reason != azurestair.ReasonNone {
 		return bodyReply(reason)
 	}
-	if reason := c.dispatcher.admit(ctx, c.work); reason != azurestair.ReasonNone {
+	if reason := c.admit(ctx); reason != azurestair.ReasonNone {
 		return refusedReply(reason)
 	}
 	return c.releaseSlotAfter(c.runAttempts(ctx, nil))
