--- a/instance/process.go
+++ b/instance/process.go
@@ -183,7 +183,7 @@
 		e.upstreamClient.SetDialect(o.FrontEnd.Dialect, o.FrontEnd.MaxReuseIdle)
 	}
 	e.linkPacer = &linkPacer{entry: e, limiters: map[azurestair.Resource]*routing.LinkPacer{}}
-	e.quota = newQuotaGate(e.self, o.Clock, log, m)
+	e.quota = newQuotaGate(e.self, o.LeaseClock, log, m)
 	return e
 }
 
--- a/instance/quotagate.go
+++ b/instance/quotagate.go
@@ -12,16 +12,12 @@
 	"azurestair.example/azurestair/quota"
 )
 
-// leaseClock is the clock of the leases of rate tokens. It must also count the
-// time in which the process is suspended.
-type leaseClock interface {
-	Now() time.Time
-}
-
 // quotaGate admits the requests of workspaces with a rate limit at an entry and
 // asks the leader for rate tokens. A nil gate admits all requests.
 type quotaGate struct {
-	clock leaseClock
+	// clock is the lease clock: leases of tokens end while the process is
+	// suspended.
+	clock azurestair.Clock
 	asker azurestair.QuotaAsker
 	log   *slog.Logger
 	stats *quotaStats
@@ -45,7 +41,7 @@
 	names  map[azurestair.WorkspaceName]bool
 }
 
-func newQuotaGate(self azurestair.InstanceInfo, clock leaseClock, log *slog.Logger, m *processMetrics) *quotaGate {
+func newQuotaGate(self azurestair.InstanceInfo, clock azurestair.Clock, log *slog.Logger, m *processMetrics) *quotaGate {
 	return &quotaGate{
 		clock: clock, log: log, stats: newQuotaStats(m.registry, log), wake: make(chan struct{}, 1),
 		holder: quota.NewHolder(self.ID, self.Incarnation), waiting: map[quota.Ticket]chan quota.Decision{},
@@ -92,7 +88,7 @@
 		g.signal()
 	}
 	if decided != nil {
-		d = g.wait(ctx, w, d.Ticket, decided, now)
+		d = g.wait(ctx, w.Workspace, d.Ticket, decided)
 	}
 	g.stats.count(w.Workspace, d.Verdict, now)
 	return d
@@ -105,9 +101,14 @@
 	}
 }
 
-// wait waits for the decision on a request, but not past its deadline.
-func (g *quotaGate) wait(ctx context.Context, w azurestair.RequestInfo, t quota.Ticket, decided <-chan quota.Decision, now time.Time) quota.Decision {
-	timer := time.NewTimer(min(quota.MaxWait, w.Deadline.Sub(now)-replyReserve))
+// wait waits for the decision on a request, but not past the deadline of ctx.
+// That deadline is not one of the lease clock.
+func (g *quotaGate) wait(ctx context.Context, name azurestair.WorkspaceName, t quota.Ticket, decided <-chan quota.Decision) quota.Decision {
+	limit := quota.MaxWait
+	if deadline, ok := ctx.Deadline(); ok {
+		limit = min(limit, time.Until(deadline)-replyReserve)
+	}
+	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
 	case d := <-decided:
@@ -116,7 +117,7 @@
 	case <-ctx.Done():
 	}
 	g.mu.Lock()
-	d, ok := g.holder.Cancel(w.Workspace, t, g.clock.Now())
+	d, ok := g.holder.Cancel(name, t, g.clock.Now())
 	delete(g.waiting, t)
 	g.mu.Unlock()
 	if !ok {
--- a/instance/serve.go
+++ b/instance/serve.go
@@ -116,9 +116,6 @@
 		cancel()
 		c.body.close()
 	}
-	if reason := e.admitQuota(ctx, c.work); reason != azurestair.ReasonNone {
-		return releaseOnClose(clearUnprovenNotRun(r, refusedReply(reason)), done)
-	}
 	if c.isUnkeyed() {
 		return releaseOnClose(c.settleQuota(c.serveUnkeyed(ctx)), done)
 	}
