Count an answer as contact only if it confirms the configuration

Each such answer prolonged the lease of keys, and the time within which unknown paths and keys are rejected, for an entry whose configuration was already replaced.

Cause: an answer without an update was taken to mean that there is none.

Change: answers name the leader's newest configuration.

--- a/budget.go
+++ b/budget.go
@@ -175,6 +175,11 @@
 	// under the same instance id; zero if there is none. If it is set, all
 	// other fields are unset.
 	SupersededBy Incarnation `cbor:"9,keyasint,omitempty" json:"superseded,omitempty"`
+	// NewestConfig is the version of the leader's configuration. If the snapshot
+	// of the instance has an older one after this reply, the reply does not
+	// confirm it: a new leader publishes nothing for some seconds. Zero is sent
+	// by earlier programs and without a configuration.
+	NewestConfig ConfigVersion `cbor:"12,keyasint,omitempty" json:"newestConfig,omitempty"`
 }
 
 // Validate checks the reply.
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -251,7 +251,7 @@
 	r.publish(now)
 	r.reportReceiver.SetGrants(report, r.grants(report, now), &reply)
 	r.proposeHolderChanges(now)
-	reply.Term = r.leaderTerm
+	reply.Term, reply.NewestConfig = r.leaderTerm, r.state.Config().Version
 	reply.ControlTTLMs = controlTTL
 	reply.Delta, reply.Snapshot = r.publisher.Delta(report.SnapshotTerm, report.SnapshotRevision)
 	return reply, nil
--- a/instance/member.go
+++ b/instance/member.go
@@ -346,7 +346,7 @@
 	if d := e.sent.Add(e.reply.ControlTTLMs.Duration()); d.After(m.controlDeadline) {
 		m.controlDeadline = d
 	}
-	m.heardAt = e.sent
+	m.heardAt = m.confirmedAt(e)
 	m.signalLeaderReached()
 	m.saveForNextRun()
 	m.holder.Apply(grants, e.sent, now)
--- a/instance/view.go
+++ b/instance/view.go
@@ -24,7 +24,8 @@
 	// controlDeadline is the time until which this instance may assume that its
 	// configuration is the newest.
 	controlDeadline time.Time
-	// heardAt is the send time of the last report that the leader answered.
+	// heardAt is the send time of the last report to which the leader's answer
+	// confirmed the configuration.
 	heardAt time.Time
 	// contact tells how far the configuration can be trusted to have all API
 	// keys, and no revoked ones.
--- a/instance/workspaces.go
+++ b/instance/workspaces.go
@@ -20,6 +20,16 @@
 	return configIndex{routes: routing.NewRoutes(cfg), workspaces: workspace.NewIndex(cfg)}
 }
 
+// confirmedAt returns the time at which the configuration in the snapshot was
+// last known to be the newest, after a reply was applied. A leader that does not
+// publish snapshots yet may have acknowledged a newer one.
+func (m *Member) confirmedAt(e reportDoneEvent) time.Time {
+	if e.reply.NewestConfig > m.snapshot.ConfigVersion() {
+		return m.heardAt
+	}
+	return e.sent
+}
+
 // contact returns how far the configuration in the snapshot can be trusted.
 func (m *Member) contact() workspace.Contact {
 	heardAt := m.heardAt
--- a/instance/workspaces_test.go
+++ b/instance/workspaces_test.go
@@ -174,6 +174,24 @@
 		f.expectRejected(f.get("/read/1", "k-1"), azurestair.OutcomeRefused, azurestair.ReasonKeysUnknown)
 	})
 
+	// Guards against a lease that is prolonged by a new leader which does not
+	// publish snapshots yet: it may already have acknowledged a revocation.
+	ginkgo.It("with a key is not served longer because of an answer without the newest configuration", func() {
+		for range 5 {
+			f.clk.advance(time.Second)
+			f.member.handleReportDone(reportDoneEvent{
+				sent: f.clk.Now(), reply: azurestair.ReportReply{Term: 6, ControlTTLMs: 3000, NewestConfig: 8},
+			}, f.clk.Now())
+		}
+		f.expectRejected(f.get("/read/1", "k-1"), azurestair.OutcomeRefused, azurestair.ReasonKeysUnknown)
+		f.expectRejected(f.get("/read/1", "nosuch"), azurestair.OutcomeRefused, azurestair.ReasonKeysUnknown)
+		f.expectRejected(f.get("/nosuch/1"), azurestair.OutcomeRefused, azurestair.ReasonNotReady)
+		f.member.handleReportDone(reportDoneEvent{
+			sent: f.clk.Now(), reply: azurestair.ReportReply{Term: 6, ControlTTLMs: 3000, NewestConfig: 7},
+		}, f.clk.Now())
+		f.expectServed(f.get("/read/1", "k-1"), "acme")
+	})
+
 	// Guards against a lease that counts from the receipt of an answer: the key
 	// may have been revoked while the answer was on its way.
 	ginkgo.It("with a key is served for a time that counts from the report", func() {
@@ -383,3 +401,24 @@
 		Expect(report(l, 0)).To(Succeed(), "itself")
 	})
 })
+
+// Guards against an answer of a leader that does not publish yet, from which an
+// entry cannot tell that a newer configuration exists.
+var _ = ginkgo.It("a leader names its newest configuration also while it publishes nothing", func() {
+	l := newLeadingReplica()
+	done := make(chan proposeReply, 1)
+	l.propose(proposeEvent{reply: done, command: azurestair.Command{Config: &azurestair.ConfigChange{
+		Change: azurestair.Change{ID: "c1", Operator: "o", Reason: "first"}, Config: *workspaceSnapshot(0, workspaceOf("acme", "k-1")).Config,
+	}}}, l.now)
+	l.run(2)
+	Expect((<-done).result.Code).To(Equal(azurestair.ResultAccepted))
+	// Another term begins without a snapshot.
+	l.leaderTerm--
+	l.updateLeaderState(l.now, nil, nil)
+	reply, err := l.report(azurestair.Report{Number: 1, Instance: azurestair.InstanceInfo{
+		ID: "e1", Incarnation: 1, CallerAddr: "127.0.0.1:1", PeerAddr: "127.0.0.1:2", Region: "huye", FailureDomain: "huye-a",
+	}}, l.now)
+	Expect(err).NotTo(HaveOccurred())
+	Expect([]any{reply.Snapshot, reply.Delta}).To(HaveEach(BeNil()))
+	Expect(reply.NewestConfig).To(BeEquivalentTo(1))
+})
