Send no claimed request after a suspension past its deadline

A payment whose machine was suspended between the grant of its claim and the first byte was sent on resumption, however late: the deadline by the monotonic clock had time left. Operators could not see in the log whose request was refused.

Cause: the check before the send used the system clock only; log lines named the client block.

Change: the claim's deadline is kept by the lease clock as well and checked before the send. Lines about requests name the workspace, never the key or its digest.

Result: "sends nothing for a claim whose deadline passed meanwhile" and "is logged with its workspace and without its key" failed before and pass now; `go test -race ./instance` passes.

--- a/caller/request.go
+++ b/caller/request.go
@@ -35,6 +35,8 @@
 	// digest. The key itself is not kept.
 	HasAPIKey bool
 	APIKey    azurestair.KeyDigest
+	// Workspace is set by Serve once the workspace of the key is known.
+	Workspace azurestair.WorkspaceName
 	Caller    azurestair.CallerID
 	// Deadline is zero if the caller gave none.
 	Deadline time.Time
--- a/instance/claim.go
+++ b/instance/claim.go
@@ -82,11 +82,13 @@
 }
 
 func (c *call) newClaim() azurestair.Claim {
+	remaining := max(time.Millisecond, c.work.Deadline.Sub(c.entry.clock.Now()))
+	c.sendBy = c.entry.leaseNow().Add(remaining)
 	return azurestair.Claim{
 		Service: c.work.Service, Operation: c.work.Operation, Key: c.req.Key, Workspace: c.work.Workspace, Fingerprint: c.fingerprint(),
 		Instance: c.entry.self.ID, Incarnation: c.entry.self.Incarnation, Attempt: c.entry.claimAttempts.Add(1),
 		Deadline:    azurestair.UnixMillisOf(c.work.Deadline),
-		RemainingMs: azurestair.MillisOf(max(time.Millisecond, c.work.Deadline.Sub(c.entry.clock.Now()))),
+		RemainingMs: azurestair.MillisOf(remaining),
 	}
 }
 
@@ -160,8 +162,9 @@
 func (c *call) sendClaimed(ctx context.Context, claim azurestair.Claim) caller.Reply {
 	reply := c.runAttempts(ctx, func() error {
 		// A process that was suspended after the claim was granted must not
-		// send the request after its deadline.
-		if !c.entry.clock.Now().Before(c.work.Deadline) {
+		// send the request after its deadline, also if its machine was suspended
+		// with it.
+		if !c.entry.clock.Now().Before(c.work.Deadline) || !c.entry.leaseNow().Before(c.sendBy) {
 			return azurestair.ErrDeadline
 		}
 		return nil
--- a/instance/clock_test.go
+++ b/instance/clock_test.go
@@ -93,6 +93,21 @@
 		Expect(r.freeSlots()).To(BeZero())
 	})
 
+	// Guards against a payment that is sent long after its caller gave up,
+	// because the machine was suspended after the claim was granted.
+	ginkgo.It("sends nothing for a claim whose deadline passed meanwhile", func() {
+		clk := &suspendedClock{fakeClock: newFakeClock()}
+		ledger := &fakeLedger{}
+		r := newEntryFixture(clk.fakeClock, ledger, newFakeUpstream())
+		r.leaseClock = clk
+		ledger.afterApply = func() { clk.suspended = longTimeout }
+		resp := r.sendDefault("pay", "p1", longTimeout)
+		expectConsistentReply(r, resp, true)
+		Expect(r.upstream.ran.Load()).To(BeZero())
+		Expect(resp.Outcome).To(Equal(azurestair.OutcomeRefused))
+		Eventually(func() azurestair.ClaimState { return ledger.stateOf("p1") }).Should(Equal(azurestair.ClaimNotRun))
+	})
+
 	// Guards against timestamps in the log, and deadlines of claims, that are
 	// ahead of the time of day.
 	ginkgo.It("records the time of day in the log", func() {
--- a/instance/requestlog.go
+++ b/instance/requestlog.go
@@ -50,6 +50,9 @@
 		"notRun", reply.NotRun, "status", reply.Status, "attempts", reply.Attempts, "upstream", reply.Upstream,
 		"tookMs", took.Milliseconds(), "caller", r.Caller,
 	}
+	if r.Workspace != "" {
+		args = append(args, "workspace", r.Workspace)
+	}
 	if v := e.view.Load(); v != nil {
 		args = append(args, "configVersion", v.snapshot.ConfigVersion(), "revision", v.snapshot.Revision, "heardMs", e.leaseNow().Sub(v.heardAt).Milliseconds())
 	}
--- a/instance/serve.go
+++ b/instance/serve.go
@@ -25,6 +25,8 @@
 	// names its operation.
 	route *azurestair.Route
 	body  requestBody
+	// sendBy is the deadline of the claim by the lease clock.
+	sendBy time.Time
 	// releaseOnce ensures that the admitted slot is released only once.
 	releaseOnce sync.Once
 }
--- a/instance/workspaces.go
+++ b/instance/workspaces.go
@@ -52,6 +52,7 @@
 	reason := d.Verdict.Reason()
 	if d.Identity != nil {
 		reason = d.Identity.Assign(&c.work)
+		c.req.Workspace = c.work.Workspace
 	}
 	switch reason {
 	case azurestair.ReasonNone:
--- a/instance/workspaces_test.go
+++ b/instance/workspaces_test.go
@@ -1,7 +1,9 @@
 package instance
 
 import (
+	"bytes"
 	"context"
+	"encoding/hex"
 	"log/slog"
 	"net/http"
 	"strings"
@@ -138,6 +140,20 @@
 		f.expectRejected(f.get("/read/1", "k-1", "k-1"), azurestair.OutcomeInvalid, azurestair.ReasonWorkspaceKeyUnknown)
 	})
 
+	// Guards against a key in the log, and against lines from which an operator
+	// cannot tell whose request it was.
+	ginkgo.It("is logged with its workspace and without its key", func() {
+		var log bytes.Buffer
+		f.log = slog.New(slog.NewTextHandler(&log, nil))
+		f.get("/read/1", "k-1")
+		f.get("/read/1", "nosuch")
+		Expect(log.String()).To(And(ContainSubstring(" workspace=acme"), ContainSubstring("reason="+string(azurestair.ReasonWorkspaceKeyUnknown))))
+		digest := azurestair.KeyDigestOf("nosuch")
+		for _, secret := range []string{"k-1", "nosuch", hex.EncodeToString(digest[:])} {
+			Expect(log.String()).NotTo(ContainSubstring(secret))
+		}
+	})
+
 	// Guards against planning of regions, and retries, for requests that are
 	// rejected for want of a key.
 	ginkgo.It("counts as traffic of the service only if its key is known", func() {
