Assign published objects to upstreams by their demand

Callers saw attempts turned away while other upstreams were idle: all entries send the requests for an object to the one upstream that leads its ranking, so that a frequent object fills it, and most upstreams have no frequent object.

From it and the list of upstreams each entry computes the same assignment: objects in the order of their demand, each with as many upstreams of its ranking as its demand needs, none of which gets more than 1.15 times the mean. An entry uses the copies of an object in turn, in an order of its own, and passes over a copy that is more than one slot busier than the next two. Overflow, cold limits, ejections, pauses and home regions apply as before. The picker counts the requests for each object with the space-saving algorithm, 256 objects at most.

Without Defaults.SpreadObjects the choices are the same: a test compares the digest of 5,000 choices with the one of the code before. The ranking of an object that is not published is read from a heap instead of sorted.

--- a/budget.go
+++ b/budget.go
@@ -104,6 +104,9 @@
 	// Fleet is the fleet that the instance belongs to; empty if it does not
 	// know. A report with RepeatOf omits it.
 	Fleet FleetID `cbor:"12,keyasint,omitempty" json:"fleet,omitempty"`
+	// Objects holds the rates of frequent objects, a part of them in each
+	// report. It is empty without Defaults.SpreadObjects.
+	Objects []ObjectTraffic `cbor:"13,keyasint,omitempty" json:"objects,omitempty"`
 }
 
 // ReportNumber numbers the reports of an instance, starting at 1.
@@ -132,6 +135,9 @@
 	if err := validateAll("elements of traffic", r.Traffic, MaxTraffic); err != nil {
 		return err
 	}
+	if err := validateAll("elements of objects", r.Objects, MaxTraffic); err != nil {
+		return err
+	}
 	if err := r.Fleet.Validate(); err != nil {
 		return err
 	}
@@ -205,6 +211,9 @@
 	Plans []RegionPlan `cbor:"11,keyasint,omitempty" json:"plans,omitempty"`
 	// Fleet is set if Config is.
 	Fleet FleetID `cbor:"12,keyasint,omitempty" json:"fleet,omitempty"`
+	// Objects holds the changed objects of the plans. A demand of zero removes
+	// an object.
+	Objects []ObjectPlan `cbor:"13,keyasint,omitempty" json:"objects,omitempty"`
 }
 
 // Validate checks the delta.
@@ -212,6 +221,6 @@
 	if d.Revision <= d.Base {
 		return fmt.Errorf("%w: delta from revision %d to %d", ErrInvalid, d.Base, d.Revision)
 	}
-	s := Snapshot{Config: d.Config, Instances: d.Instances, Upstreams: d.Upstreams, Plans: d.Plans, Fleet: d.Fleet}
+	s := Snapshot{Config: d.Config, Instances: d.Instances, Upstreams: d.Upstreams, Plans: d.Plans, Fleet: d.Fleet, Objects: d.Objects}
 	return s.Validate()
 }
--- a/interfaces.go
+++ b/interfaces.go
@@ -114,6 +114,14 @@
 	Observe(c Choice, o Observation, now time.Time)
 }
 
+// CountingPicker is a Picker that counts the requests for each object.
+type CountingPicker interface {
+	Picker
+	// ObjectTraffic returns rates of the counted objects. Successive calls
+	// return different objects if there are more than MaxReportedObjects.
+	ObjectTraffic(now time.Time) []ObjectTraffic
+}
+
 // BudgetedPicker is implemented by a Picker that distributes a leased budget
 // over the upstreams.
 type BudgetedPicker interface {
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -68,11 +68,15 @@
 	serviceLatency float64
 	ranked         []candidate
 	events         []Event
+	// spread places the published objects; nil if none are to be published.
+	spread *spreader
 }
 
+// candidate is an upstream of a region, by its index, and its hash for an
+// object.
 type candidate struct {
-	upstream *upstream
-	hash     uint64
+	hash  uint64
+	index int
 }
 
 var (
@@ -80,6 +84,7 @@
 	_ azurestair.ConfirmingPicker = (*Picker)(nil)
 	_ azurestair.AbandoningPicker = (*Picker)(nil)
 	_ azurestair.ObservingPicker  = (*Picker)(nil)
+	_ azurestair.CountingPicker   = (*Picker)(nil)
 )
 
 // New returns a picker without upstreams.
@@ -122,6 +127,7 @@
 		if a.State != azurestair.StateServing || u.leaving || s.IsUpstreamDrained(a) || (skipUnconfirmed && !info.Confirmed) {
 			continue
 		}
+		u.removed = false
 		p.usableCount++
 		p.byRegion[a.Region] = append(p.byRegion[a.Region], u)
 	}
@@ -131,6 +137,7 @@
 		}
 	}
 	p.updatePlan()
+	p.updateSpread(s)
 }
 
 // suspectCapacity is the fraction of its slots with which a suspect upstream is
@@ -188,9 +195,12 @@
 	if !ok {
 		return azurestair.Choice{}, routing.ErrorFor(azurestair.ReasonNoUpstream)
 	}
+	if p.spread != nil && work.Object != 0 && len(avoid) == 0 {
+		p.spread.counter.add(object, region)
+	}
 	u := p.choose(region, object, work, avoid, now)
 	if u == nil {
-		return azurestair.Choice{}, p.refusal(now)
+		return azurestair.Choice{}, p.refusal(region, now)
 	}
 	trial := u.health.needsTrial(now)
 	if trial {
@@ -204,13 +214,12 @@
 	}, nil
 }
 
-// refusal returns the error for a request that none of the ranked upstreams can
-// take. If all of them have asked for a pause, it says when the first pause
+// refusal returns the error for a request that none of the upstreams of a
+// region can take. If all of them have asked for a pause, it says when the first pause
 // ends.
-func (p *Picker) refusal(now time.Time) error {
+func (p *Picker) refusal(region azurestair.RegionName, now time.Time) error {
 	var retryAt time.Time
-	for _, c := range p.ranked {
-		u := c.upstream
+	for _, u := range p.byRegion[region] {
 		if u.health.isEjected(now) {
 			continue
 		}
@@ -235,13 +244,17 @@
 // first of its ranking that have capacity, or nil. Upstreams in avoid are used
 // only if there is no other.
 func (p *Picker) choose(region azurestair.RegionName, object uint64, work azurestair.RequestInfo, avoid []azurestair.UpstreamID, now time.Time) *upstream {
-	p.rank(region, object)
+	if o := p.spread.placed(region, object); o != nil {
+		return p.choosePlaced(o, work, avoid, now)
+	}
+	list := p.byRegion[region]
+	p.ranked = rankAll(p.ranked[:0], list, object)
 	limit := maxLoad[work.Rank]
 	var best, avoided *upstream
 	var bestCost, avoidedCost float64
 	position := 0
-	for _, c := range p.ranked {
-		u := c.upstream
+	for len(p.ranked) > 0 {
+		u := list[popBest(&p.ranked)]
 		u.releaseExpired(now)
 		if u.health.isEjected(now) || u.isPaused(now) || !u.cold.allows(now) {
 			continue
@@ -291,15 +304,6 @@
 	return max(1, u.meanLatency/(p.serviceLatency*slowFactor))
 }
 
-// rank sorts the upstreams of a region by preference for an object.
-func (p *Picker) rank(region azurestair.RegionName, object uint64) {
-	p.ranked = p.ranked[:0]
-	for _, u := range p.byRegion[region] {
-		p.ranked = append(p.ranked, candidate{upstream: u, hash: combineHashes(object, u.seed)})
-	}
-	slices.SortFunc(p.ranked, func(a, b candidate) int { return cmp.Compare(b.hash, a.hash) })
-}
-
 // serviceLatencyGain is the weight of one response in the service's mean
 // latency.
 const serviceLatencyGain = 1.0 / 256
@@ -463,6 +467,7 @@
 
 // remove stops sending requests to an upstream until the next snapshot.
 func (p *Picker) remove(u *upstream) {
+	u.removed = true
 	for r, list := range p.byRegion {
 		p.byRegion[r] = slices.DeleteFunc(slices.Clone(list), func(o *upstream) bool { return o == u })
 	}
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -55,6 +55,9 @@
 	// true, whatever later snapshots say, until a new incarnation replaces this
 	// record.
 	leaving bool
+	// removed is true while the upstream is not in byRegion although the
+	// snapshot lists it as usable.
+	removed bool
 	// pausedUntil is the time until which the upstream wants no requests.
 	pausedUntil time.Time
 }
--- a/snapshot.go
+++ b/snapshot.go
@@ -20,6 +20,9 @@
 	// Plans is sorted by service and region.
 	Plans []RegionPlan `cbor:"8,keyasint,omitempty" json:"plans,omitempty"`
 	Fleet FleetID      `cbor:"9,keyasint,omitempty" json:"fleet,omitempty"`
+	// Objects is sorted by service and region. It is empty without
+	// Defaults.SpreadObjects.
+	Objects []ObjectPlan `cbor:"10,keyasint,omitempty" json:"objects,omitempty"`
 }
 
 // SnapshotVersion identifies a snapshot. The zero value identifies none.
@@ -133,6 +136,9 @@
 	if err := s.Fleet.Validate(); err != nil {
 		return err
 	}
+	if err := validateAll("plans of objects", s.Objects, MaxPlans); err != nil {
+		return err
+	}
 	return validateAll("plans", s.Plans, MaxPlans)
 }
 
