Plan the demand of frequent objects at the leader

Entries need one view of how much demand each object has to place it on the same upstreams.

Deltas carry the changed objects.

--- a/control/publisher.go
+++ b/control/publisher.go
@@ -82,6 +82,8 @@
 	planner                       RegionPlanner
 	// planAt is the earliest time of the next step of the plans.
 	planAt time.Time
+
+	objectPlanner ObjectPlanner
 }
 
 // revisionChange identifies what a revision changed. The values are in the
@@ -89,12 +91,14 @@
 type revisionChange struct {
 	config, drains, plans bool
 
+	// objects holds the object plans before the revision if it changed them.
+	objects   *[]azurestair.ObjectPlan
 	upstreams []azurestair.UpstreamID
 	instances []azurestair.InstanceID
 }
 
 func (c revisionChange) empty() bool {
-	return !c.config && !c.drains && !c.plans && len(c.upstreams) == 0 && len(c.instances) == 0
+	return !c.config && !c.drains && !c.plans && c.objects == nil && len(c.upstreams) == 0 && len(c.instances) == 0
 }
 
 // compareDepth selects the changes of the registry that a comparison includes.
@@ -140,6 +144,7 @@
 		next.Drains = append([]azurestair.Drain{}, src.Drains...)
 	}
 	c.plans = p.updatePlans(&next, src.Registry, now)
+	c.objects = p.updateObjects(&next, src.Registry, now)
 	if c.empty() {
 		return p.current, false
 	}
@@ -180,6 +185,23 @@
 	return true
 }
 
+// updateObjects performs a step of the object plans if one is due. It returns
+// the plans before the step if it changed them, otherwise nil. Without
+// SpreadObjects there are none.
+func (p *Publisher) updateObjects(s *azurestair.Snapshot, r *Registry, now time.Time) *[]azurestair.ObjectPlan {
+	old := s.Objects
+	switch {
+	case s.Config.LeasesBudgets() || !s.Config.Defaults.SpreadObjects:
+		s.Objects = nil
+	case p.objectPlanner.isDue(now):
+		s.Objects = p.objectPlanner.Step(old, r.ObjectRates(now), r.Traffic(), now)
+	}
+	if len(old) == 0 && len(s.Objects) == 0 || len(old) > 0 && len(s.Objects) > 0 && &old[0] == &s.Objects[0] {
+		return nil
+	}
+	return &old
+}
+
 // NextDeadline returns when Publish must be called even if the registry does
 // not change again, or zero if it need not be.
 func (p *Publisher) NextDeadline(r *Registry) time.Time {
@@ -202,6 +224,10 @@
 		Upstreams: src.Registry.Upstreams(), Instances: src.Registry.Instances(),
 		Plans: src.Registry.seededPlans, Fleet: src.Fleet,
 	}
+	if s.Config.Defaults.SpreadObjects && !s.Config.LeasesBudgets() {
+		s.Objects = src.Registry.seededObjects
+	}
+	p.objectPlanner = newObjectPlanner(now)
 	if p.current != nil {
 		s.Revision = p.current.Revision + 1
 	}
@@ -320,6 +346,9 @@
 		all.config = all.config || c.config
 		all.drains = all.drains || c.drains
 		all.plans = all.plans || c.plans
+		if all.objects == nil {
+			all.objects = c.objects
+		}
 		all.upstreams = append(all.upstreams, c.upstreams...)
 		all.instances = append(all.instances, c.instances...)
 	}
@@ -332,6 +361,9 @@
 	if all.plans {
 		d.Plans = s.Plans
 	}
+	if all.objects != nil {
+		d.Objects = diffObjectPlans(*all.objects, s.Objects)
+	}
 	d.Upstreams, d.RemovedUpstreams = collectKeys(s.Upstreams, all.upstreams, upstreamKey)
 	d.Instances, d.RemovedInstances = collectKeys(s.Instances, all.instances, instanceKey)
 	return d
@@ -360,6 +392,7 @@
 	if d.Plans != nil {
 		next.Plans = d.Plans
 	}
+	next.Objects = patchObjectPlans(s.Objects, d.Objects)
 	next.Upstreams = patchSorted(s.Upstreams, d.Upstreams, d.RemovedUpstreams, upstreamKey)
 	next.Instances = patchSorted(s.Instances, d.Instances, d.RemovedInstances, instanceKey)
 	return &next, nil
--- a/control/registry.go
+++ b/control/registry.go
@@ -62,6 +62,8 @@
 	seeded      bool
 	// seededPlans holds the plans that the previous leader published.
 	seededPlans []azurestair.RegionPlan
+	// seededObjects holds the object plans that the previous leader published.
+	seededObjects []azurestair.ObjectPlan
 	// nextCheckAt is a lower bound of the next deadline. Renewing a lease does
 	// not change it.
 	nextCheckAt time.Time
@@ -81,7 +83,9 @@
 type instanceRecord struct {
 	info azurestair.InstanceInfo
 	// traffic describes the requests that reach the instance.
-	traffic   []azurestair.Traffic
+	traffic []azurestair.Traffic
+	// objects holds the object rates that the instance has reported.
+	objects   objectReports
 	expiresAt time.Time
 	listed    bool
 	// heldRevision is the revision that the instance last reported to hold.
@@ -99,7 +103,7 @@
 	if s == nil {
 		return
 	}
-	r.seeded, r.seededPlans = true, s.Plans
+	r.seeded, r.seededPlans, r.seededObjects = true, s.Plans, s.Objects
 	r.initMaps()
 	for _, u := range s.Upstreams {
 		u.Confirmed = false
