Model services whose frequent objects overload upstreams

The three patterns have the sizes of a deployment with 125 entries in which the busiest upstream received 5.98 times the mean and 25 received nothing: 94, 56 and 94 upstreams of 3 slots, 261, 39 and 120 objects with a Zipf exponent of 0.9, 125 requests/s, load reports up to 1 s old. The model now measures the busiest upstream, idle upstreams and attempts that were turned away. Where object plans are enabled, it runs the counters of the entries and the planner of the leader.

--- a/model/patterns.go
+++ b/model/patterns.go
@@ -10,6 +10,21 @@
 		{Pattern: "zoneLoss", Rate: 160, Outage: Outage{From: 10 * time.Second, To: 15 * time.Second, Upstreams: 4, Cold: 3 * time.Second, ColdPerSecond: 9.7}},
 		{Pattern: "busyHours", Rate: 210, Length: 72 * time.Second, Wave: Wave{Amplitude: 0.55, Period: 36 * time.Second}},
 		{Pattern: "manyObjects", Objects: 400},
+		evenLoad("evenMany", 94, 261, 34),
+		evenLoad("evenFew", 56, 39, 8),
+		evenLoad("evenSome", 94, 120, 16),
 		{Pattern: "spareMemory", Objects: 40, Upstreams: 24, Entries: 6, Rate: 360},
 	}
 }
+
+// evenLoad returns the load of one of three services behind 125 entries that
+// receive 3 requests per second each, on a calm day. The numbers of upstreams,
+// their slots and the skew of the objects are those of a deployment in which
+// the busiest upstream received up to 5.98 times the mean.
+func evenLoad(name string, upstreams, objects, cacheSize int) Scenario {
+	return Scenario{
+		Pattern: name, Regions: 1, Upstreams: upstreams, Entries: 125, Objects: objects, Slots: 3, QueueLimit: 3,
+		CacheSize: cacheSize, WarmFactor: 1.0 / 3, Rate: 125, Skew: 0.9, ReportAge: time.Second,
+		Length: 140 * time.Second, Warmup: 20 * time.Second,
+	}
+}
--- a/model/run.go
+++ b/model/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"time"
 
@@ -52,6 +53,14 @@
 	// recentCold holds the times of the requests within the last second while
 	// the upstream is cold.
 	recentCold []time.Duration
+	// reported is the load that the upstream reports if reports are old.
+	reported azurestair.Load
+	// arrivals counts the attempts after the warm-up.
+	arrivals int
+}
+
+func (u *upstream) load() azurestair.Load {
+	return azurestair.Load{InFlight: azurestair.Slots(u.inProgress), Queued: azurestair.Slots(len(u.waiting))}
 }
 
 type simulation struct {
@@ -65,7 +74,13 @@
 	pickers [][]*placement.Picker
 	planner control.RegionPlanner
 	plans   []azurestair.RegionPlan
+	// registry holds the rates of objects that the entries report.
+	registry      control.Registry
+	objectPlanner control.ObjectPlanner
+	published     *azurestair.Snapshot
 	// meters and counts hold the traffic of each region.
+	// popularity holds the cumulative popularity of the objects if it is skewed.
+	popularity                  []float64
 	meters                      []control.TrafficMeter
 	counts                      []control.TrafficCount
 	result                      Result
@@ -82,6 +97,7 @@
 	sim.result.Windows = make([]Window, int(s.Length/windowLength)+1)
 	sim.build()
 	sim.publishPeriodically()
+	sim.scheduleLoadReports()
 	for region := range s.Regions {
 		sim.scheduleArrival(region)
 	}
@@ -91,6 +107,7 @@
 		sim.now = e.at
 		e.run()
 	}
+	sim.summarizeArrivals()
 	sim.result.WarmShare = sim.warmRequests / max(sim.totalRequests, 1)
 	return sim.result
 }
@@ -135,6 +152,7 @@
 func (sim *simulation) publish() {
 	s := &azurestair.Snapshot{Config: &azurestair.Config{
 		Version: 1, Services: []azurestair.Service{{Name: service, ColdPerSecond: sim.Outage.ColdPerSecond}},
+		Defaults: azurestair.Defaults{SpreadObjects: sim.SpreadObjects}, Routes: make([]azurestair.Route, 1),
 	}}
 	for _, u := range sim.allUpstreams {
 		if u.down {
@@ -150,8 +168,16 @@
 		}
 	}
 	s.Plans = sim.plans
-	s.Plans = sim.planner.Step(s, sim.regionTraffic(), sim.virtualTime())
+	traffic := sim.regionTraffic()
+	s.Plans = sim.planner.Step(s, traffic, sim.virtualTime())
 	sim.plans = s.Plans
+	if sim.SpreadObjects {
+		s.Objects = sim.planObjects(traffic)
+	}
+	if reflect.DeepEqual(s, sim.published) {
+		return
+	}
+	sim.published = s
 	for _, list := range sim.pickers {
 		for _, p := range list {
 			p.Update(s, sim.virtualTime())
@@ -217,7 +243,7 @@
 		return
 	}
 	sim.schedule(gap, func() {
-		object := azurestair.ObjectKeyOf(fmt.Sprintf("%d/%d", r, sim.rng.IntN(sim.Objects)))
+		object := azurestair.ObjectKeyOf(fmt.Sprintf("%d/%d", r, sim.nextObject()))
 		q := &request{simulation: sim, region: r, object: object, firstSentAt: sim.now}
 		sim.window(q.firstSentAt).Requests++
 		q.attempt()
@@ -242,6 +268,9 @@
 func (q *request) attempt() {
 	q.attempts++
 	q.counts[q.region].Requests++
+	if q.isMeasured() {
+		q.result.Arrivals++
+	}
 	p := q.pickers[q.region][q.rng.IntN(q.Entries)]
 	work := azurestair.RequestInfo{Service: service, Rank: azurestair.RankInteractive, Idempotent: true, Object: q.object}
 	c, err := p.Pick(work, nil, q.virtualTime())
@@ -253,10 +282,13 @@
 	sent := q.now
 	q.attemptSentAt = sent
 	end := func(r azurestair.AttemptResult) {
-		load := azurestair.Load{InFlight: azurestair.Slots(u.inProgress), Queued: azurestair.Slots(len(u.waiting))}
+		load := q.reportedLoad(u)
 		p.Observe(c, azurestair.Observation{Load: &load, Shed: r == azurestair.AttemptNotRun, Unreachable: u.down}, q.virtualTime())
 		p.Done(c, r, q.now-sent, q.virtualTime())
 	}
+	if q.isMeasured() {
+		u.arrivals++
+	}
 	if u.down || len(u.waiting) >= q.QueueLimit {
 		end(azurestair.AttemptNotRun)
 		q.handleRefusal()
@@ -282,6 +314,9 @@
 }
 
 func (q *request) handleRefusal() {
+	if q.isMeasured() {
+		q.result.TurnedAway++
+	}
 	if q.attempts == 1 {
 		q.schedule(retryDelay, q.attempt)
 		return
--- a/model/scenario.go
+++ b/model/scenario.go
@@ -28,6 +28,15 @@
 	// is multiplied by WarmFactor for a cached object.
 	ServiceTime time.Duration
 	WarmFactor  float64
+	// Skew is the exponent of the Zipf distribution of the requests over the
+	// objects; with zero, all objects are requested equally often.
+	Skew float64
+	// ReportAge is the maximum age of the load that an upstream reports. With
+	// zero, it reports its current load.
+	ReportAge time.Duration
+	// Warmup is the time from the start that Arrivals, TurnedAway and
+	// BusiestOverMean omit.
+	Warmup time.Duration
 	// Rate is the number of requests per second in each region.
 	Rate float64
 	// Target and Deadline are measured from the first attempt of a client.
@@ -40,6 +49,8 @@
 	// follow the load.
 	FixedPlan bool
 
+	// SpreadObjects is the option of the same name in azurestair.Defaults.
+	SpreadObjects bool
 	// Copies and Reach are the options of the same names in placement.Options.
 	Copies, Reach int
 }
@@ -127,8 +138,22 @@
 	// MaxColdRate is the maximum number of requests that one cold upstream
 	// received within one second.
 	MaxColdRate int
+	// Arrivals is the number of attempts of all clients after the warm-up, and
+	// TurnedAway is how many of them an entry or an upstream refused.
+	Arrivals, TurnedAway int
+	// BusiestOverMean is the number of attempts that reached the busiest
+	// upstream divided by the mean over all upstreams, after the warm-up.
+	BusiestOverMean float64
+	// PlanChanges is the number of changes of the object plans after the
+	// warm-up, and ChangedDemands the number of demands that they changed.
+	PlanChanges, ChangedDemands int
+	// Idle is the number of upstreams that no attempt reached.
+	Idle int
 }
 
+// TurnedAwayShare returns the fraction of the attempts that were refused.
+func (r Result) TurnedAwayShare() float64 { return float64(r.TurnedAway) / max(float64(r.Arrivals), 1) }
+
 // Between returns the sum of the windows that start in [from, to).
 func (r Result) Between(from, to time.Duration) Window {
 	var sum Window
