Report object rates and apply object plans in every instance

Entries now add the rates of their objects to one report each second, the leader passes them to its planner, and the pickers place objects by the published plans. Operators see the published objects, their copies and the picks by plan as metrics of each entry, and at most one log line in 30 s for each plan at the leader; neither names an object.

--- a/control/report.go
+++ b/control/report.go
@@ -30,7 +30,7 @@
 	return azurestair.Report{
 		RepeatOf: &azurestair.ReportReference{Instance: r.Instance.ID, Incarnation: r.Instance.Incarnation, Base: s.base},
 		Number:   r.Number, Acknowledged: r.Acknowledged,
-		Announcements: r.Announcements, Traffic: r.Traffic, SnapshotTerm: r.SnapshotTerm, SnapshotRevision: r.SnapshotRevision,
+		Announcements: r.Announcements, Traffic: r.Traffic, Objects: r.Objects, SnapshotTerm: r.SnapshotTerm, SnapshotRevision: r.SnapshotRevision,
 	}
 }
 
@@ -94,7 +94,7 @@
 		delete(r.last, q.Instance.ID)
 		return
 	}
-	q.Announcements, q.Traffic = nil, nil
+	q.Announcements, q.Traffic, q.Objects = nil, nil, nil
 	r.last[q.Instance.ID] = &receivedReport{fullReport: q}
 }
 
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -109,6 +109,7 @@
 		return
 	}
 	r.logPlans(snap)
+	r.logObjectPlans(prev, snap, now)
 	if needsNotice(prev, snap) {
 		r.notifier.notify(r.notice(snap.Term), snap.Instances)
 	}
@@ -125,8 +126,8 @@
 		}
 		b.WriteString("; ")
 	}
-	if text := strings.TrimSuffix(b.String(), "; "); text != r.loggedPlans {
-		r.loggedPlans = text
+	if text := strings.TrimSuffix(b.String(), "; "); text != r.loggedPlans.regions {
+		r.loggedPlans.regions = text
 		r.log.Info("plan of regions changed", "shares", text, "revision", s.Revision)
 	}
 }
@@ -236,6 +237,7 @@
 	}
 	r.registry.SetHeldRevision(report.Instance.ID, held)
 	r.registry.SetTraffic(report.Instance.ID, report.Traffic)
+	r.registry.SetObjects(report.Instance.ID, report.Objects, now)
 	for _, a := range report.Announcements {
 		if err := r.registry.Announce(a, now); err != nil {
 			r.log.Warn("announcement rejected", "upstream", a.Upstream, "from", report.Instance.ID, "err", err)
--- a/instance/member.go
+++ b/instance/member.go
@@ -79,7 +79,7 @@
 	heardAt         time.Time
 	holder          control.LeaseHolder
 	reportSender    control.ReportSender
-	trafficMeter    control.TrafficMeter
+	traffic         trafficReporter
 	table           *lookup.Table
 	locations       *lookup.LocationIndex
 	routes          *routing.Routes
@@ -275,9 +275,7 @@
 		r.SnapshotTerm, r.SnapshotRevision = m.snapshot.Term, m.snapshot.Revision
 	}
 	m.addUpstreams(&r, now)
-	if m.entry != nil && m.snapshot != nil && !m.snapshot.Config.LeasesBudgets() {
-		r.Traffic = m.trafficMeter.Rates(m.entry.trafficCounts(), now)
-	}
+	m.traffic.addTo(&r, m.entry, m.snapshot, now)
 	if m.entry != nil && m.snapshot != nil {
 		r.Demands = m.entry.demands(m.snapshot, &m.holder, now)
 		for i, d := range r.Demands {
--- a/instance/replica.go
+++ b/instance/replica.go
@@ -106,8 +106,8 @@
 	limitsSnapshot *azurestair.Snapshot
 	// publishedCfg is the effective configuration without its document.
 	publishedCfg *azurestair.Config
-	// loggedPlans is the text of the region plans that was logged last.
-	loggedPlans string
+	// loggedPlans tells which plans were logged last.
+	loggedPlans loggedPlans
 
 	// contacts holds the addresses of the instances of the fleet.
 	contacts contactBook
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -25,6 +25,42 @@
 	counter     objectCounter
 	// inputs identifies what the assignments were computed from.
 	inputs uint64
+	// plannedPicks counts the picks of published objects, rankedPicks all
+	// others.
+	plannedPicks, rankedPicks uint64
+}
+
+// SpreadStats describes how a picker, or several, place published objects.
+type SpreadStats struct {
+	// Objects is the number of published objects, Copies the number of
+	// upstreams that serve them. An upstream counts for each of its objects.
+	Objects, Copies int
+	// PlannedPicks counts the picks of published objects, RankedPicks all
+	// others.
+	PlannedPicks, RankedPicks uint64
+}
+
+// Add adds the stats of another picker.
+func (s *SpreadStats) Add(o SpreadStats) {
+	s.Objects += o.Objects
+	s.Copies += o.Copies
+	s.PlannedPicks += o.PlannedPicks
+	s.RankedPicks += o.RankedPicks
+}
+
+// SpreadStats returns the zero value without Defaults.SpreadObjects.
+func (p *Picker) SpreadStats() SpreadStats {
+	if p.spread == nil {
+		return SpreadStats{}
+	}
+	s := SpreadStats{PlannedPicks: p.spread.plannedPicks, RankedPicks: p.spread.rankedPicks}
+	for _, a := range p.spread.assignments {
+		s.Objects += len(a.objects)
+		for _, o := range a.objects {
+			s.Copies += len(o.copies)
+		}
+	}
+	return s
 }
 
 // updateSpread computes the assignments of a snapshot whose usable upstreams
@@ -68,15 +104,19 @@
 	return sum
 }
 
-// placed returns the assignment of an object in a region, or nil if its demand
-// is not published.
+// placed returns the assignment of an object for a pick in a region, or nil if
+// its demand is not published.
 func (s *spreader) placed(region azurestair.RegionName, object uint64) *placedObject {
 	if s == nil {
 		return nil
 	}
 	if a := s.assignments[region]; a != nil {
-		return a.objects[object]
+		if o := a.objects[object]; o != nil {
+			s.plannedPicks++
+			return o
+		}
 	}
+	s.rankedPicks++
 	return nil
 }
 
