--- a/model/even.go
+++ b/model/even.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -26,6 +27,24 @@
 	return n
 }
 
+// objectKey returns the key of an object of a region. Where callers are spread,
+// all regions request the same objects; their names depend on the seed, so that
+// the regions of the most frequent ones do.
+func (sim *simulation) objectKey(region, number int) azurestair.ObjectKey {
+	if sim.SpreadCallers {
+		return azurestair.ObjectKeyOf(fmt.Sprintf("%d/%d", sim.Seed, number))
+	}
+	return azurestair.ObjectKeyOf(fmt.Sprintf("%d/%d", region, number))
+}
+
+// linkRate returns the bandwidth of the entries; zero means no limit.
+func (sim *simulation) linkRate() azurestair.BytesPerSecond {
+	if sim.SpreadCallers {
+		return azurestair.NarrowLinkThreshold / 2
+	}
+	return 0
+}
+
 // isMeasured reports whether the warm-up is over.
 func (sim *simulation) isMeasured() bool { return sim.now >= sim.Warmup }
 
--- a/model/even_test.go
+++ b/model/even_test.go
@@ -57,6 +57,28 @@
 		expectEven(s.Run())
 	})
 
+	// Guards against a burst that keeps upstreams overloaded after its end,
+	// because objects that are spread over more upstreams evict each other.
+	It("recovers from a burst as soon as it ends", func() {
+		s := pattern("burst")
+		s.Skew, s.SpreadObjects = 0.9, true
+		eachSeed(s, func(r model.Result) {
+			Expect(r.Between(16*time.Second, 40*time.Second).Score()).To(BeNumerically(">", 0.9))
+			Expect(r.Between(8*time.Second, 14*time.Second).Score()).To(BeNumerically(">", 0.4))
+		})
+	})
+
+	// Guards against plans by which returning upstreams are overloaded while
+	// they are cold.
+	It("tolerates the loss of a zone and its return with cold caches", func() {
+		s := pattern("zoneLoss")
+		s.Skew, s.SpreadObjects = 0.9, true
+		eachSeed(s, func(r model.Result) {
+			Expect(r.Between(24*time.Second, 40*time.Second).Score()).To(BeNumerically(">", 0.9))
+			Expect(r.MaxColdRate).To(BeNumerically("<=", 19), "9.7 per second, plus 50%, plus 5")
+		})
+	})
+
 	// Guards against patterns that would be served evenly without object plans.
 	It("is uneven without object plans", func() {
 		for _, name := range evenPatterns {
@@ -69,6 +91,28 @@
 	})
 })
 
+// BenchmarkEvenRegions reports the busiest upstream over the mean of all
+// regions where callers are spread over three regions. The region of an object
+// does not depend on its demand.
+func BenchmarkEvenRegions(b *testing.B) {
+	RegisterFailHandler(func(message string, _ ...int) { b.Fatal(message) })
+	for _, name := range evenPatterns {
+		for seed := uint64(1); seed <= 4; seed++ {
+			b.Run(fmt.Sprintf("%s/seed=%d", name, seed), func(b *testing.B) {
+				s := evenLoad(name, 10, time.Second, true)
+				s.Regions, s.Upstreams, s.Rate = 3, (s.Upstreams+2)/3, s.Rate/3
+				s.Seed, s.SpreadCallers = seed, true
+				var r model.Result
+				for range b.N {
+					r = s.Run()
+				}
+				b.ReportMetric(r.BusiestOverMean, "busiest/mean")
+				b.ReportMetric(100*r.TurnedAwayShare(), "%away")
+			})
+		}
+	}
+}
+
 // BenchmarkEvenLoad reports the figures of all patterns with and without object
 // plans. The times say nothing.
 func BenchmarkEvenLoad(b *testing.B) {
--- a/model/run.go
+++ b/model/run.go
@@ -164,7 +164,7 @@
 	}
 	for r, list := range sim.pickers {
 		for i := range list {
-			s.Instances = append(s.Instances, azurestair.InstanceInfo{ID: entryID(r, i), CallerAddr: "127.0.0.1:81", Region: region(r)})
+			s.Instances = append(s.Instances, azurestair.InstanceInfo{ID: entryID(r, i), CallerAddr: "127.0.0.1:81", Region: region(r), LinkRate: sim.linkRate()})
 		}
 	}
 	s.Plans = sim.plans
@@ -243,7 +243,7 @@
 		return
 	}
 	sim.schedule(gap, func() {
-		object := azurestair.ObjectKeyOf(fmt.Sprintf("%d/%d", r, sim.nextObject()))
+		object := sim.objectKey(r, sim.nextObject())
 		q := &request{simulation: sim, region: r, object: object, firstSentAt: sim.now}
 		sim.window(q.firstSentAt).Requests++
 		q.attempt()
--- a/model/scenario.go
+++ b/model/scenario.go
@@ -49,6 +49,10 @@
 	// follow the load.
 	FixedPlan bool
 
+	// SpreadCallers makes the callers of all regions request the same objects
+	// through entries whose narrow links limit them, so that each object is
+	// placed in one region.
+	SpreadCallers bool
 	// SpreadObjects is the option of the same name in azurestair.Defaults.
 	SpreadObjects bool
 	// Copies and Reach are the options of the same names in placement.Options.
