--- a/model/run.go
+++ b/model/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"time"
 
@@ -53,6 +54,14 @@
 	// recentCold holds the times of the requests within the last second while
 	// the upstream is cold.
 	recentCold []time.Duration
+	// reported is the load that the upstream reports if reports are old.
+	reported azurestair.Load
+	// arrivals counts the attempts after the warm-up.
+	arrivals int
+}
+
+func (u *upstream) load() azurestair.Load {
+	return azurestair.Load{InFlight: azurestair.Slots(u.inProgress), Queued: azurestair.Slots(len(u.waiting))}
 }
 
 type simulation struct {
@@ -68,7 +77,13 @@
 	budgets [][]*retry.Budget
 	planner control.RegionPlanner
 	plans   []azurestair.RegionPlan
+	// registry holds the rates of objects that the entries report.
+	registry      control.Registry
+	objectPlanner control.ObjectPlanner
+	published     *azurestair.Snapshot
 	// meters and counts hold the traffic of each region.
+	// popularity holds the cumulative popularity of the objects if it is skewed.
+	popularity                  []float64
 	meters                      []control.TrafficMeter
 	counts                      []control.TrafficCount
 	result                      Result
@@ -85,6 +100,7 @@
 	sim.result.Windows = make([]Window, int(s.Length/windowLength)+1)
 	sim.build()
 	sim.publishPeriodically()
+	sim.scheduleLoadReports()
 	for region := range s.Regions {
 		sim.scheduleArrival(region)
 	}
@@ -94,6 +110,7 @@
 		sim.now = e.at
 		e.run()
 	}
+	sim.summarizeArrivals()
 	sim.result.WarmShare = sim.warmRequests / max(sim.totalRequests, 1)
 	return sim.result
 }
@@ -150,6 +167,7 @@
 func (sim *simulation) publish() {
 	s := &azurestair.Snapshot{Config: &azurestair.Config{
 		Version: 1, Services: []azurestair.Service{{Name: service, ColdPerSecond: sim.Outage.ColdPerSecond}},
+		Defaults: azurestair.Defaults{SpreadObjects: sim.SpreadObjects}, Routes: make([]azurestair.Route, 1),
 	}}
 	for _, u := range sim.allUpstreams {
 		if u.down {
@@ -161,12 +179,20 @@
 	}
 	for r, list := range sim.pickers {
 		for i := range list {
-			s.Instances = append(s.Instances, azurestair.InstanceInfo{ID: entryID(r, i), CallerAddr: "127.0.0.1:81", Region: region(r)})
+			s.Instances = append(s.Instances, azurestair.InstanceInfo{ID: entryID(r, i), CallerAddr: "127.0.0.1:81", Region: region(r), LinkRate: sim.linkRate()})
 		}
 	}
 	s.Plans = sim.plans
-	s.Plans = sim.planner.Step(s, sim.regionTraffic(), sim.virtualTime())
+	traffic := sim.regionTraffic()
+	s.Plans = sim.planner.Step(s, traffic, sim.virtualTime())
 	sim.plans = s.Plans
+	if sim.SpreadObjects {
+		s.Objects = sim.planObjects(traffic)
+	}
+	if reflect.DeepEqual(s, sim.published) {
+		return
+	}
+	sim.published = s
 	for _, list := range sim.pickers {
 		for _, p := range list {
 			p.Update(s, sim.virtualTime())
@@ -232,7 +258,7 @@
 		return
 	}
 	sim.schedule(gap, func() {
-		object := azurestair.ObjectKeyOf(fmt.Sprintf("%d/%d", r, sim.rng.IntN(sim.Objects)))
+		object := sim.objectKey(r, sim.nextObject())
 		q := &request{simulation: sim, region: r, object: object, firstSentAt: sim.now}
 		sim.window(q.firstSentAt).Requests++
 		q.attempt()
@@ -257,6 +283,9 @@
 func (q *request) attempt() {
 	q.attempts++
 	q.counts[q.region].Requests++
+	if q.isMeasured() {
+		q.result.Arrivals++
+	}
 	entry := q.rng.IntN(q.Entries)
 	q.budgets[q.region][entry].AddRequest()
 	q.send(entry, nil)
@@ -276,10 +305,13 @@
 	sent := q.now
 	q.attemptSentAt = sent
 	end := func(r azurestair.AttemptResult) {
-		load := azurestair.Load{InFlight: azurestair.Slots(u.inProgress), Queued: azurestair.Slots(len(u.waiting))}
+		load := q.reportedLoad(u)
 		p.Observe(c, azurestair.Observation{Load: &load, Shed: r == azurestair.AttemptNotRun, Unreachable: u.down}, q.virtualTime())
 		p.Done(c, r, q.now-sent, q.virtualTime())
 	}
+	if q.isMeasured() {
+		u.arrivals++
+	}
 	if u.down || len(u.waiting) >= q.QueueLimit {
 		end(azurestair.AttemptNotRun)
 		if q.mayRetry(entry, tried) {
@@ -326,6 +358,9 @@
 }
 
 func (q *request) handleRefusal() {
+	if q.isMeasured() {
+		q.result.TurnedAway++
+	}
 	if q.attempts == 1 {
 		q.schedule(retryDelay, q.attempt)
 		return
