Admit requests of workspaces whose burst is small

With a burst and a slack of zero the capacity was zero, and with a total under 8 a new leader's allowance was under one token, so that every request was refused. Both are now one token at least.

The limits of an entry follow the version of the configuration rather than its pointer. An entry gets its tokens over gRPC in a test; a control instance that does not lead asks over the network.

--- a/instance/quota_test.go
+++ b/instance/quota_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"strings"
 	"sync"
 	"time"
@@ -15,6 +16,7 @@
 
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/control"
+	"azurestair.example/azurestair/peer"
 	"azurestair.example/azurestair/quota"
 )
 
@@ -47,16 +49,17 @@
 	f.leader.run(2)
 	Expect((<-done).result.Code).To(Equal(azurestair.ResultAccepted))
 	for range entries {
-		f.addEntry()
+		f.addEntry(f)
 	}
 	return f
 }
 
-func (f *quotaFleet) addEntry() {
+// addEntry starts an entry that asks through asker.
+func (f *quotaFleet) addEntry(asker azurestair.QuotaAsker) {
 	e := newEntryFixture(f.clock, &fakeLedger{}, newFakeUpstream())
 	ctx, cancel := context.WithCancel(context.Background())
 	e.quota = newQuotaGate(e.self, f.clock, slog.New(slog.DiscardHandler), e.metrics)
-	e.quota.asker = f
+	e.quota.asker = asker
 	e.wg.Go(func() { e.quota.run(ctx) })
 	ginkgo.DeferCleanup(cancel)
 	f.entries = append(f.entries, e)
@@ -158,6 +161,49 @@
 	Expect(f.status().Limit).To(Equal(jarsLimit.RatePerSecond))
 })
 
+// quotaHandler is the peer server of the leader of a quotaFleet.
+type quotaHandler struct {
+	peer.Handler
+	fleet *quotaFleet
+}
+
+func (h quotaHandler) AskQuota(ctx context.Context, ask azurestair.QuotaAsk) (azurestair.QuotaAnswer, error) {
+	return h.fleet.AskQuota(ctx, ask)
+}
+
+// Guards against an entry that never gets tokens because a message does not
+// pass the codec or the checks.
+var _ = ginkgo.It("an entry gets its tokens over the network", func() {
+	f := newQuotaFleet(0)
+	f.advance(20 * time.Second)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s := peer.NewServer(quotaHandler{fleet: f}, nil, nil)
+	go func() { _ = s.Serve(l) }()
+	ginkgo.DeferCleanup(s.Stop)
+	conns := peer.NewConns(nil, nil, nil)
+	ginkgo.DeferCleanup(conns.Close)
+	f.addEntry(peer.NewClient(conns, []peer.Address{{ID: "c1", Addr: l.Addr().String()}}))
+	Eventually(func() azurestair.Outcome {
+		f.advance(time.Second)
+		return f.send(0, "read", "").Outcome
+	}, longTimeout).Should(Equal(azurestair.OutcomeDone))
+	Expect(f.status().Leased).To(BeNumerically(">", 0))
+})
+
+var _ = ginkgo.It("a control instance that does not lead asks over the network", func() {
+	f := newQuotaFleet(0)
+	ctx, cancel := context.WithCancel(context.Background())
+	c := newController(f.clock, slog.New(slog.DiscardHandler), newMemberFixture().Member, nil)
+	done := make(chan struct{})
+	go func() { defer close(done); c.run(ctx) }()
+	answer, err := localLeaderQuota{controller: c, remote: f}.AskQuota(ctx, azurestair.QuotaAsk{Holder: "entry-1", Incarnation: 1, Sequence: 1})
+	cancel()
+	<-done
+	Expect(err).NotTo(HaveOccurred())
+	Expect(answer.Term).To(Equal(f.leader.leaderTerm))
+})
+
 // Guards against 429, which says that the workspace is over its limit, from an
 // entry that does not know that.
 var _ = ginkgo.It("an entry that does not reach the leader uses its tokens and then refuses", func() {
--- a/instance/quotagate.go
+++ b/instance/quotagate.go
@@ -41,8 +41,8 @@
 
 // limitedWorkspaces are the workspaces of a configuration that have a limit.
 type limitedWorkspaces struct {
-	config *azurestair.Config
-	names  map[azurestair.WorkspaceName]bool
+	version azurestair.ConfigVersion
+	names   map[azurestair.WorkspaceName]bool
 }
 
 func newQuotaGate(self azurestair.InstanceInfo, clock leaseClock, log *slog.Logger, m *processMetrics) *quotaGate {
@@ -52,12 +52,12 @@
 	}
 }
 
-// isLimited reports whether a workspace has a limit in a configuration. The
-// limits of a newer configuration are taken over with its first request.
+// isLimited reports whether a workspace has a limit in the newest configuration
+// that a request has come with.
 func (g *quotaGate) isLimited(cfg *azurestair.Config, name azurestair.WorkspaceName) bool {
 	l := g.limited.Load()
-	if l == nil || (l.config != cfg && cfg.Version >= l.config.Version) {
-		l = &limitedWorkspaces{config: cfg, names: map[azurestair.WorkspaceName]bool{}}
+	if l == nil || cfg.Version > l.version {
+		l = &limitedWorkspaces{version: cfg.Version, names: map[azurestair.WorkspaceName]bool{}}
 		for _, w := range cfg.Workspaces {
 			if w.IsLimited() {
 				l.names[w.Name] = true
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -66,8 +66,8 @@
 func (b *bucket) setLimit(l Limit) {
 	b.limited = true
 	b.rate = float64(l.Rate)
-	b.capacity = l.Total * capacityShare
-	b.allowance = l.Total * allowanceShare
+	b.capacity = max(minTokens, l.Total*capacityShare)
+	b.allowance = max(minTokens, l.Total*allowanceShare)
 }
 
 // removeLimit keeps the bucket only for its outstanding tokens.
--- a/quota/issuer_test.go
+++ b/quota/issuer_test.go
@@ -62,6 +62,13 @@
 		expectGranted(i, 2, 1, 100, 0, at(4100))
 	})
 	It("starts with level 0", func() { expectGranted(newIssuer(jars), 1, 1, 100, 1, at(100)) })
+	// Guards against a small burst that refuses every request.
+	It("admits at the rate without any burst, also as a new leader", func() {
+		i := newIssuer(Limit{Workspace: "jars", Rate: 1})
+		expectGranted(i, 1, 1, 5, 1, at(1000))
+		Expect(answer(i, ask(1, 2, azurestair.QuotaDemand{Answered: 1, Used: 1, Waiting: 1}), at(1500)).Granted).To(BeZero())
+		Expect(answer(i, ask(1, 3, azurestair.QuotaDemand{Answered: 2, Waiting: 1}), at(2500)).Granted).To(BeEquivalentTo(1))
+	})
 	It("refills up to the capacity", func() { expectGranted(newIssuer(jars), 1, 1, 100, 50, at(full)) })
 	// Guards against tokens of a cut or killed entry that are leased to others
 	// without the time that refills them.
--- a/quota/limits.go
+++ b/quota/limits.go
@@ -36,6 +36,10 @@
 	allowanceShare = 1.0 / 8
 )
 
+// minTokens is the least capacity and allowance. With less than a whole token, a
+// workspace with a small burst would never be admitted.
+const minTokens = 1
+
 // Limit is the rate limit of a workspace.
 type Limit struct {
 	Workspace azurestair.WorkspaceName
