Close idle and headless client connections instead of refusing new ones

Cause: the listener stopped accepting at its limit of connections, and idle connections were kept for 120 s whatever the configuration said.

A table in `admission` now decides which connection is closed for a new one: the oldest without a complete head, then the longest idle one, then the one whose body has stalled the longest. Requests that are being served keep their connection. The configuration's max_header_bytes, header_timeout_ms and idle_timeout_ms are in force without a restart. The rest of a request body that a handler doesn't read has a deadline too: the client handler cleared it, and other paths had none.

--- a/config.go
+++ b/config.go
@@ -30,6 +30,8 @@
 	// Workspaces hold the API keys and rate limits of callers. If there are any,
 	// requests on routes that are not public need a key.
 	Workspaces []Workspace `cbor:"workspaces,omitempty" json:"workspaces,omitempty" toml:"workspaces"`
+	// Clients bounds what clients may send and how long they may take.
+	Clients ClientLimits `cbor:"clients,omitempty" json:"clients,omitzero" toml:"clients"`
 	// Document is the configuration in the format in which it was received from
 	// the operator's front end. It is stored so that it can be read back
 	// unchanged.
@@ -312,6 +314,9 @@
 	if len(c.Services) > MaxServices || len(c.Regions) > MaxRegions || len(c.Exceptions) > MaxExceptions {
 		return fmt.Errorf("%w: more than %d services, %d regions or %d exceptions", ErrInvalid, MaxServices, MaxRegions, MaxExceptions)
 	}
+	if err := c.Clients.Validate(); err != nil {
+		return err
+	}
 	if err := c.validateServices(); err != nil {
 		return err
 	}
--- a/instance/process.go
+++ b/instance/process.go
@@ -15,7 +15,6 @@
 
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
-	"golang.org/x/net/netutil"
 
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/admission"
@@ -235,6 +234,8 @@
 	servers        []*http.Server
 	panics         *panicLog
 
+	// runCtx ends when the process stops.
+	runCtx context.Context
 	cancel context.CancelFunc
 	// writers end after the control goroutine, which sends them jobs.
 	writers sync.WaitGroup
@@ -263,7 +264,7 @@
 // start opens the data folder and the listeners and starts all goroutines.
 func (p *Process) start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
-	p.cancel = cancel
+	p.cancel, p.runCtx = cancel, ctx
 	if p.entry != nil {
 		p.entry.ctx = ctx
 	}
@@ -498,26 +499,12 @@
 	return nil
 }
 
-// idleClosePercent is the percentage of a listener's connection limit above
-// which idle connections are closed. The rest is kept for new connections.
-const idleClosePercent = 80
-
 func (p *Process) serveHTTP(endpoint Endpoint) error {
 	l, err := p.options.Listen("tcp", endpoint.Addr)
 	if err != nil {
 		return fmt.Errorf("listen for %s: %w", endpoint.Name, err)
 	}
-	if n := int(p.settings.Limits.MaxConns); n > 0 {
-		l = netutil.LimitListener(l, n)
-	}
-	s := caller.NewHTTPServer(p.panics.handler(endpoint.Name, endpoint.Handler), caller.Limits{
-		MaxHeaderBytes: int(p.settings.Limits.MaxHeaderBytes),
-		HeaderTimeout:  p.settings.Limits.HeaderTimeoutMs.Duration(),
-		IdleTimeout:    cmp.Or(endpoint.IdleTimeout, p.settings.Limits.IdleTimeoutMs.Duration()),
-	})
-	if n := int(p.settings.Limits.MaxConns); n > 0 && endpoint.CloseIdle {
-		s.ConnState = newIdleConns(n * idleClosePercent / 100).connState
-	}
+	l, s := p.newServer(l, endpoint)
 	s.ErrorLog = slog.NewLogLogger(p.log.Handler(), slog.LevelDebug)
 	p.servers = append(p.servers, s)
 	p.wg.Go(func() {
