--- a/config.go
+++ b/config.go
@@ -31,6 +31,8 @@
 	// Workspaces hold the API keys and rate limits of callers. If there are any,
 	// requests on routes that are not public need a key.
 	Workspaces []Workspace `cbor:"workspaces,omitempty" json:"workspaces,omitempty" toml:"workspaces"`
+	// Clients bounds what clients may send and how long they may take.
+	Clients ClientLimits `cbor:"clients,omitempty" json:"clients,omitzero" toml:"clients"`
 	// Document is the configuration in the format in which it was received from
 	// the operator's front end. It is stored so that it can be read back
 	// unchanged.
@@ -313,6 +315,9 @@
 	if len(c.Services) > MaxServices || len(c.Regions) > MaxRegions || len(c.Exceptions) > MaxExceptions {
 		return fmt.Errorf("%w: more than %d services, %d regions or %d exceptions", ErrInvalid, MaxServices, MaxRegions, MaxExceptions)
 	}
+	if err := c.Clients.Validate(); err != nil {
+		return err
+	}
 	if err := c.validateServices(); err != nil {
 		return err
 	}
@@ -476,7 +481,7 @@
 func (c *Config) needsWorkspaceProtocol() bool {
 	d := c.Defaults
 	return len(c.Workspaces) > 0 || d.KeyLeaseMs != 0 || d.QuotaSlack != 0 || d.RetryBurst != 0 || d.SpreadObjects ||
-		slices.ContainsFunc(c.Routes, func(r Route) bool { return r.Public })
+		c.Clients != (ClientLimits{}) || slices.ContainsFunc(c.Routes, func(r Route) bool { return r.Public })
 }
 
 // needsRoutedProtocol reports whether the configuration uses features that were
