--- a/control/objectplan.go
+++ b/control/objectplan.go
@@ -155,13 +155,13 @@
 // demand returns the demand to publish for a rate, given the published one,
 // which is zero if there is none.
 func (p *ObjectPlanner) demand(k objectKey, rate azurestair.MilliPerSecond, published azurestair.MilliSlots) azurestair.MilliSlots {
-	measured := float64(rate) * cmp.Or(p.slotsPerRequest[k.service], defaultSlotsPerRequest)
+	measured := min(float64(rate)*cmp.Or(p.slotsPerRequest[k.service], defaultSlotsPerRequest), float64(azurestair.MaxObjectDemand))
 	tolerance := 1 + chanceDeviations*p.smoothed[k].deviation()
 	if published > 0 && !differsBy(max(measured, 1), float64(published), max(demandHysteresis, tolerance)) {
 		return published
 	}
 	step := math.Round(math.Log(max(measured, 1)) / math.Log(demandStep))
-	return azurestair.MilliSlots(math.Round(math.Pow(demandStep, step)))
+	return min(azurestair.MilliSlots(math.Round(math.Pow(demandStep, step))), azurestair.MaxObjectDemand)
 }
 
 // selectObjects returns the objects whose demand is to be published: at most
--- a/control/objectplan_test.go
+++ b/control/objectplan_test.go
@@ -103,6 +103,21 @@
 		}
 	})
 
+	// Guards against one entry whose report makes all entries reject the
+	// snapshot.
+	It("are valid whatever an entry reports", func() {
+		f := newObjectFleet()
+		for ms := 1000; ms < 9000; ms += 1000 {
+			for n := 1; n <= 2; n++ {
+				f.report(n, ms, map[int]float64{1: 1e9, 2: 0})
+				f.registry.SetTraffic(entry(n).ID, []azurestair.Traffic{{Service: "catalogue", Rate: 0.01, MeanSlots: 1e9}})
+			}
+			f.publisher.Publish(f.source, at(ms))
+		}
+		Expect(f.publisher.Current().Objects).To(HaveLen(1))
+		Expect(f.publisher.Current().Objects[0].Validate()).To(Succeed())
+	})
+
 	// Guards against a delta to each entry for each small change.
 	It("ignore small changes and follow large ones", func() {
 		f := newObjectFleet()
--- a/object.go
+++ b/object.go
@@ -20,9 +20,10 @@
 	// MaxPlannedObjects is the maximum number of objects of a service in a
 	// snapshot.
 	MaxPlannedObjects = 256
-	// maxObjectRate and maxObjectDemand ensure that sums are finite.
+	// MaxObjectDemand is the maximum demand of an object. It and maxObjectRate
+	// ensure that sums do not overflow.
+	MaxObjectDemand MilliSlots     = 1e12
 	maxObjectRate   MilliPerSecond = 1e12
-	maxObjectDemand MilliSlots     = 1e12
 )
 
 // ObjectRate is the rate at which an instance receives requests for an object.
@@ -66,8 +67,8 @@
 
 // Validate checks the demand.
 func (d ObjectDemand) Validate() error {
-	if d.Demand < 0 || d.Demand > maxObjectDemand {
-		return fmt.Errorf("%w: demand of an object = %d; allowed 0 to %d", ErrInvalid, d.Demand, maxObjectDemand)
+	if d.Demand < 0 || d.Demand > MaxObjectDemand {
+		return fmt.Errorf("%w: demand of an object = %d; allowed 0 to %d", ErrInvalid, d.Demand, MaxObjectDemand)
 	}
 	return nil
 }
