--- a/placement/doc.go
+++ b/placement/doc.go
@@ -11,6 +11,11 @@
 // them further would make objects cold everywhere, and cold objects need more
 // capacity.
 //
+// If the leader publishes the demand of frequent objects, each of these gets as
+// many upstreams of its ranking as its demand needs, such that no upstream is
+// planned to get much more than the mean. An entry uses them in turn, in an
+// order of its own, and avoids those that are busier than the next ones.
+//
 // The region is chosen first. A region keeps the share of its objects that its
 // slots can carry; the others are distributed by hash to regions with spare
 // capacity. The leader computes this plan from the upstreams and the traffic of
