--- a/model/doc.go
+++ b/model/doc.go
@@ -5,9 +5,9 @@
 // refusal. Each entry runs its own placement.Picker, as in production. An
 // upstream has slots, a queue and a cache of the most recently used objects; a
 // request for a cached object takes a fraction of the service time. Upstreams
-// can report a load that is out of date, fail and return with an empty cache, the request rate can have bursts,
-// and the load of the regions can peak at different times. A Result holds what
-// the clients observe.
+// can report a load that is out of date, and can fail and return with an empty
+// cache. The request rate can have bursts, and the load of the regions can peak
+// at different times. A Result holds what the clients observe.
 //
 // The model omits everything that does not depend on placement: connections,
 // bytes, processor time, configuration and the delays between regions.
