Bound the wait for a rate token by the deadline of the request's context

The gate compared the deadline with its lease clock. Once that clock counts suspensions, the two differ after one, and requests would not wait at all.

The wait now ends by the deadline of the context, which has the clock of timers.

--- a/instance/quota_test.go
+++ b/instance/quota_test.go
@@ -239,7 +239,9 @@
 var _ = ginkgo.It("a request whose time is up does not wait for a token", func() {
 	g := newQuotaGate(azurestair.InstanceInfo{ID: "entry-1", Incarnation: 1}, newFakeClock(), slog.New(slog.DiscardHandler), newProcessMetrics())
 	cfg := &azurestair.Config{Workspaces: []azurestair.Workspace{jarsLimit}}
-	d := g.admit(context.Background(), cfg, azurestair.RequestInfo{Workspace: jarsLimit.Name, Deadline: g.clock.Now()})
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(replyReserve))
+	defer cancel()
+	d := g.admit(ctx, cfg, azurestair.RequestInfo{Workspace: jarsLimit.Name})
 	Expect(d.Verdict).To(Equal(quota.Unreachable))
 	Expect(g.waiting).To(BeEmpty())
 })
--- a/instance/quotagate.go
+++ b/instance/quotagate.go
@@ -92,7 +92,7 @@
 		g.signal()
 	}
 	if decided != nil {
-		d = g.wait(ctx, w, d.Ticket, decided, now)
+		d = g.wait(ctx, w.Workspace, d.Ticket, decided)
 	}
 	g.stats.count(w.Workspace, d.Verdict, now)
 	return d
@@ -105,9 +105,14 @@
 	}
 }
 
-// wait waits for the decision on a request, but not past its deadline.
-func (g *quotaGate) wait(ctx context.Context, w azurestair.RequestInfo, t quota.Ticket, decided <-chan quota.Decision, now time.Time) quota.Decision {
-	timer := time.NewTimer(min(quota.MaxWait, w.Deadline.Sub(now)-replyReserve))
+// wait waits for the decision on a request, but not past the deadline of ctx,
+// which is not by the lease clock.
+func (g *quotaGate) wait(ctx context.Context, name azurestair.WorkspaceName, t quota.Ticket, decided <-chan quota.Decision) quota.Decision {
+	longest := quota.MaxWait
+	if deadline, ok := ctx.Deadline(); ok {
+		longest = min(longest, time.Until(deadline)-replyReserve)
+	}
+	timer := time.NewTimer(longest)
 	defer timer.Stop()
 	select {
 	case d := <-decided:
@@ -116,7 +121,7 @@
 	case <-ctx.Done():
 	}
 	g.mu.Lock()
-	d, ok := g.holder.Cancel(w.Workspace, t, g.clock.Now())
+	d, ok := g.holder.Cancel(name, t, g.clock.Now())
 	delete(g.waiting, t)
 	g.mu.Unlock()
 	if !ok {
