--- a/instance/quotagate.go
+++ b/instance/quotagate.go
@@ -101,14 +101,14 @@
 	}
 }
 
-// wait waits for the decision on a request, but not past the deadline of ctx.
-// That deadline is not one of the lease clock.
+// wait waits for the decision on a request, but not past the deadline of ctx,
+// which is not by the lease clock.
 func (g *quotaGate) wait(ctx context.Context, name azurestair.WorkspaceName, t quota.Ticket, decided <-chan quota.Decision) quota.Decision {
-	limit := quota.MaxWait
+	longest := quota.MaxWait
 	if deadline, ok := ctx.Deadline(); ok {
-		limit = min(limit, time.Until(deadline)-replyReserve)
+		longest = min(longest, time.Until(deadline)-replyReserve)
 	}
-	timer := time.NewTimer(limit)
+	timer := time.NewTimer(longest)
 	defer timer.Stop()
 	select {
 	case d := <-decided:
