Accept the resend of a fleet's first configuration change

An operator who resent the first change after a lost response got 400, "change id start was used for a different change", although the change was the same and in force. Seen twice in some 100 starts of one process on a busy machine.

Cause: the leader adds an id of the fleet to the first change, and the digest that recognises a resend covered it. The resend has no such id, or another one. The digest now leaves it out, as it does the other fields that the leader adds. The new test fails without that.

--- a/control/change.go
+++ b/control/change.go
@@ -111,7 +111,7 @@
 // adds. Config contains no map, so its JSON encoding is the same on every
 // replica.
 func digestOf(c azurestair.Command) ([sha256.Size]byte, error) {
-	c.At, c.ListsHolders = 0, false
+	c.At, c.ListsHolders, c.Fleet = 0, false, ""
 	data, err := json.Marshal(c)
 	if err != nil {
 		return [sha256.Size]byte{}, fmt.Errorf("%w: change cannot be encoded: %w", azurestair.ErrInvalid, err)
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -65,6 +65,15 @@
 		Expect(d.state.Config().Defaults.QueueLimit).To(Equal(20))
 	})
 
+	// Guards against refusing the resend of a fleet's first change: the leader
+	// adds an id of the fleet to it, which the resend lacks.
+	It("repeats the first result to a resend of the first change", func() {
+		first := configChange("a", 0, 10)
+		first.Fleet = "f1"
+		r := d.expect(first, azurestair.ResultAccepted)
+		Expect(d.apply(configChange("a", 0, 10))).To(Equal(r))
+	})
+
 	// Guards against a lost response after which the resend applies a second
 	// change or conflicts with the first.
 	It("repeats the first result to a resend", func() {
