Bound the memory of request heads with very many fields

Heads within the limit of 32 KiB that consist of very many short fields made an entry exceed the memory of its machine: 800 clients took 275 MB with complete heads, 282 MB with heads that stop short of their end, and 337 MB with a body that stops after the head, where 136 MiB are allowed.

Cause: a field of five bytes takes about 200 bytes in the maps and lists that hold it, and nothing counted them.

A connection now reserves the memory of a head as its bytes arrive, and is closed for a head of more than 1,000 fields. When memory is short, connections with incomplete heads give way like unfinished bodies do.

--- a/crowd/clients_test.go
+++ b/crowd/clients_test.go
@@ -140,6 +140,27 @@
 	}
 }
 
+// shortFields returns header fields of five bytes each, of size bytes in total.
+func shortFields(size int) []byte {
+	const letters = "abcdefghijklmnopqrstuvwxyz"
+	var b bytes.Buffer
+	for i := 0; b.Len() < size; i++ {
+		fmt.Fprintf(&b, "%c%c:\r\n", letters[i%26], letters[i/26%26])
+	}
+	return b.Bytes()
+}
+
+// sendFields sends a head of very many short fields; it is complete or lacks its
+// last line.
+func (c *client) sendFields(path string, complete bool) {
+	head := c.head("GET", path)
+	head = append(head[:len(head)-2], shortFields(maxHead-1000)...)
+	if complete {
+		head = append(head, "\r\n"...)
+	}
+	c.send(head, 0)
+}
+
 // pipeline sends many requests ahead without reading a response.
 func (c *client) pipeline(path string) {
 	c.send(bytes.Repeat(c.head("GET", path), 5000), 0)
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -37,6 +37,13 @@
 		Entry("with bodies far over the limit", 200, func(c *client) { c.sendBody(pathIdempotent, 5*maxBody, 100*maxBody, 0) }),
 		Entry("with chunked bodies far over the limit", 200, func(c *client) { c.sendChunks(pathIdempotent, 5*maxBody) }),
 		Entry("with chunked bodies far over the limit at a path without a route", 200, func(c *client) { c.sendChunks(pathNoRoute, 5*maxBody) }),
+		Entry("with very many header fields", many, func(c *client) { c.sendFields(pathIdempotent, true) }),
+		Entry("that stop within very many header fields", many, func(c *client) { c.sendFields(pathIdempotent, false) }),
+		Entry("with very many header fields and a body that stops", many, func(c *client) {
+			head := c.head("POST", pathIdempotent, "Content-Length: 100000")
+			head = append(head[:len(head)-2], shortFields(maxHead-1000)...)
+			c.send(append(head, "\r\nstop"...), 0)
+		}),
 		Entry("that send requests ahead and read no response", many, func(c *client) { c.pipeline(pathIdempotent) }),
 		Entry("that request large responses ahead and read none", many, func(c *client) { c.pipeline(pathLarge) }),
 		Entry("that send requests ahead at a path without a route", many, func(c *client) { c.pipeline(pathNoRoute) }),
--- a/instance/clientconns.go
+++ b/instance/clientconns.go
@@ -1,6 +1,8 @@
 package instance
 
 import (
+	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -119,6 +121,10 @@
 
 func (c *clientConns) newConn(nc net.Conn) *clientConn {
 	conn := &clientConn{Conn: nc, conns: c, block: blockOf(nc.RemoteAddr())}
+	if e := c.process.entry; e != nil && e.clientMemory.countsHeads() {
+		conn.head = e.clientMemory.newHolder(conn.block)
+		conn.head.setEvict(conn.evict)
+	}
 	return conn
 }
 
@@ -148,10 +154,13 @@
 	}
 	switch state {
 	case http.StateActive:
+		conn.endHead()
 		c.setState(conn, admission.ConnServing)
 	case http.StateIdle:
+		conn.releaseHead(false)
 		c.setState(conn, admission.ConnIdle)
 	case http.StateClosed, http.StateHijacked:
+		conn.releaseHead(true)
 		c.mu.Lock()
 		c.table.Close(conn)
 		c.mu.Unlock()
@@ -189,6 +198,11 @@
 	// state is the admission.ConnState of the connection.
 	state atomic.Uint32
 	block azurestair.ClientBlock
+	// head holds the memory of the current request head.
+	head *memoryHolder
+	// fields counts the header fields of the current request head that have
+	// arrived; only Read and net/http's callbacks use it, one at a time.
+	fields int
 }
 
 // Read implements net.Conn.
@@ -200,12 +214,70 @@
 	switch s := admission.ConnState(c.state.Load()); s { //nolint:gosec // holds a ConnState
 	case admission.ConnIdle:
 		c.conns.setState(c, admission.ConnHead)
+		return n, cmp.Or(c.countHead(p[:n]), err)
+	case admission.ConnHead:
+		return n, cmp.Or(c.countHead(p[:n]), err)
 	case admission.ConnReceiving:
 		c.conns.setState(c, s)
 	}
 	return n, err
 }
 
+const (
+	// maxHeaderFields bounds the header fields of a request. Ordinary clients
+	// send fewer than 100.
+	maxHeaderFields = 1000
+	// headerFieldBytes is the memory of a header field beyond its text: about 55
+	// bytes in each of three maps, and its list of values.
+	headerFieldBytes = 200
+	// headerTextFactor covers the buffer that a head is read into and the
+	// strings made from it.
+	headerTextFactor = 2
+)
+
+// errHeadRefused is returned by reads of a connection that is closed for its
+// request head.
+var errHeadRefused = errors.New("request head refused")
+
+// countHead reserves the memory for a part of a request head. Part of the body
+// may come with the end of the head; net/http reads at most 4 KiB at a time.
+func (c *clientConn) countHead(p []byte) error {
+	n := bytes.Count(p, []byte{'\n'})
+	c.fields += n
+	if c.fields > maxHeaderFields || !c.reserveHead(headerTextFactor*len(p)+headerFieldBytes*n) {
+		c.conns.tooMany.Inc(1)
+		c.conns.log("request head refused")
+		return &net.OpError{Op: "read", Net: "tcp", Err: errHeadRefused}
+	}
+	return nil
+}
+
+func (c *clientConn) reserveHead(n int) bool {
+	return c.head == nil || c.head.reserve(azurestair.Bytes(n))
+}
+
+// endHead records that a request head is complete. Its memory is held until the
+// request ends.
+func (c *clientConn) endHead() {
+	c.fields = 0
+	if c.head != nil {
+		c.head.setEvict(nil)
+	}
+}
+
+// releaseHead returns the memory of a request head.
+func (c *clientConn) releaseHead(isClosed bool) {
+	if c.head == nil {
+		return
+	}
+	c.head.close()
+	if !isClosed {
+		c.head.setEvict(c.evict)
+	}
+}
+
+func (c *clientConn) evict() { _ = c.Close() }
+
 // clientGuard bounds the request bodies of all paths, and refuses heads over the
 // limit of the configuration.
 type clientGuard struct {
