--- a/instance/closer.go
+++ b/instance/closer.go
@@ -32,7 +32,7 @@
 
 // closeTimeout bounds the wait until everything is closed. A few syncs of a disk
 // that takes 125 ms for each fit in; the requests have ended by then, so that
-// waiting longer serves nobody.
+// waiting longer has no use.
 const closeTimeout = time.Second
 
 // closeAll ends all goroutines and closes what they use. After closeTimeout, or
