--- a/instance/clientmemory.go
+++ b/instance/clientmemory.go
@@ -130,7 +130,8 @@
 	h.evict, h.evicted = nil, false
 }
 
-// setEvict sets how the holder gives way; nil means that it must not.
+// setEvict sets the function that makes the holder release its memory; nil means
+// that it cannot.
 func (h *memoryHolder) setEvict(f func()) {
 	h.memory.mu.Lock()
 	defer h.memory.mu.Unlock()
