Log restarts of upstreams and failed dials that count against the own link

Operators could not tell why a cold upstream was flooded: the logs did not say when an entry learned of a new process, how many requests it had sent there just before, or that failed dials no longer counted against the upstream.

No decision changes.

--- a/instance/dispatcher.go
+++ b/instance/dispatcher.go
@@ -354,13 +354,18 @@
 	d.logEvents()
 }
 
-// logEvents logs upstream ejections and recoveries. The caller holds mu.
+// logEvents logs upstream ejections, recoveries and restarts. The caller holds mu.
 func (d *dispatcher) logEvents() {
 	p, ok := d.picker.(*placement.Picker)
 	if !ok || d.log == nil {
 		return
 	}
 	for _, e := range p.Events() {
+		if r := e.Restart; r != nil {
+			d.log.Info("upstream has started again", "upstream", e.Upstream, "incarnation", r.Incarnation, "before", r.Before,
+				"coldMs", r.ColdMs, "recentRequests", r.RecentRequests, "quota", r.Quota)
+			continue
+		}
 		if e.Ejected {
 			d.log.Warn("upstream taken out", "upstream", e.Upstream, "cause", e.Cause, "inRow", e.ConsecutiveFailures, "rate", e.FailRate,
 				"forMs", e.Until.Sub(d.clock.Now()).Milliseconds())
@@ -529,6 +534,7 @@
 	defer d.mu.Unlock()
 	now := d.clock.Now()
 	d.picker.Update(s, now)
+	d.logEvents()
 	defaults := s.Config.Defaults.WithDefaults()
 	if c, ok := d.admitter.(azurestair.Configurer); ok {
 		c.Configure(defaults, now)
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -9,6 +9,7 @@
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/caller"
 	"azurestair.example/azurestair/peer"
+	"azurestair.example/azurestair/upstream"
 )
 
 // processMetrics holds the metrics of a process. Logs and status use the same
@@ -47,6 +48,19 @@
 	metrics.NewRegisteredFunctionalGauge(versionMismatchMetric, m.registry, func() int64 { return int64(len(v.Mismatches())) })
 }
 
+// registerDials registers the metrics of the connections that are opened to
+// upstreams.
+func (m *processMetrics) registerDials(c *upstream.Client) {
+	for name, count := range map[string]func(upstream.DialCounts) int64{
+		"dials.opened":        func(d upstream.DialCounts) int64 { return d.Opened },
+		"dials.refused":       func(d upstream.DialCounts) int64 { return d.Refused },
+		"dials.failed":        func(d upstream.DialCounts) int64 { return d.Failed },
+		"dials.notAttributed": func(d upstream.DialCounts) int64 { return d.NotAttributed },
+	} {
+		metrics.NewRegisteredFunctionalGauge(name, m.registry, func() int64 { return count(c.DialCounts()) })
+	}
+}
+
 const (
 	outcomePrefix = "outcome."
 	reasonPrefix  = "reason."
--- a/instance/process.go
+++ b/instance/process.go
@@ -177,6 +177,8 @@
 		upstreamClient: upstream.NewClient(o.DialUpstream, o.Clock), makeDispatcher: weightedDispatcher, ctx: context.Background(),
 		maxInFlight: int64(s.Limits.MaxRequestsInFlight),
 	}
+	e.upstreamClient.SetLog(log)
+	m.registerDials(e.upstreamClient)
 	if o.FrontEnd != nil {
 		e.ownLink.Rate = o.FrontEnd.LinkRate
 		e.upstreamClient.SetDialect(o.FrontEnd.Dialect, o.FrontEnd.MaxReuseIdle)
--- a/placement/event.go
+++ b/placement/event.go
@@ -19,9 +19,24 @@
 	CausePause         Cause = "asksForPause"
 )
 
-// Event reports the ejection or the return of an upstream.
+// Restart describes a new process of an upstream, as its first listing shows
+// it.
+type Restart struct {
+	Incarnation, Before azurestair.Incarnation
+	// ColdMs is the remaining time for which the new process is cold.
+	ColdMs azurestair.Millis
+	// RecentRequests is how many requests this entry has sent within the last
+	// coldWindow, and Quota how many it may send to the upstream while it is
+	// cold.
+	RecentRequests, Quota int
+}
+
+// Event reports the ejection, the return or the restart of an upstream.
 type Event struct {
 	Upstream azurestair.UpstreamID
+	// Restart is set if the upstream has started again under its id; the other
+	// fields are then not set.
+	Restart *Restart
 	// Ejected is true if the upstream was ejected until Until, and false if it
 	// is used again.
 	Ejected bool
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -117,6 +117,7 @@
 			continue
 		}
 		listed[a.Upstream] = true
+		earlier := p.byID[a.Upstream]
 		u := p.upstreamFor(a)
 		if a.ColdMs > 0 {
 			u.cold.until = now.Add(a.ColdMs.Duration())
@@ -124,6 +125,9 @@
 			u.cold.until = time.Time{}
 		}
 		u.cold.quota = coldQuota(u.seed, self, entries, service.ColdPerSecond)
+		if earlier != nil && earlier != u {
+			p.addRestartEvent(earlier, u, now)
+		}
 		if a.State != azurestair.StateServing || u.leaving || s.IsUpstreamDrained(a) || (skipUnconfirmed && !info.Confirmed) {
 			continue
 		}
@@ -140,6 +144,15 @@
 	p.updateSpread(s)
 }
 
+// addRestartEvent records that the process of an upstream was replaced.
+func (p *Picker) addRestartEvent(before, after *upstream, now time.Time) {
+	before.cold.dropExpired(now)
+	p.addEvent(Event{Upstream: after.announcement.Upstream, Restart: &Restart{
+		Incarnation: after.announcement.Incarnation, Before: before.announcement.Incarnation, ColdMs: after.announcement.ColdMs,
+		RecentRequests: len(before.cold.sent), Quota: after.cold.quota,
+	}})
+}
+
 // suspectCapacity is the fraction of its slots with which a suspect upstream is
 // counted, so that a region in which all upstreams are suspect still receives
 // trial requests.
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"maps"
 	"net"
 	"net/http"
@@ -91,7 +92,11 @@
 	// for a non-idempotent request.
 	maxNonIdempotentIdle time.Duration
 	dialTimer            dialTimer
+	dialCounts           dialCounters
 	liveness             livenessTracker
+	// log records when failed dials stop or begin to count against upstreams;
+	// nil disables it.
+	log *slog.Logger
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -115,6 +120,12 @@
 	c.dialect, c.maxNonIdempotentIdle = d, maxNonIdempotentIdle
 }
 
+// SetLog sets the log. It must be called before the first attempt.
+func (c *Client) SetLog(log *slog.Logger) { c.log = log }
+
+// DialCounts returns the numbers of dials since the start.
+func (c *Client) DialCounts() DialCounts { return c.dialCounts.load() }
+
 // SetLimit sets the maximum number of connections to the upstream at addr.
 func (c *Client) SetLimit(addr string, n azurestair.Conns) {
 	p := c.pool(addr)
@@ -217,7 +228,10 @@
 	if err != nil && ctx.Err() != nil {
 		return nil, fmt.Errorf("connect to %s: %w", p.addr, err)
 	}
+	before := c.dialTimer.suspectsLink()
 	upstreamFault := c.dialTimer.observe(err == nil, c.clock.Now().Sub(started))
+	c.dialCounts.add(err, upstreamFault)
+	c.logLinkSuspicion(before, p.addr, err)
 	switch {
 	case upstreamFault:
 		return nil, fmt.Errorf("connect to %s: %w: %w", p.addr, errUnreachable, err)
@@ -227,6 +241,19 @@
 	return nc, nil
 }
 
+// logLinkSuspicion logs a change of the assumption that the local link causes
+// the failed dials.
+func (c *Client) logLinkSuspicion(before bool, addr string, err error) {
+	now := c.dialTimer.suspectsLink()
+	switch {
+	case now == before || c.log == nil:
+	case now:
+		c.log.Warn("most dials fail; failed dials no longer count against upstreams", "addr", addr, "err", err)
+	default:
+		c.log.Info("dials succeed again; failed dials count against upstreams", "addr", addr)
+	}
+}
+
 // maxIdleFor returns the maximum idle time of a connection that is reused for
 // the attempt.
 func (c *Client) maxIdleFor(a Attempt) time.Duration {
--- a/upstream/dialtimer.go
+++ b/upstream/dialtimer.go
@@ -56,3 +56,10 @@
 	d.raisedTimeout = min(max(d.raisedTimeout, minDialTimeout)*3/2, maxDialTimeout)
 	return false
 }
+
+// suspectsLink reports whether failed dials are attributed to the local link.
+func (d *dialTimer) suspectsLink() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.failureRate > maxDialFailureRate
+}
