Announce restarted and cold upstreams to the instances at once

Callers were served late by upstreams that had crashed and started again under their ids: the upstreams were flooded while they were cold.

One that starts again under its id at its address changes none of these, nor does one that becomes cold again, so entries learned of it with their next report, up to a second later, and sent at the full rate until then.

Change: a larger incarnation or a longer cold time is announced too.

--- a/instance/leader.go
+++ b/instance/leader.go
@@ -182,8 +182,9 @@
 }
 
 // needsNotice reports whether instances should fetch the snapshot at once
-// rather than with their next report. Changes of load, and of the configuration
-// versions that instances report as in force, can wait.
+// rather than with their next report. Changes of load, upstreams that have
+// become warm, and the configuration versions that instances report as in force
+// can wait.
 func needsNotice(prev, next *azurestair.Snapshot) bool {
 	if prev == nil || prev.ConfigVersion() != next.ConfigVersion() || !slices.Equal(prev.Drains, next.Drains) {
 		return true
@@ -192,9 +193,7 @@
 		return true
 	}
 	for i, u := range next.Upstreams {
-		p := prev.Upstreams[i]
-		if u.Announcement.Upstream != p.Announcement.Upstream || u.Announcement.State != p.Announcement.State ||
-			u.Announcement.Addr != p.Announcement.Addr {
+		if needsNoticeOf(prev.Upstreams[i].Announcement, u.Announcement) {
 			return true
 		}
 	}
@@ -206,6 +205,14 @@
 	return false
 }
 
+// needsNoticeOf reports whether entries should learn of a change of an upstream
+// at once. An entry sends requests at the full rate to an upstream that it takes
+// for the earlier, warm process.
+func needsNoticeOf(prev, next azurestair.Announcement) bool {
+	return next.Upstream != prev.Upstream || next.State != prev.State || next.Addr != prev.Addr ||
+		next.Incarnation != prev.Incarnation || next.ColdMs > prev.ColdMs
+}
+
 // report answers an instance's report.
 func (r *Replica) report(report azurestair.Report, now time.Time) (azurestair.ReportReply, error) {
 	var reply azurestair.ReportReply
