Count refused connections against the upstream, not against the own link

Callers were refused and served late while upstreams of their service were down, and the upstreams were flooded in the moment in which they listened again.

Cause: once more than half of the recent dials failed, an entry attributed failed dials to its own link. Working upstreams are reached over open connections, so nearly all dials go to those that have crashed, and 13 refused ones were enough. The entry then kept choosing the crashed upstreams, which looked idle, without ever ejecting them, and all these requests arrived when they listened again.

Change: a refusal is an answer from the upstream's host. It shows that the link works, and it always counts against the upstream. Dials without an answer are judged as before.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"azurestair.example/azurestair"
@@ -229,7 +230,9 @@
 		return nil, fmt.Errorf("connect to %s: %w", p.addr, err)
 	}
 	before := c.dialTimer.suspectsLink()
-	upstreamFault := c.dialTimer.observe(err == nil, c.clock.Now().Sub(started))
+	// A refusal is an answer from the upstream's host, so the local link works.
+	refused := errors.Is(err, syscall.ECONNREFUSED)
+	upstreamFault := c.dialTimer.observe(err == nil || refused, c.clock.Now().Sub(started)) || refused
 	c.dialCounts.add(err, upstreamFault)
 	c.logLinkSuspicion(before, p.addr, err)
 	switch {
--- a/upstream/dialtimer.go
+++ b/upstream/dialtimer.go
@@ -13,10 +13,11 @@
 	// link is saturated: a round trip then takes longer than minDialTimeout,
 	// with which every dial would fail.
 	maxDialTimeout = 1500 * time.Millisecond
-	// dialFailureWeight is the weight of one dial in the failure rate.
+	// dialFailureWeight is the weight of one dial in the rate of dials without
+	// an answer.
 	dialFailureWeight = 1.0 / 16
-	// maxDialFailureRate is the failure rate above which the local link, not
-	// the upstreams, is the likely cause.
+	// maxDialFailureRate is the rate of dials without an answer above which the
+	// local link, not the upstreams, is the likely cause.
 	maxDialFailureRate = 0.5
 )
 
@@ -24,7 +25,7 @@
 // The zero value is ready to use.
 type dialTimer struct {
 	mu sync.Mutex
-	// failureRate is the exponential moving average of failed dials.
+	// failureRate is the exponential moving average of dials without an answer.
 	failureRate float64
 	// raisedTimeout is the dial timeout if it is above minDialTimeout.
 	raisedTimeout time.Duration
@@ -37,12 +38,12 @@
 	return max(d.raisedTimeout, minDialTimeout)
 }
 
-// observe records the result of a dial. It reports whether a failure is
-// attributed to the upstream.
-func (d *dialTimer) observe(ok bool, took time.Duration) bool {
+// observe records whether a dial was answered. It reports whether a dial without
+// an answer is attributed to the upstream.
+func (d *dialTimer) observe(answered bool, took time.Duration) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if ok {
+	if answered {
 		d.failureRate -= dialFailureWeight * d.failureRate
 		// Four times the last dial time leaves room for a growing queue on the
 		// link.
