Count requests sent before a restart was known towards the cold limit

A restarted upstream could get more requests in a second than it tolerates while it is cold, and served them late.

Cause: the requests of the last second were counted in the record of the process before. The listing of the new process replaced that record, so that each entry began its quota anew although the new process had got those requests. The same happened to an upstream that was unlisted and listed again within a second.

Change: the new record takes over the times of the recent requests, and an unlisted record is kept until its last request is older than the window.

--- a/placement/picker.go
+++ b/placement/picker.go
@@ -118,7 +118,7 @@
 		}
 		listed[a.Upstream] = true
 		earlier := p.byID[a.Upstream]
-		u := p.upstreamFor(a)
+		u := p.upstreamFor(a, now)
 		if a.ColdMs > 0 {
 			u.cold.until = now.Add(a.ColdMs.Duration())
 		} else {
@@ -126,7 +126,7 @@
 		}
 		u.cold.quota = coldQuota(u.seed, self, entries, service.ColdPerSecond)
 		if earlier != nil && earlier != u {
-			p.addRestartEvent(earlier, u, now)
+			p.addRestartEvent(earlier, u)
 		}
 		if a.State != azurestair.StateServing || u.leaving || s.IsUpstreamDrained(a) || (skipUnconfirmed && !info.Confirmed) {
 			continue
@@ -135,21 +135,27 @@
 		p.usableCount++
 		p.byRegion[a.Region] = append(p.byRegion[a.Region], u)
 	}
+	p.removeUnlisted(listed, now)
+	p.updatePlan()
+	p.updateSpread(s)
+}
+
+// removeUnlisted removes the records of upstreams that are no longer listed and
+// that have got no requests lately.
+func (p *Picker) removeUnlisted(listed map[azurestair.UpstreamID]bool, now time.Time) {
 	for id, u := range p.byID {
-		if !listed[id] && u.inFlight == 0 {
+		u.cold.dropExpired(now)
+		if !listed[id] && u.inFlight == 0 && len(u.cold.sent) == 0 {
 			delete(p.byID, id)
 		}
 	}
-	p.updatePlan()
-	p.updateSpread(s)
 }
 
 // addRestartEvent records that the process of an upstream was replaced.
-func (p *Picker) addRestartEvent(before, after *upstream, now time.Time) {
-	before.cold.dropExpired(now)
+func (p *Picker) addRestartEvent(before, after *upstream) {
 	p.addEvent(Event{Upstream: after.announcement.Upstream, Restart: &Restart{
 		Incarnation: after.announcement.Incarnation, Before: before.announcement.Incarnation, ColdMs: after.announcement.ColdMs,
-		RecentRequests: len(before.cold.sent), Quota: after.cold.quota,
+		RecentRequests: len(after.cold.sent), Quota: after.cold.quota,
 	}})
 }
 
@@ -187,11 +193,17 @@
 }
 
 // upstreamFor returns the record of an upstream; a new incarnation gets a new
-// one.
-func (p *Picker) upstreamFor(a azurestair.Announcement) *upstream {
+// one. The requests that were sent shortly before it was listed have reached the
+// new process, so they count towards its cold limit.
+func (p *Picker) upstreamFor(a azurestair.Announcement, now time.Time) *upstream {
 	u := p.byID[a.Upstream]
 	if u == nil || u.announcement.Incarnation != a.Incarnation {
-		u = &upstream{seed: hashOf(string(a.Upstream))}
+		next := &upstream{seed: hashOf(string(a.Upstream))}
+		if u != nil {
+			u.cold.dropExpired(now)
+			next.cold.sent = slices.Clone(u.cold.sent)
+		}
+		u = next
 		p.byID[a.Upstream] = u
 	}
 	u.announcement = a
