Ignore what attempts to an earlier process show of an upstream

A restarted upstream could be ejected for failures of the process before, so that its callers were refused, or be taken for idle while it was not.

Cause: the picker looked up the record of an ended attempt by the upstream's id alone. Attempts to the process before ended on the record of the new one: their failures and refused connections counted against it, and each of them took one from its requests in flight. Only what a response says of the upstream was checked against the incarnation.

Change: Done, Observe and Abandon find the record by id and incarnation.

One existing test observed a refused connection for a choice without an incarnation, which no picker returns; it now gives the one of the upstream, and checks the same as before.

--- a/placement/picker.go
+++ b/placement/picker.go
@@ -334,9 +334,19 @@
 // latency.
 const serviceLatencyGain = 1.0 / 256
 
+// chosen returns the record of the process that was chosen, or nil if another
+// one has replaced it. What an attempt shows of one process says nothing about
+// the next.
+func (p *Picker) chosen(c azurestair.Choice) *upstream {
+	if u := p.byID[c.Upstream]; u != nil && u.announcement.Incarnation == c.Incarnation {
+		return u
+	}
+	return nil
+}
+
 // Done ends an attempt.
 func (p *Picker) Done(c azurestair.Choice, r azurestair.AttemptResult, latency time.Duration, now time.Time) {
-	u := p.byID[c.Upstream]
+	u := p.chosen(c)
 	if u == nil || u.inFlight <= len(u.lateUntil) {
 		return
 	}
@@ -373,13 +383,11 @@
 // Observe records what a response, or a failure to connect, shows of the
 // upstream.
 func (p *Picker) Observe(c azurestair.Choice, o azurestair.Observation, now time.Time) {
-	u := p.byID[c.Upstream]
+	u := p.chosen(c)
 	if u == nil {
 		return
 	}
-	if u.announcement.Incarnation == c.Incarnation {
-		p.observeAnswer(u, o, now)
-	}
+	p.observeAnswer(u, o, now)
 	switch {
 	case o.AddressReused:
 		if !u.health.isEjected(now) || c.Trial {
@@ -427,7 +435,7 @@
 
 // Abandon ends an attempt whose outcome says nothing about the upstream.
 func (p *Picker) Abandon(c azurestair.Choice, sent bool, _ time.Duration, now time.Time) {
-	u := p.byID[c.Upstream]
+	u := p.chosen(c)
 	if u == nil || u.inFlight <= len(u.lateUntil) {
 		return
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -231,7 +231,7 @@
 		Expect(inHuye()).To(Equal(500))
 		h.now = h.now.Add(time.Second)
 		for i := range 5 {
-			h.pickers[0].Observe(azurestair.Choice{Upstream: list[i].Upstream}, azurestair.Observation{Unreachable: true}, h.now)
+			h.pickers[0].Observe(azurestair.Choice{Upstream: list[i].Upstream, Incarnation: list[i].Incarnation}, azurestair.Observation{Unreachable: true}, h.now)
 		}
 		Expect(inHuye()).To(BeNumerically("~", 345, 40), "22 slots for 32")
 		h.now = h.now.Add(20 * time.Second)
