Limit requests to an upstream that may have started again unnoticed

An upstream that crashes and listens again could be flooded by entries that do not know of its new process yet, for instance while control is unreachable.

Cause: an entry ejects an upstream that it cannot connect to. One successful trial later it sends at the full rate again, as to the warm process it knew, although the process that answers may have just started.

Evidence: in virtual time, seven entries whose connections an upstream refused for 1.2 s send it 67 requests within one second after its return, before they hear of a new process; 19 are allowed.

Change: from a failed connection until the time that a cold start takes after the next response, an entry sends the upstream no more than its even part of what a cold one tolerates, at least one request in 1.15 s. A listing of the new process replaces this limit by the exact one. Services without cold limits are not affected.

--- a/placement/cold.go
+++ b/placement/cold.go
@@ -20,23 +20,57 @@
 )
 
 // coldLimiter limits the requests that this entry sends to an upstream that has
-// just started.
+// just started, or that may have.
 type coldLimiter struct {
 	until time.Time
 	// quota is how many requests this entry may send within coldWindow.
 	quota int
 	sent  []time.Time
+
+	// unreachable is true from the time at which no connection could be opened
+	// until the next response. The process that responds may be another one,
+	// and the entry may learn of it much later.
+	unreachable bool
+	// suspectedUntil is the time until which that process is cold if it started
+	// just before its first response.
+	suspectedUntil time.Time
+	// evenQuota is this entry's part of what a cold upstream tolerates if all
+	// entries send to it. Entries that do not know of a restart do not agree on
+	// a few senders.
+	evenQuota int
 }
 
 func (c *coldLimiter) isCold(now time.Time) bool { return now.Before(c.until) }
 
+// isSuspected reports whether the upstream may be a process that the entry does
+// not know of.
+func (c *coldLimiter) isSuspected(now time.Time) bool {
+	return c.unreachable || now.Before(c.suspectedUntil)
+}
+
+// markUnreachable records that no connection could be opened.
+func (c *coldLimiter) markUnreachable() { c.unreachable = true }
+
+// markAnswered records a response of an upstream that is cold for a time d after
+// it has started.
+func (c *coldLimiter) markAnswered(d time.Duration, now time.Time) {
+	if c.unreachable {
+		c.unreachable, c.suspectedUntil = false, now.Add(d)
+	}
+}
+
 // allows reports whether a request may be sent now.
 func (c *coldLimiter) allows(now time.Time) bool {
-	if !c.isCold(now) {
+	limit := c.quota
+	switch {
+	case c.isCold(now):
+	case c.isSuspected(now):
+		limit = c.evenQuota
+	default:
 		return true
 	}
 	c.dropExpired(now)
-	return len(c.sent) < c.quota
+	return len(c.sent) < limit
 }
 
 // recordSent counts a request. It also counts requests to warm upstreams,
@@ -76,3 +110,12 @@
 	}
 	return max(1, int(perSecond)/n)
 }
+
+// evenColdQuota returns how many requests within coldWindow each of n entries
+// may send to an upstream that tolerates perSecond from all of them.
+func evenColdQuota(n int, perSecond float64) int {
+	if perSecond <= 0 {
+		return int(azurestair.MaxSlots)
+	}
+	return max(1, int(perSecond)/max(n, 1))
+}
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -64,6 +64,8 @@
 	byRegion    map[azurestair.RegionName][]*upstream
 	plan        *plan
 	usableCount int
+	// coldTime is how long an upstream is cold after it has started.
+	coldTime time.Duration
 	// serviceLatency is the mean latency over all responses of the service.
 	serviceLatency float64
 	ranked         []candidate
@@ -106,6 +108,7 @@
 	}
 	p.snapshot = s
 	service, _ := s.Config.Service(p.opts.Service)
+	p.coldTime = service.ColdMs.Duration()
 	self, entries := hashOf(string(p.opts.Self)), entrySeeds(s)
 	listed := map[azurestair.UpstreamID]bool{}
 	p.byRegion = map[azurestair.RegionName][]*upstream{}
@@ -125,6 +128,7 @@
 			u.cold.until = time.Time{}
 		}
 		u.cold.quota = coldQuota(u.seed, self, entries, service.ColdPerSecond)
+		u.cold.evenQuota = evenColdQuota(len(entries), service.ColdPerSecond)
 		if earlier != nil && earlier != u {
 			p.addRestartEvent(earlier, u)
 		}
@@ -369,6 +373,7 @@
 	}
 	if r == azurestair.AttemptDone {
 		u.answeredAt, u.shedSince = now, time.Time{}
+		u.cold.markAnswered(p.coldTime, now)
 	}
 	if r == azurestair.AttemptTimeout && u.answeredAt.After(now.Add(-latency)) {
 		// The upstream has answered other requests since this one was sent, so
@@ -424,6 +429,7 @@
 // is enough: each further one would cost a request the whole connection
 // timeout.
 func (p *Picker) markUnreachable(u *upstream, c azurestair.Choice, now time.Time) {
+	u.cold.markUnreachable()
 	if c.Trial {
 		p.recordOutcome(u, c, false, now)
 		return
