Keep upstreams cold when a new leader lists them from the log

A cold upstream could be flooded after a change of leader.

The entries took this listing for newer than what they knew: they lifted the limit of a cold upstream, or went back to the record of the warm process before, until its next announcement reached the new leader.

Change: only a confirmed listing ends a cold time, and an earlier incarnation of an upstream that has stayed listed is ignored.

--- a/placement/picker.go
+++ b/placement/picker.go
@@ -122,11 +122,8 @@
 		listed[a.Upstream] = true
 		earlier := p.byID[a.Upstream]
 		u := p.upstreamFor(a, now)
-		if a.ColdMs > 0 {
-			u.cold.until = now.Add(a.ColdMs.Duration())
-		} else {
-			u.cold.until = time.Time{}
-		}
+		u.updateColdTime(info, now)
+		a = u.announcement
 		u.cold.quota = coldQuota(u.seed, self, entries, service.ColdPerSecond)
 		u.cold.evenQuota = evenColdQuota(len(entries), service.ColdPerSecond)
 		if earlier != nil && earlier != u {
@@ -148,8 +145,9 @@
 // that have got no requests lately.
 func (p *Picker) removeUnlisted(listed map[azurestair.UpstreamID]bool, now time.Time) {
 	for id, u := range p.byID {
+		u.listed = listed[id]
 		u.cold.dropExpired(now)
-		if !listed[id] && u.inFlight == 0 && len(u.cold.sent) == 0 {
+		if !u.listed && u.inFlight == 0 && len(u.cold.sent) == 0 {
 			delete(p.byID, id)
 		}
 	}
@@ -198,9 +196,13 @@
 
 // upstreamFor returns the record of an upstream; a new incarnation gets a new
 // one. The requests that were sent shortly before it was listed have reached the
-// new process, so they count towards its cold limit.
+// new process, so they count towards its cold limit. While an upstream stays
+// listed, an earlier incarnation is old news from a new leader.
 func (p *Picker) upstreamFor(a azurestair.Announcement, now time.Time) *upstream {
 	u := p.byID[a.Upstream]
+	if u != nil && u.listed && a.Incarnation < u.announcement.Incarnation {
+		return u
+	}
 	if u == nil || u.announcement.Incarnation != a.Incarnation {
 		next := &upstream{seed: hashOf(string(a.Upstream))}
 		if u != nil {
--- a/placement/restart_test.go
+++ b/placement/restart_test.go
@@ -98,6 +98,33 @@
 	})
 })
 
+// Guards against a new leader that has only the upstreams stored in the log. It
+// may list the process before, and it lists every upstream as warm.
+var _ = DescribeTable("a cold upstream stays limited when a new leader lists",
+	func(change func(*azurestair.Announcement)) {
+		list := restarted(upstreams("huye", 1))
+		h := newHarness(7, "huye", list...)
+		seeded := h.snap
+		a := list[0]
+		change(&a)
+		seeded.Upstreams = []azurestair.UpstreamInfo{{Announcement: a}}
+		sent := 0
+		for _, p := range h.pickers {
+			p.Update(&seeded, h.now)
+			for range coldBound {
+				if c, err := p.Pick(workOn(1), nil, h.now); err == nil {
+					p.Done(c, done, latency, h.now)
+					sent++
+				}
+			}
+		}
+		Expect(sent).To(BeNumerically("<=", coldBound))
+		Expect(sent).To(BeNumerically(">", 0))
+	},
+	Entry("it as warm", func(a *azurestair.Announcement) { a.ColdMs, a.Sequence = 0, 0 }),
+	Entry("the process before", func(a *azurestair.Announcement) { a.ColdMs, a.Sequence, a.Incarnation = 0, 0, 1 }),
+)
+
 // restartLoad sends every entry a request for a new object every few
 // milliseconds and counts those that arrive at one upstream.
 type restartLoad struct {
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -51,6 +51,8 @@
 	health health
 	cold   coldLimiter
 
+	// listed is true if the last snapshot lists the upstream.
+	listed bool
 	// leaving is true once the upstream has said so in a response. It stays
 	// true, whatever later snapshots say, until a new incarnation replaces this
 	// record.
@@ -70,6 +72,20 @@
 	}
 }
 
+// updateColdTime applies the cold time of a listing. A listing that no
+// announcement has confirmed comes from a new leader, which may not know that
+// the upstream is cold.
+func (u *upstream) updateColdTime(info azurestair.UpstreamInfo, now time.Time) {
+	a := info.Announcement
+	switch {
+	case a.Incarnation != u.announcement.Incarnation:
+	case a.ColdMs > 0:
+		u.cold.until = now.Add(a.ColdMs.Duration())
+	case info.Confirmed:
+		u.cold.until = time.Time{}
+	}
+}
+
 // isPaused reports whether the upstream has asked for no requests.
 func (u *upstream) isPaused(now time.Time) bool { return now.Before(u.pausedUntil) }
 
