Keep attempts to an earlier process out of the state of a restarted upstream

Callers lost the capacity of an upstream that had crashed and started again under its id: entries with leased budgets ejected the new process for 5 s, or counted all of its slots as busy.

Cause: Weighted.Done and Abandon look the upstream up by id only. What the earlier process left unanswered counts as failures, latency and late slots of the new one, although resetProcess has just cleared these.

Evidence: with 11 attempts in flight to the earlier process, its successor is "ejected" (Ejections 1) after broken ones, holds 11 late slots as well after timeouts, is "saturated" (Late 11) after abandoned ones, and has a latency of 1 s after answers that took that long. "not sent" was right before.

Change: an attempt to another incarnation than the current one frees its slot and is otherwise ignored. A test of trials ended an attempt that no pick had returned, without an incarnation; it now has that of the upstream.

--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -380,7 +380,7 @@
 		h.advance(5 * time.Second)
 		h.pickUntilRefused()
 		Expect(h.InFlight("x-0")).To(BeEquivalentTo(1))
-		h.Done(azurestair.Choice{Upstream: "x-0", Trial: true}, broken, 0, h.now)
+		h.Done(azurestair.Choice{Upstream: "x-0", Incarnation: 1, Trial: true}, broken, 0, h.now)
 		h.advance(9 * time.Second)
 		expectRefused(h, azurestair.ReasonNoUpstream)
 		h.advance(time.Second)
--- a/routing/weighted.go
+++ b/routing/weighted.go
@@ -222,7 +222,7 @@
 func (p *Weighted) Done(c azurestair.Choice, r azurestair.AttemptResult, latency time.Duration, now time.Time) {
 	p.advance(now)
 	u := p.byID[c.Upstream]
-	if u == nil || u.inFlight <= len(u.lateUntil) {
+	if u == nil || u.inFlight <= len(u.lateUntil) || p.endEarlier(u, c, now) {
 		return
 	}
 	if r == azurestair.AttemptTimeout {
@@ -235,6 +235,18 @@
 	p.reclassify(u, now)
 }
 
+// endEarlier ends an attempt to an earlier process of the upstream and returns
+// true, or returns false if the attempt is to the current one. The outcome says
+// nothing about the current process, and the earlier one no longer works.
+func (p *Weighted) endEarlier(u *upstream, c azurestair.Choice, now time.Time) bool {
+	if c.Incarnation == u.announcement.Incarnation {
+		return false
+	}
+	p.releaseSlot(u)
+	p.reclassify(u, now)
+	return true
+}
+
 func (p *Weighted) releaseSlot(u *upstream) {
 	u.inFlight--
 	u.tier.inFlight--
@@ -263,7 +275,7 @@
 func (p *Weighted) Abandon(c azurestair.Choice, sent bool, elapsed time.Duration, now time.Time) {
 	p.advance(now)
 	u := p.byID[c.Upstream]
-	if u == nil || u.inFlight <= len(u.lateUntil) {
+	if u == nil || u.inFlight <= len(u.lateUntil) || p.endEarlier(u, c, now) {
 		return
 	}
 	if sent {
