Ignore states that an earlier process of an upstream reports late

Cause: Confirm has the id of the upstream only. The last answers of a process that says that it is leaving, and its delayed announcements and probes, arrive after the list that contains its successor and are then taken for the state of that. StateLeaving is final for a process.

Evidence: an entry that knows of incarnation 2 and then hears "leaving" from incarnation 1 has no upstream left: noUpstream with leased budgets, upstreamsSaturated with region plans.

Announcements, answers and probes carry theirs.

Measured: the two cases pass, and a state from the listed process still applies; go test -race . ./instance passes.

--- a/instance/attempt.go
+++ b/instance/attempt.go
@@ -57,7 +57,7 @@
 	a.sentAt = c.entry.clock.Now()
 	a.response, a.err = c.entry.upstreamClient.Do(a.ctx, a.choice.Addr, a.params)
 	if a.response.State != "" {
-		c.dispatcher.confirmState(a.choice.Upstream, a.response.State)
+		c.dispatcher.confirmState(a.choice.Upstream, a.choice.Incarnation, a.response.State)
 	}
 	leaving := a.response.State == azurestair.StateDraining || a.response.State == azurestair.StateLeaving
 	c.dispatcher.observe(a.choice, azurestair.Observation{
--- a/instance/dispatcher.go
+++ b/instance/dispatcher.go
@@ -27,6 +27,8 @@
 	mu       sync.Mutex
 	admitter azurestair.Admitter
 	picker   azurestair.Picker
+	// snapshot is the last one that was passed to the picker.
+	snapshot *azurestair.Snapshot
 	// waiting holds the channels on which queued work receives its decision.
 	waiting     map[azurestair.AdmissionID]chan azurestair.AdmissionEvent
 	lastID      azurestair.AdmissionID
@@ -334,10 +336,15 @@
 	d.wakeTimer()
 }
 
-// confirmState records the state that an upstream reported for itself.
-func (d *dispatcher) confirmState(id azurestair.UpstreamID, state azurestair.UpstreamState) {
+// confirmState records the state that a process of an upstream reported for
+// itself, unless a later process is listed. The answers and announcements of the
+// earlier process may arrive after the list that contains the later one.
+func (d *dispatcher) confirmState(id azurestair.UpstreamID, inc azurestair.Incarnation, state azurestair.UpstreamState) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if listed, _ := d.snapshot.Upstream(id); listed.Announcement.Incarnation > inc {
+		return
+	}
 	if p, ok := d.picker.(azurestair.ConfirmingPicker); ok {
 		p.Confirm(id, state, d.clock.Now())
 	}
@@ -533,6 +540,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
+	d.snapshot = s
 	d.picker.Update(s, now)
 	d.logEvents()
 	defaults := s.Config.Defaults.WithDefaults()
--- a/instance/entry.go
+++ b/instance/entry.go
@@ -165,10 +165,10 @@
 	return nil
 }
 
-// confirmState records the state that an upstream reported for itself.
-func (e *Entry) confirmState(s azurestair.ServiceName, id azurestair.UpstreamID, state azurestair.UpstreamState) {
-	if d, ok := e.allDispatchers()[s]; ok {
-		d.confirmState(id, state)
+// confirmState records the state that an upstream announced.
+func (e *Entry) confirmState(a azurestair.Announcement) {
+	if d, ok := e.allDispatchers()[a.Service]; ok {
+		d.confirmState(a.Upstream, a.Incarnation, a.State)
 	}
 }
 
--- a/instance/member.go
+++ b/instance/member.go
@@ -181,7 +181,7 @@
 	}
 	old.latest, old.receivedAt = a, now
 	if m.entry != nil {
-		m.entry.confirmState(a.Service, a.Upstream, a.State)
+		m.entry.confirmState(a)
 	}
 	if m.controlDeadline.Sub(now) < announceMargin && now.Sub(m.startedAt) >= startGrace {
 		// This instance may not reach the leader in time, so the upstream has
--- a/instance/probe.go
+++ b/instance/probe.go
@@ -25,8 +25,8 @@
 	}
 	for _, d := range e.allDispatchers() {
 		for _, id := range d.probeCandidates() {
-			if addr := v.addrOf(id); addr != "" {
-				p := &prober{entry: e, dispatcher: d, id: id, addr: addr, deadline: now.Add(probeTimeout)}
+			if u, ok := v.snapshot.Upstream(id); ok {
+				p := &prober{entry: e, dispatcher: d, target: u.Announcement, deadline: now.Add(probeTimeout)}
 				e.wg.Go(p.run)
 			}
 		}
@@ -37,36 +37,24 @@
 type prober struct {
 	entry      *Entry
 	dispatcher *dispatcher
-	id         azurestair.UpstreamID
-	addr       string
+	target     azurestair.Announcement
 	deadline   time.Time
 }
 
 func (p *prober) run() {
 	a := upstream.Attempt{
-		ID: "probe-" + azurestair.RequestID(p.id), Method: http.MethodGet, Path: probePath,
+		ID: "probe-" + azurestair.RequestID(p.target.Upstream), Method: http.MethodGet, Path: probePath,
 		Idempotent: true, NewConn: true, Deadline: p.deadline,
 	}
 	ctx, cancel := context.WithDeadline(p.entry.ctx, p.deadline)
 	defer cancel()
-	resp, err := p.entry.upstreamClient.Do(ctx, p.addr, a)
+	resp, err := p.entry.upstreamClient.Do(ctx, p.target.Addr, a)
 	if err != nil {
 		return
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, retryBufferLimit))
 	_ = resp.Body.Close()
 	if resp.State != "" {
-		p.dispatcher.confirmState(p.id, resp.State)
+		p.dispatcher.confirmState(p.target.Upstream, p.target.Incarnation, resp.State)
 	}
 }
-
-// addrOf returns the address of an upstream, or an empty string if it is not
-// listed.
-func (v *view) addrOf(id azurestair.UpstreamID) string {
-	for _, u := range v.snapshot.Upstreams {
-		if u.Announcement.Upstream == id {
-			return u.Announcement.Addr
-		}
-	}
-	return ""
-}
--- /dev/null
+++ b/instance/restart_test.go
@@ -0,0 +1,80 @@
+package instance
+
+import (
+	"math/rand/v2"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/admission"
+	"azurestair.example/azurestair/placement"
+	"azurestair.example/azurestair/routing"
+)
+
+// restartFixture is an entry with one of the pickers and the upstream u1.
+type restartFixture struct {
+	*entryFixture
+	revision azurestair.Revision
+}
+
+func newRestartFixture(p azurestair.Picker) *restartFixture {
+	clk := newFakeClock()
+	f := &restartFixture{entryFixture: newEntryFixture(clk, &fakeLedger{}, newFakeUpstream())}
+	d := newDispatcher(clk, admission.New(admission.Options{}), p, rand.NewPCG(1, 1))
+	f.dispatcher = d
+	f.dispatchers.Store(&map[azurestair.ServiceName]*dispatcher{"shop": d})
+	return f
+}
+
+// list publishes a snapshot that lists u1 with the given incarnation.
+func (f *restartFixture) list(inc azurestair.Incarnation) {
+	f.revision++
+	s := testSnapshot(1)
+	s.Revision += f.revision
+	a := testAnnouncement(1)
+	a.Incarnation = inc
+	s.Upstreams = []azurestair.UpstreamInfo{{Announcement: a, Confirmed: true}}
+	f.update(s)
+}
+
+// expectUsed checks whether requests are sent to u1.
+func (f *restartFixture) expectUsed(want bool) {
+	ginkgo.GinkgoHelper()
+	c, err := f.dispatcher.pick(azurestair.RequestInfo{Service: "shop", Idempotent: true}, nil)
+	if !want {
+		Expect(err).To(MatchError(azurestair.ErrNoUpstream))
+		return
+	}
+	Expect(err).NotTo(HaveOccurred())
+	f.dispatcher.abandonAttempt(c, false, 0)
+}
+
+// Guards against a restarted upstream that gets no requests from an entry,
+// because its earlier process has said late that it is leaving.
+var _ = ginkgo.DescribeTableSubtree("a state that an upstream reports",
+	func(newPicker func() azurestair.Picker) {
+		var f *restartFixture
+		leaving := testAnnouncement(2)
+		leaving.State = azurestair.StateLeaving
+		ginkgo.BeforeEach(func() {
+			f = newRestartFixture(newPicker())
+			f.list(1)
+		})
+		ginkgo.It("applies to the process that reports it", func() {
+			f.confirmState(leaving)
+			f.expectUsed(false)
+		})
+		ginkgo.It("does not apply to a later process", func() {
+			f.list(2)
+			f.confirmState(leaving)
+			f.expectUsed(true)
+		})
+	},
+	ginkgo.Entry("with leased budgets", func() azurestair.Picker {
+		return routing.NewWeighted(routing.Options{Service: "shop", Region: "kigali", Rand: rand.NewPCG(1, 1)})
+	}),
+	ginkgo.Entry("with region plans", func() azurestair.Picker {
+		return placement.New(placement.Options{Service: "shop", Region: "kigali", Rand: rand.NewPCG(1, 1)})
+	}),
+)
--- a/snapshot.go
+++ b/snapshot.go
@@ -16,6 +16,7 @@
 	Config    *Config        `cbor:"4,keyasint,omitempty" json:"config,omitempty"`
 	Drains    []Drain        `cbor:"5,keyasint,omitempty" json:"drains,omitempty"`
 	Instances []InstanceInfo `cbor:"6,keyasint,omitempty" json:"instances,omitempty"`
+	// Upstreams is sorted by id.
 	Upstreams []UpstreamInfo `cbor:"7,keyasint,omitempty" json:"upstreams,omitempty"`
 	// Plans is sorted by service and region.
 	Plans []RegionPlan `cbor:"8,keyasint,omitempty" json:"plans,omitempty"`
@@ -142,6 +143,21 @@
 	return validateAll("plans", s.Plans, MaxPlans)
 }
 
+// Upstream returns a listed upstream, or false if the snapshot, which may be nil,
+// does not list it.
+func (s *Snapshot) Upstream(id UpstreamID) (UpstreamInfo, bool) {
+	if s == nil {
+		return UpstreamInfo{}, false
+	}
+	i, ok := slices.BinarySearchFunc(s.Upstreams, id, func(u UpstreamInfo, id UpstreamID) int {
+		return cmp.Compare(u.Announcement.Upstream, id)
+	})
+	if !ok {
+		return UpstreamInfo{}, false
+	}
+	return s.Upstreams[i], true
+}
+
 // IsDrained reports whether an operator has drained the target.
 func (s *Snapshot) IsDrained(kind TargetKind, name string) bool {
 	for _, d := range s.Drains {
