Repeat announcements that the leader got but did not use

Callers were sent to the earlier process of a restarted upstream, or flooded the cold later one, if the leader changed just after it had announced itself: all entries took it for the earlier process until its announcement changed again.

Cause: a member counts an announcement as sent once it is in a report, and marks it to be sent again only if the exchange fails. A leader that does not know the report that is repeated, or knows a later incarnation of the entry, answers without having used the report. From then on it gets the upstream's id only, which confirms the process that its predecessor listed.

Evidence: after a reply with Resend, and after one with SupersededBy, the next report has no announcements where one is expected.

Change: after such a reply the next report contains all announcements, as it does after a failed exchange.

--- a/instance/member.go
+++ b/instance/member.go
@@ -332,7 +332,7 @@
 	m.reportAccepted = true
 	grants, ok := m.reportSender.HandleReply(e.reply)
 	if !ok {
-		m.aliveListedAt = time.Time{}
+		m.resendUpstreams()
 		m.requestReport()
 		return
 	}
@@ -391,18 +391,26 @@
 	m.log.Info("incarnation raised; an earlier process of this instance had a clock that was ahead",
 		"incarnation", known+1, "before", m.self.Incarnation)
 	m.self.Incarnation = known + 1
+	m.resendUpstreams()
 	m.requestReport()
 }
 
 var errSuperseded = fmt.Errorf("%w: a later process reports as this instance", azurestair.ErrConflict)
 
-// handleReportError logs a failed report and marks all announcements to be sent
-// again with the next one.
+// handleReportError logs a failed report. The next one contains all
+// announcements again.
 func (m *Member) handleReportError(err error, now time.Time) {
 	if m.leaderReached || now.Sub(m.lostLoggedAt) >= repeatedLogInterval {
 		m.leaderReached, m.lostLoggedAt = false, now
 		m.log.Warn("control not reached", "err", err, "term", m.term, "controlUntil", m.controlDeadline)
 	}
+	m.resendUpstreams()
+}
+
+// resendUpstreams makes the next report contain the announcements of all
+// upstreams, because the leader may not have used those of the last one. An id in
+// Report.Alive does not tell it which process of the upstream is alive.
+func (m *Member) resendUpstreams() {
 	m.aliveListedAt = time.Time{}
 	for _, a := range m.announced {
 		a.unsent = true
--- a/instance/restart_test.go
+++ b/instance/restart_test.go
@@ -78,3 +78,24 @@
 		return placement.New(placement.Options{Service: "shop", Region: "kigali", Rand: rand.NewPCG(1, 1)})
 	}),
 )
+
+// Guards against a leader that keeps the earlier process of a restarted upstream
+// listed, because it got the announcement of the later one in a report that it
+// did not use, and hears only that the upstream is alive from then on.
+var _ = ginkgo.DescribeTable("a member repeats the announcements of a report that the leader has not used",
+	func(before []azurestair.ReportReply, reply azurestair.ReportReply) {
+		m := newMemberFixture()
+		m.startedAt = m.clock.Now()
+		for _, r := range before {
+			m.exchange(r)
+		}
+		Expect(m.announce(testAnnouncement(1), m.clock.Now())).To(Succeed())
+		q := m.exchange(reply)
+		Expect(q.Announcements).To(HaveLen(1))
+		Expect(q.RepeatOf != nil).To(Equal(reply.Resend))
+		Expect(m.report().Announcements).To(HaveLen(1))
+	},
+	ginkgo.Entry("because it does not know the report that is repeated",
+		[]azurestair.ReportReply{snapshotReply(1, 1, 1), {Term: 1}, {Term: 1}}, azurestair.ReportReply{Term: 2, Resend: true}),
+	ginkgo.Entry("because it knows a later incarnation", nil, azurestair.ReportReply{Term: 1, SupersededBy: 7}),
+)
