Announce upstreams again to a new leader

Callers were sent to the earlier process of a restarted upstream, or flooded the cold later one, if the leader failed before the list with the later one had reached its successor.

Cause: the report of an entry follows a change of leader without an error, since the client asks the next instance. The new leader starts from the list that it held. The entry has sent the announcement of the later process to the old leader and reports only the id as alive, which confirms the earlier one. On the platform, whose heartbeats have no load, this lasts until the cold time has ended.

Evidence: a registry that was seeded with incarnation 1, and gets two reports of an entry that has announced incarnation 2 to the leader before, lists incarnation 1, confirmed and with coldMs 0.

Change: after the first reply of a later term the next report contains all announcements. That report is due at once already, for the leases.

--- a/instance/member.go
+++ b/instance/member.go
@@ -336,11 +336,16 @@
 		m.requestReport()
 		return
 	}
-	before := m.snapshot
+	before, lastTerm := m.snapshot, m.term
 	if err := m.applyReply(e.reply); err != nil {
 		m.logRejectedReply(err, now)
 		return
 	}
+	if lastTerm > 0 && m.term > lastTerm {
+		// The new leader lists what its predecessor had published.
+		m.resendUpstreams()
+		m.requestReport()
+	}
 	if d := e.sent.Add(e.reply.ControlTTLMs.Duration()); d.After(m.controlDeadline) {
 		m.controlDeadline = d
 	}
@@ -408,7 +413,7 @@
 }
 
 // resendUpstreams makes the next report contain the announcements of all
-// upstreams, because the leader may not have used those of the last one. An id in
+// upstreams, because the leader may not have got or used them before. An id in
 // Report.Alive does not tell it which process of the upstream is alive.
 func (m *Member) resendUpstreams() {
 	m.aliveListedAt = time.Time{}
--- a/instance/restart_test.go
+++ b/instance/restart_test.go
@@ -8,6 +8,7 @@
 
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/admission"
+	"azurestair.example/azurestair/control"
 	"azurestair.example/azurestair/placement"
 	"azurestair.example/azurestair/routing"
 )
@@ -99,3 +100,34 @@
 		[]azurestair.ReportReply{snapshotReply(1, 1, 1), {Term: 1}, {Term: 1}}, azurestair.ReportReply{Term: 2, Resend: true}),
 	ginkgo.Entry("because it knows a later incarnation", nil, azurestair.ReportReply{Term: 1, SupersededBy: 7}),
 )
+
+// Guards against a new leader that keeps the earlier process of a restarted
+// upstream listed: its predecessor had the announcement of the later one, and the
+// entry reports only that the upstream is alive.
+var _ = ginkgo.It("a member announces its upstreams again to a new leader", func() {
+	m := newMemberFixture()
+	m.startedAt = m.clock.Now()
+	process := testAnnouncement(1)
+	// exchange announces the upstream and reports to the leader of a term.
+	exchange := func(term azurestair.Term, leader *control.Registry) {
+		ginkgo.GinkgoHelper()
+		m.clock.advance(reportInterval)
+		process.Sequence++
+		Expect(m.announce(process, m.clock.Now())).To(Succeed())
+		q := m.report()
+		for _, a := range q.Announcements {
+			Expect(leader.Announce(a, m.clock.Now())).To(Succeed())
+		}
+		reply := azurestair.ReportReply{Term: term, ControlTTLMs: controlTTL, Unknown: leader.RenewLeases(q.Alive, m.clock.Now())}
+		m.handleReportDone(reportDoneEvent{sent: m.clock.Now(), reply: reply}, m.clock.Now())
+	}
+	var first, next control.Registry
+	exchange(1, &first)
+	next.Seed(&azurestair.Snapshot{Upstreams: first.Upstreams()}, m.clock.Now())
+	process.Incarnation, process.ColdMs = 2, 3000
+	exchange(1, &first)
+	for range 2 {
+		exchange(2, &next)
+	}
+	Expect(next.Upstreams()).To(Equal([]azurestair.UpstreamInfo{{Announcement: process, Confirmed: true}}))
+})
