Keep the cold time of upstreams in the list of the log

Cause: UpstreamListDiff leaves ColdMs out, so that the remaining time does not cause a log entry for each announcement. A registry that is seeded from the log has coldMs 0 for all upstreams, and the first report of an entry confirms that.

Evidence: a leader with an upstream that has announced coldMs 3,000 writes a list from which the next registry starts with coldMs 0.

Change: the list contains the cold time that was announced first, and is written again when it has ended, by the rule that the publisher uses (IsRepeatedBy). Entries may take such an upstream as cold for longer than it is, until it is announced again.

--- a/control/listing.go
+++ b/control/listing.go
@@ -52,15 +52,16 @@
 }
 
 // UpstreamListDiff returns the change that makes the stored listing match the
-// current contents of the registry, or false if they already match.
+// current contents of the registry, or false if they already match. Of the cold
+// time it contains the beginning and the end.
 func (s *State) UpstreamListDiff(r *Registry) (azurestair.UpstreamListChange, bool) {
 	var c azurestair.UpstreamListChange
 	listed := map[azurestair.UpstreamID]bool{}
 	for _, u := range r.Upstreams() {
 		a := u.Announcement
-		a.Load, a.Sequence, a.ColdMs = azurestair.Load{}, 0, 0
+		a.Load, a.Sequence = azurestair.Load{}, 0
 		listed[a.Upstream] = true
-		if old, ok := s.listed[a.Upstream]; !ok || old != a {
+		if old, ok := s.listed[a.Upstream]; !ok || !old.IsRepeatedBy(a) {
 			c.Listed = append(c.Listed, a)
 		}
 	}
--- a/control/routed_test.go
+++ b/control/routed_test.go
@@ -116,6 +116,29 @@
 		Expect(snap.Upstreams).To(HaveLen(2))
 	})
 
+	// Guards against a leader that lists cold upstreams as warm until they have
+	// announced themselves again, so that all entries flood them.
+	It("tells the next leader which upstreams are cold", func() {
+		r, d := &control.Registry{}, newStateDriver()
+		expectListed := func(coldMs, listed azurestair.Millis, isChange bool) {
+			GinkgoHelper()
+			a := upstream(1)
+			a.Incarnation, a.Sequence, a.ColdMs = 2, azurestair.Sequence(3000-coldMs), coldMs
+			Expect(r.Announce(a, at(3000-int(coldMs)))).To(Succeed())
+			change, ok := d.state.UpstreamListDiff(r)
+			Expect(ok).To(Equal(isChange))
+			if ok {
+				d.expect(azurestair.Command{UpstreamList: &change}, azurestair.ResultAccepted)
+			}
+			next := &control.Registry{}
+			next.Seed(d.state.ListingSnapshot(nil), at(3000-int(coldMs)))
+			Expect(next.Upstreams()[0].Announcement.ColdMs).To(Equal(listed))
+		}
+		expectListed(3000, 3000, true)
+		expectListed(1000, 3000, false)
+		expectListed(0, 0, true)
+	})
+
 	// Guards against upstreams that stay listed forever.
 	It("removes what is no longer listed", func() {
 		r := &control.Registry{}
