Report as alive only the process that announces itself to the entry

Callers were sent to a process that was gone, for as long as another one with its id was alive, if the leader had not accepted the announcement of the latter: after a restart with a clock that was behind, after one of an upstream that sends no start times, or at an address that another upstream had just had.

Cause: Report.Alive has ids only. An entry whose announcement was dropped as older, or whose upstream is known to the leader as a later process, renewed the lease of the listed process all the same, so that it was never forgotten.

Evidence: in 39 s of announcements each second, after which a silent process would have been forgotten, the leader goes on listing the earlier address with a clock that is behind and without start times, and a later process that is gone while an earlier one is alive. With an address that was taken it does so for 10 s.

Change: an entry compares the listed process with its own. If it is a later one, the id is left out; if it is an earlier one, the announcement is sent again, once a second.

--- a/instance/member.go
+++ b/instance/member.go
@@ -289,16 +289,26 @@
 // changes are listed only once per reportInterval: a list of 3,000 upstreams
 // takes 45 KB, and while other upstreams change, a report is sent every
 // minReportInterval.
+//
+// An id in Report.Alive does not tell which process of the upstream is alive, and
+// would keep a process listed after its end if the leader lists another one than
+// the one that announces itself here. An earlier one is answered by another
+// announcement, because the leader has not got or not accepted the last one. A
+// later one is left to the entry that knows it.
 func (m *Member) addUpstreams(r *azurestair.Report, now time.Time) {
 	listsAlive := len(m.announced) == 0 || now.Sub(m.aliveListedAt) >= reportInterval
 	if listsAlive {
 		m.aliveListedAt = now
 	}
 	for id, a := range m.announced {
+		listed, isListed := m.snapshot.Upstream(id)
+		isEarlier := isListed && listed.Announcement.Incarnation < a.latest.Incarnation
 		switch {
-		case a.unsent || a.latest.Load != a.sentLoad:
+		case a.unsent || a.latest.Load != a.sentLoad || listsAlive && isEarlier:
 			r.Announcements = append(r.Announcements, a.latest)
 			a.unsent, a.sentLoad = false, a.latest.Load
+		case isListed && listed.Announcement.IsNewerThan(a.latest):
+			// Without incarnations, the processes differ in their sequences.
 		case listsAlive:
 			r.Alive = append(r.Alive, id)
 		}
--- a/instance/restart_test.go
+++ b/instance/restart_test.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"fmt"
 	"math/rand/v2"
 
 	"github.com/onsi/ginkgo/v2"
@@ -131,3 +132,101 @@
 	}
 	Expect(next.Upstreams()).To(Equal([]azurestair.UpstreamInfo{{Announcement: process, Confirmed: true}}))
 })
+
+// leaderFixture is the registry of a leader to which one entry reports each
+// second.
+type leaderFixture struct {
+	*memberFixture
+	registry control.Registry
+	receiver control.ReportReceiver
+	revision azurestair.Revision
+}
+
+func newLeaderFixture() *leaderFixture {
+	f := &leaderFixture{memberFixture: newMemberFixture()}
+	f.startedAt = f.clock.Now()
+	f.exchange(snapshotReply(1, 1, 1))
+	return f
+}
+
+// run lets the upstream announce itself to the entry each second.
+func (f *leaderFixture) run(seconds int, a azurestair.Announcement) {
+	ginkgo.GinkgoHelper()
+	for range seconds {
+		f.clock.advance(reportInterval)
+		now := f.clock.Now()
+		a.Sequence++
+		// The entry refuses the upstream while an earlier process is known.
+		_ = f.announce(a, now)
+		q, known := f.receiver.Expand(f.report())
+		Expect(known).To(BeTrue())
+		// Other upstreams of the service announce themselves to other entries.
+		for _, id := range []azurestair.UpstreamID{"u2", "u3"} {
+			other := process(1, 90, 0)
+			other.Upstream = id
+			q.Announcements = append(q.Announcements, other)
+		}
+		for _, a := range q.Announcements {
+			Expect(f.registry.Announce(a, now)).To(Succeed())
+		}
+		f.revision++
+		reply := snapshotReply(1, f.revision, 1)
+		reply.Unknown = f.registry.RenewLeases(q.Alive, now)
+		f.registry.Expire(now)
+		reply.Snapshot.Upstreams = f.registry.Upstreams()
+		f.handleReportDone(reportDoneEvent{sent: now, reply: reply}, now)
+	}
+}
+
+// expectListed checks that the leader lists the given process.
+func (f *leaderFixture) expectListed(a azurestair.Announcement) {
+	ginkgo.GinkgoHelper()
+	Expect(f.registry.Upstreams()).To(HaveLen(3))
+	got := f.registry.Upstreams()[0].Announcement
+	Expect([]any{got.Upstream, got.Incarnation, got.Addr}).To(Equal([]any{a.Upstream, a.Incarnation, a.Addr}))
+}
+
+// forgetTime is how long, in seconds, a process that is gone is remembered: for two
+// leases and the retention of 30 s at the leader, and two seconds at the entry.
+const forgetTime = 2*3 + 30 + 2 + 1
+
+// Guards against requests for a process that is gone, for as long as another
+// process announces itself under its id.
+var _ = ginkgo.Describe("an entry reports as alive only the process that announces itself to it", func() {
+	var f *leaderFixture
+	ginkgo.BeforeEach(func() { f = newLeaderFixture() })
+
+	ginkgo.DescribeTable("when an upstream starts again",
+		func(before, after azurestair.Announcement, seconds int) {
+			f.run(5, before)
+			f.run(seconds, after)
+			f.expectListed(after)
+		},
+		ginkgo.Entry("under its id", process(1, 80, 0), process(2, 81, 0), 1),
+		ginkgo.Entry("with a clock that is behind", process(2, 80, 0), process(1, 81, 0), forgetTime),
+		ginkgo.Entry("without start times", process(0, 80, 100), process(0, 81, 0), forgetTime),
+	)
+
+	ginkgo.It("when the leader has rejected the later process, whose address was taken", func() {
+		f.run(5, process(5, 80, 0))
+		owner := process(7, 81, 0)
+		owner.Upstream = "u4"
+		Expect(f.registry.Announce(owner, f.clock.Now())).To(Succeed())
+		f.run(10, process(6, 81, 0))
+		f.expectListed(process(6, 81, 0))
+	})
+
+	ginkgo.It("when another entry has heard of a later process that is gone since", func() {
+		f.run(5, process(1, 80, 0))
+		Expect(f.registry.Announce(process(2, 81, 0), f.clock.Now())).To(Succeed())
+		f.run(forgetTime, process(1, 80, 5))
+		f.expectListed(process(1, 80, 0))
+	})
+})
+
+// process returns an announcement of a process of u1.
+func process(inc azurestair.Incarnation, port int, seq azurestair.Sequence) azurestair.Announcement {
+	a := testAnnouncement(seq)
+	a.Incarnation, a.Addr = inc, fmt.Sprintf("127.0.0.1:%d", port)
+	return a
+}
