Forget unlisted upstreams before they are listed again

Callers were sent to the address of a process that was gone, after an upstream had been away for more than 30 s and had started again with a clock that was behind.

Evidence: an upstream that is listed with incarnation 1 and another address, 40 s after it was listed with incarnation 2 last, is still used at the earlier address.

Change: the records are removed before the list is applied.

Measured: the request goes to the new address; go test -race ./routing passes.

--- a/routing/restart_test.go
+++ b/routing/restart_test.go
@@ -58,3 +58,17 @@
 		Entry("not sent", func(c azurestair.Choice) { h.Abandon(c, false, 0, h.now) }),
 	)
 })
+
+// Guards against requests to the address of a process that is gone, after an
+// upstream was forgotten and starts again with a clock that is behind. While
+// nothing changes, there is no snapshot in which its record could be removed.
+var _ = It("an upstream is taken for a new one after the time for which an unlisted one is kept", func() {
+	list := upstreams("x", 2, 9)
+	list[0].Announcement.Incarnation, list[0].Announcement.Addr = 2, "10.0.0.1:80"
+	h := newHarness(routing.Options{}, list...)
+	h.set(list[1])
+	h.now = h.now.Add(40 * time.Second)
+	list[0].Announcement.Incarnation, list[0].Announcement.Addr = 1, "10.0.0.2:80"
+	h.set(list...)
+	Expect(h.pick("x-1").Addr).To(Equal("10.0.0.2:80"))
+})
--- a/routing/update.go
+++ b/routing/update.go
@@ -32,6 +32,7 @@
 	if s.Config != nil {
 		p.defaults = s.Config.Defaults.WithDefaults()
 	}
+	p.removeUnlisted(now)
 	for _, u := range p.upstreams {
 		u.listed = false
 	}
@@ -46,7 +47,6 @@
 		}
 	}
 	p.initialized = p.initialized || p.listedCount > 0
-	p.removeUnlisted(now)
 }
 
 // updateUpstreams applies the listed upstreams and returns the new ones.
@@ -217,7 +217,8 @@
 }
 
 // removeUnlisted removes upstreams that have been unlisted for unlistedTTL and
-// have nothing in flight.
+// have nothing in flight. It must be called before a new snapshot lists them
+// again.
 func (p *Weighted) removeUnlisted(now time.Time) {
 	p.upstreams = slices.DeleteFunc(p.upstreams, func(u *upstream) bool {
 		if u.listed || u.inFlight > 0 || now.Sub(u.unusableSince) < unlistedTTL {
