Do not reuse connections to an earlier process of an upstream

Callers waited for a retry, and the new process collected failures that eject it, after the machine of an upstream had failed and the upstream had started again at its address.

Cause: connections are pooled by address. If a process ends, its connections are closed, but if its machine or the network fails, nothing closes them. The first request on each of them is then answered by a reset, although the entry knows from its list that another process runs there.

Evidence: with one idle connection to a machine that has failed, a request after the list with the new process makes two attempts, of which the first is interrupted.

--- a/instance/entry.go
+++ b/instance/entry.go
@@ -63,6 +63,10 @@
 	splitters   map[azurestair.RouteName]*routing.Splitter
 	homeTracker lookup.HomeRegionTracker
 
+	// processes holds the incarnation that the last snapshot listed at each
+	// address of an upstream. Only update uses it.
+	processes map[string]azurestair.Incarnation
+
 	clientMemory clientMemory
 	// panics records panics of attempts; it may be nil.
 	panics *panicLog
@@ -101,6 +105,7 @@
 	}
 	e.dispatchers.Store(&dispatchers)
 	e.limitConns(s)
+	e.retireConns(s)
 }
 
 // refreshConfirmations tells the pickers that the leader has confirmed the
@@ -127,6 +132,23 @@
 	e.upstreamClient.RetainOnly(keep)
 }
 
+// retireConns stops the reuse of connections to processes that have been replaced
+// at their addresses. If a machine fails, nothing closes its connections, and the
+// first request on each of them would fail.
+func (e *Entry) retireConns(s *azurestair.Snapshot) {
+	processes := make(map[string]azurestair.Incarnation, len(s.Upstreams))
+	for _, u := range s.Upstreams {
+		a := u.Announcement
+		processes[a.Addr] = max(processes[a.Addr], a.Incarnation)
+	}
+	for addr, inc := range processes {
+		if before, ok := e.processes[addr]; ok && before < inc {
+			e.upstreamClient.RetireConns(addr)
+		}
+	}
+	e.processes = processes
+}
+
 // tick adjusts the slots to leases that have expired and probes upstreams. now is
 // a time of the lease clock.
 func (e *Entry) tick(now time.Time) {
--- a/instance/restart_test.go
+++ b/instance/restart_test.go
@@ -1,8 +1,15 @@
 package instance
 
 import (
+	"bufio"
+	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -12,6 +19,7 @@
 	"azurestair.example/azurestair/control"
 	"azurestair.example/azurestair/placement"
 	"azurestair.example/azurestair/routing"
+	"azurestair.example/azurestair/upstream"
 )
 
 // restartFixture is an entry with one of the pickers and the upstream u1.
@@ -230,3 +238,82 @@
 	a.Incarnation, a.Addr = inc, fmt.Sprintf("127.0.0.1:%d", port)
 	return a
 }
+
+// machine is a machine on which an upstream runs. Nothing tells the other ends of
+// its connections that it has failed.
+type machine struct{ connections []*machineConn }
+
+// dial opens a connection to the upstream.
+func (m *machine) dial(context.Context, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	c := &machineConn{Conn: near}
+	m.connections = append(m.connections, c)
+	go answerAll(far)
+	ginkgo.DeferCleanup(far.Close)
+	return c, nil
+}
+
+// fail ends all processes of the machine.
+func (m *machine) fail() {
+	for _, c := range m.connections {
+		c.reset = true
+	}
+}
+
+// machineConn is a connection to a machine. After a failure, the next request is
+// answered by a reset.
+type machineConn struct {
+	net.Conn
+	reset bool
+}
+
+func (c *machineConn) Write(p []byte) (int, error) {
+	if c.reset {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *machineConn) Read(p []byte) (int, error) {
+	if c.reset {
+		return 0, syscall.ECONNRESET
+	}
+	return c.Conn.Read(p)
+}
+
+// answerAll answers the requests on a connection.
+func answerAll(c net.Conn) {
+	r := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, q.Body)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n%s: %s\r\n\r\n",
+			upstream.HeaderAttemptID, q.Header.Get(upstream.HeaderAttemptID))
+	}
+}
+
+// Guards against attempts that fail on connections to an earlier process and
+// count against the later one, after a machine has failed without closing them.
+var _ = ginkgo.It("an entry does not reuse its connections to an earlier process of an upstream", func() {
+	clk, m := newFakeClock(), &machine{}
+	f := newEntryFixture(clk, &fakeLedger{}, newFakeUpstream())
+	f.upstreamClient = upstream.NewClient(m.dial, clk)
+	expectServed := func(inc azurestair.Incarnation) {
+		ginkgo.GinkgoHelper()
+		s := testSnapshot(1)
+		a := testAnnouncement(1)
+		a.Addr, a.Incarnation = f.picker.addr, inc
+		s.Upstreams = []azurestair.UpstreamInfo{{Announcement: a, Confirmed: true}}
+		f.update(s)
+		expectReply(f.sendDefault("read", "", time.Second), azurestair.OutcomeDone, azurestair.ReasonNone, false)
+	}
+	expectServed(1)
+	expectServed(1)
+	Expect(m.connections).To(HaveLen(1))
+	m.fail()
+	expectServed(2)
+	Expect(f.results()).To(Equal([]azurestair.AttemptResult{azurestair.AttemptDone, azurestair.AttemptDone, azurestair.AttemptDone}))
+})
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -146,6 +146,9 @@
 	}
 }
 
+// RetireConns stops the reuse of the connections to addr that are open now.
+func (c *Client) RetireConns(addr string) { c.pool(addr).retireOpenedBefore(c.clock.Now()) }
+
 // close closes the idle connections. Those in use are closed when their attempt
 // ends.
 func (p *pool) close(now time.Time) {
