Free the slots of a restarted upstream at once

Callers lost the capacity of an upstream whose machine had failed and that had started again: entries with leased budgets sent it no requests until those to the earlier process had timed out.

Cause: resetProcess releases late slots, but keeps the attempts in flight. If nothing closes their connections, they last until their deadlines, and meanwhile the new process counts as saturated.

Evidence: with 11 attempts in flight to the earlier process, the new one is "saturated" with 11 in flight.

Change: attempts to an earlier process use no slots of the new one. They still count towards the cap of their region, since a process that is replaced may finish its requests; a test shows that it holds.

Measured: the new process is in slow start with none in flight and gets the next request; go test -race ./routing passes.

--- a/routing/restart_test.go
+++ b/routing/restart_test.go
@@ -42,9 +42,38 @@
 		h.restart()
 	})
 
+	// Guards against a restarted upstream that gets no requests until attempts to
+	// its earlier process time out, because its machine failed without closing the
+	// connections.
+	It("use no slots of the new process while they last", func() {
+		expectStatus(h, fresh)
+		Expect(h.pick("x-1", "x-2", "x-3").Upstream).To(BeEquivalentTo("x-0"))
+		Expect(h.InFlight("x-0")).To(BeEquivalentTo(1))
+		for _, c := range before {
+			h.Done(c, broken, latency, h.now)
+		}
+		Expect(h.InFlight("x-0")).To(BeEquivalentTo(1))
+	})
+
+	// Guards against a shift that exceeds its cap, because an upstream that
+	// finishes its requests has already been started again.
+	It("count towards the cap of their region while they last", func() {
+		h = newHarness(routing.Options{Region: "x", ShiftBudget: func(_ azurestair.RegionName, n azurestair.Slots, _ time.Time) bool {
+			return n < 5
+		}}, upstreams("y", 1, 9)...)
+		before = h.pickUntilRefused()
+		Expect(before).To(HaveLen(5))
+		h.restart()
+		expectRefused(h, azurestair.ReasonShiftCap)
+		for _, c := range before {
+			h.Done(c, done, latency, h.now)
+		}
+		Expect(h.CrossRegionInFlight("y")).To(BeZero())
+	})
+
 	// Guards against a restarted upstream that is ejected, or avoided as slow or
 	// busy, because of requests that its earlier process did not answer.
-	DescribeTable("free their slots and say nothing about the new process",
+	DescribeTable("say nothing about the new process",
 		func(end func(c azurestair.Choice)) {
 			for _, c := range before {
 				end(c)
--- a/routing/update.go
+++ b/routing/update.go
@@ -94,11 +94,15 @@
 	return nil
 }
 
-// resetProcess prepares the upstream for a new process. Late slots are
-// released, because the previous process no longer runs.
+// resetProcess prepares the upstream for a new process. The slots of all attempts
+// to the earlier one are released, because the new one does not process them. They
+// may last until their deadlines if nothing has closed their connections.
 func (p *Weighted) resetProcess(u *upstream, a azurestair.Announcement, now time.Time) {
 	if u.tier != nil {
 		p.releaseLate(u, len(u.lateUntil))
+		if a.Incarnation > u.announcement.Incarnation {
+			u.earlier, u.inFlight = u.earlier+u.inFlight, 0
+		}
 		p.resetHealth(u)
 	}
 	u.reset(now)
@@ -110,7 +114,7 @@
 // setTier moves the upstream's in-flight attempts to the new tier, so that each
 // tier's count matches the attempts that Done will end there.
 func (p *Weighted) setTier(u *upstream, t *tier) {
-	n := azurestair.Slots(u.inFlight)
+	n := azurestair.Slots(u.inFlight + u.earlier)
 	if u.tier != nil {
 		u.tier.inFlight -= n
 	}
@@ -221,7 +225,7 @@
 // again.
 func (p *Weighted) removeUnlisted(now time.Time) {
 	p.upstreams = slices.DeleteFunc(p.upstreams, func(u *upstream) bool {
-		if u.listed || u.inFlight > 0 || now.Sub(u.unusableSince) < unlistedTTL {
+		if u.listed || u.inFlight > 0 || u.earlier > 0 || now.Sub(u.unusableSince) < unlistedTTL {
 			return false
 		}
 		u.moveTo(nil)
--- a/routing/upstream.go
+++ b/routing/upstream.go
@@ -48,8 +48,11 @@
 	probedAt        time.Time
 
 	// inFlight includes late slots; lateUntil is in ascending order.
-	inFlight     int
-	lateUntil    []time.Time
+	inFlight  int
+	lateUntil []time.Time
+	// earlier counts the attempts to earlier processes that have not ended. They
+	// count in the tier, since such a process may still finish its requests.
+	earlier      int
 	reportedLoad float64
 	reportedAt   time.Time
 
--- a/routing/weighted.go
+++ b/routing/weighted.go
@@ -222,7 +222,7 @@
 func (p *Weighted) Done(c azurestair.Choice, r azurestair.AttemptResult, latency time.Duration, now time.Time) {
 	p.advance(now)
 	u := p.byID[c.Upstream]
-	if u == nil || u.inFlight <= len(u.lateUntil) || p.endEarlier(u, c, now) {
+	if u == nil || p.endEarlier(u, c) || u.inFlight <= len(u.lateUntil) {
 		return
 	}
 	if r == azurestair.AttemptTimeout {
@@ -236,14 +236,16 @@
 }
 
 // endEarlier ends an attempt to an earlier process of the upstream and returns
-// true, or returns false if the attempt is to the current one. The outcome says
-// nothing about the current process, and the earlier one no longer works.
-func (p *Weighted) endEarlier(u *upstream, c azurestair.Choice, now time.Time) bool {
+// true, or returns false if the attempt is to the current one. Its outcome says
+// nothing about the current process.
+func (p *Weighted) endEarlier(u *upstream, c azurestair.Choice) bool {
 	if c.Incarnation == u.announcement.Incarnation {
 		return false
 	}
-	p.releaseSlot(u)
-	p.reclassify(u, now)
+	if u.earlier > 0 {
+		u.earlier--
+		u.tier.inFlight--
+	}
 	return true
 }
 
@@ -275,7 +277,7 @@
 func (p *Weighted) Abandon(c azurestair.Choice, sent bool, elapsed time.Duration, now time.Time) {
 	p.advance(now)
 	u := p.byID[c.Upstream]
-	if u == nil || u.inFlight <= len(u.lateUntil) || p.endEarlier(u, c, now) {
+	if u == nil || p.endEarlier(u, c) || u.inFlight <= len(u.lateUntil) {
 		return
 	}
 	if sent {
