--- a/budget.go
+++ b/budget.go
@@ -86,7 +86,9 @@
 	Sender        ProtocolVersion `cbor:"-" json:"-"`
 	Instance      InstanceInfo    `cbor:"1,keyasint,omitzero" json:"instance"`
 	Announcements []Announcement  `cbor:"2,keyasint,omitempty" json:"announcements,omitempty"`
-	// Alive lists the upstreams whose announcements have not changed.
+	// Alive lists the upstreams whose announcements have not changed. An id does
+	// not tell which process is alive, so the sender lists one only if its snapshot
+	// has no other process of the upstream than the one that announces itself to it.
 	Alive   []UpstreamID `cbor:"3,keyasint,omitempty" json:"alive,omitempty"`
 	Demands []Demand     `cbor:"4,keyasint,omitempty" json:"demands,omitempty"`
 	// SnapshotTerm and SnapshotRevision identify the snapshot that the instance
