Report the departure of a restarted upstream at once

An upstream that departs right after it has been started again under its id waited up to a second for the acknowledgement of its departure, until the next regular report.

Cause: hasNewDeparture compares the states of ids. If the earlier process is listed as draining and the later one is as well when an entry first hears of it, the entry does not report at once that it holds the departure.

Change: the states are compared for each process.

Measured: the report is due; go test -race ./instance passes.

--- a/instance/member.go
+++ b/instance/member.go
@@ -537,18 +537,23 @@
 	m.entry.update(m.snapshot)
 }
 
-// hasNewDeparture reports whether an upstream that accepted new requests before
-// no longer does.
+// hasNewDeparture reports whether a process of an upstream that accepted new
+// requests before, or was not listed, accepts none.
 func hasNewDeparture(before, after *azurestair.Snapshot) bool {
-	departed := map[azurestair.UpstreamID]bool{}
+	departed := map[azurestair.Departure]bool{}
 	for _, u := range before.Upstreams {
-		departed[u.Announcement.Upstream] = u.Announcement.State != azurestair.StateServing
+		departed[departureOf(u.Announcement)] = u.Announcement.State != azurestair.StateServing
 	}
 	return slices.ContainsFunc(after.Upstreams, func(u azurestair.UpstreamInfo) bool {
-		return u.Announcement.State != azurestair.StateServing && !departed[u.Announcement.Upstream]
+		return u.Announcement.State != azurestair.StateServing && !departed[departureOf(u.Announcement)]
 	})
 }
 
+// departureOf returns the departure of the process that sent an announcement.
+func departureOf(a azurestair.Announcement) azurestair.Departure {
+	return azurestair.Departure{Upstream: a.Upstream, Incarnation: a.Incarnation}
+}
+
 // controlPeers lists the control instances of a snapshot.
 func controlPeers(s *azurestair.Snapshot) []peer.Address {
 	var out []peer.Address
--- a/instance/member_test.go
+++ b/instance/member_test.go
@@ -62,18 +62,21 @@
 var _ = ginkgo.It("a member reports at once that it holds a departure", func() {
 	m := newMemberFixture()
 	m.exchange(snapshotReply(1, 1, 1))
-	expectDue := func(state azurestair.UpstreamState, rev azurestair.Revision, want bool) {
+	expectDue := func(state azurestair.UpstreamState, inc azurestair.Incarnation, rev azurestair.Revision, want bool) {
 		ginkgo.GinkgoHelper()
 		reply := snapshotReply(1, rev, 1)
 		reply.Snapshot.Upstreams = []azurestair.UpstreamInfo{{Announcement: azurestair.Announcement{
 			Upstream: "w1", Service: "shop", Addr: "127.0.0.1:80", Region: "kigali", Slots: 4, MaxConns: 10, State: state,
+			Incarnation: inc,
 		}}}
 		m.exchange(reply)
 		Expect(m.reportDue).To(Equal(want))
 	}
-	expectDue(azurestair.StateServing, 2, false)
-	expectDue(azurestair.StateDraining, 3, true)
-	expectDue(azurestair.StateDraining, 4, false)
+	expectDue(azurestair.StateServing, 1, 2, false)
+	expectDue(azurestair.StateDraining, 1, 3, true)
+	expectDue(azurestair.StateDraining, 1, 4, false)
+	expectDue(azurestair.StateDraining, 2, 5, true)
+	expectDue(azurestair.StateDraining, 2, 6, false)
 })
 
 // Guards against an instance that gets no leases until its previous incarnation
