--- a/instance/member.go
+++ b/instance/member.go
@@ -181,7 +181,7 @@
 	}
 	old.latest, old.receivedAt = a, now
 	if m.entry != nil {
-		m.entry.confirmState(a.Service, a.Upstream, a.State)
+		m.entry.confirmState(a)
 	}
 	if m.controlDeadline.Sub(now) < announceMargin && now.Sub(m.startedAt) >= startGrace {
 		// This instance may not reach the leader in time, so the upstream has
@@ -289,16 +289,26 @@
 // changes are listed only once per reportInterval: a list of 3,000 upstreams
 // takes 45 KB, and while other upstreams change, a report is sent every
 // minReportInterval.
+//
+// An id in Report.Alive does not tell which process of the upstream is alive, and
+// would keep a process listed after its end if the leader lists another one than
+// the one that announces itself here. An earlier one is answered by another
+// announcement, because the leader has not got or not accepted the last one. A
+// later one is left to the entry that knows it.
 func (m *Member) addUpstreams(r *azurestair.Report, now time.Time) {
 	listsAlive := len(m.announced) == 0 || now.Sub(m.aliveListedAt) >= reportInterval
 	if listsAlive {
 		m.aliveListedAt = now
 	}
 	for id, a := range m.announced {
+		listed, isListed := m.snapshot.Upstream(id)
+		isEarlier := isListed && listed.Announcement.Incarnation < a.latest.Incarnation
 		switch {
-		case a.unsent || a.latest.Load != a.sentLoad:
+		case a.unsent || a.latest.Load != a.sentLoad || listsAlive && isEarlier:
 			r.Announcements = append(r.Announcements, a.latest)
 			a.unsent, a.sentLoad = false, a.latest.Load
+		case isListed && listed.Announcement.IsNewerThan(a.latest):
+			// Without incarnations, the processes differ in their sequences.
 		case listsAlive:
 			r.Alive = append(r.Alive, id)
 		}
@@ -332,15 +342,20 @@
 	m.reportAccepted = true
 	grants, ok := m.reportSender.HandleReply(e.reply)
 	if !ok {
-		m.aliveListedAt = time.Time{}
+		m.resendUpstreams()
 		m.requestReport()
 		return
 	}
-	before := m.snapshot
+	before, lastTerm := m.snapshot, m.term
 	if err := m.applyReply(e.reply); err != nil {
 		m.logRejectedReply(err, now)
 		return
 	}
+	if lastTerm > 0 && m.term > lastTerm {
+		// The new leader lists what its predecessor had published.
+		m.resendUpstreams()
+		m.requestReport()
+	}
 	if d := e.sent.Add(e.reply.ControlTTLMs.Duration()); d.After(m.controlDeadline) {
 		m.controlDeadline = d
 	}
@@ -391,18 +406,26 @@
 	m.log.Info("incarnation raised; an earlier process of this instance had a clock that was ahead",
 		"incarnation", known+1, "before", m.self.Incarnation)
 	m.self.Incarnation = known + 1
+	m.resendUpstreams()
 	m.requestReport()
 }
 
 var errSuperseded = fmt.Errorf("%w: a later process reports as this instance", azurestair.ErrConflict)
 
-// handleReportError logs a failed report and marks all announcements to be sent
-// again with the next one.
+// handleReportError logs a failed report. The next one contains all
+// announcements again.
 func (m *Member) handleReportError(err error, now time.Time) {
 	if m.leaderReached || now.Sub(m.lostLoggedAt) >= repeatedLogInterval {
 		m.leaderReached, m.lostLoggedAt = false, now
 		m.log.Warn("control not reached", "err", err, "term", m.term, "controlUntil", m.controlDeadline)
 	}
+	m.resendUpstreams()
+}
+
+// resendUpstreams makes the next report contain the announcements of all
+// upstreams, because the leader may not have got or used them before. An id in
+// Report.Alive does not tell it which process of the upstream is alive.
+func (m *Member) resendUpstreams() {
 	m.aliveListedAt = time.Time{}
 	for _, a := range m.announced {
 		a.unsent = true
@@ -514,18 +537,23 @@
 	m.entry.update(m.snapshot)
 }
 
-// hasNewDeparture reports whether an upstream that accepted new requests before
-// no longer does.
+// hasNewDeparture reports whether a process of an upstream that accepted new
+// requests before, or was not listed, accepts none.
 func hasNewDeparture(before, after *azurestair.Snapshot) bool {
-	departed := map[azurestair.UpstreamID]bool{}
+	departed := map[azurestair.Departure]bool{}
 	for _, u := range before.Upstreams {
-		departed[u.Announcement.Upstream] = u.Announcement.State != azurestair.StateServing
+		departed[departureOf(u.Announcement)] = u.Announcement.State != azurestair.StateServing
 	}
 	return slices.ContainsFunc(after.Upstreams, func(u azurestair.UpstreamInfo) bool {
-		return u.Announcement.State != azurestair.StateServing && !departed[u.Announcement.Upstream]
+		return u.Announcement.State != azurestair.StateServing && !departed[departureOf(u.Announcement)]
 	})
 }
 
+// departureOf returns the departure of the process that sent an announcement.
+func departureOf(a azurestair.Announcement) azurestair.Departure {
+	return azurestair.Departure{Upstream: a.Upstream, Incarnation: a.Incarnation}
+}
+
 // controlPeers lists the control instances of a snapshot.
 func controlPeers(s *azurestair.Snapshot) []peer.Address {
 	var out []peer.Address
