Suspect a restart only after a connection was lost

Cause: every interrupted attempt raised the suspicion of a restart.

Change: the client tells whether the connection was closed or reset before the response began. A response that breaks off or is malformed raises no suspicion.

--- a/instance/attempt.go
+++ b/instance/attempt.go
@@ -63,7 +63,7 @@
 	c.dispatcher.observe(a.choice, azurestair.Observation{
 		Load: a.response.Load, Shed: a.response.Reason == azurestair.ReasonShed,
 		Unreachable: a.response.Unreachable, AddressReused: a.response.WrongUpstream,
-		ConnectedAt: a.response.ConnectedAt, Leaving: leaving, PausedUntil: a.response.PausedUntil,
+		ConnLost: a.response.ConnLost, ConnectedAt: a.response.ConnectedAt, Leaving: leaving, PausedUntil: a.response.PausedUntil,
 	})
 	if leaving {
 		c.entry.reportLeaving(a.choice)
--- a/interfaces.go
+++ b/interfaces.go
@@ -108,6 +108,9 @@
 	Shed bool
 	// Unreachable is true if no connection could be opened.
 	Unreachable bool
+	// ConnLost is true if the upstream closed or reset the connection before it
+	// responded.
+	ConnLost bool
 	// ConnectedAt is when the connection was opened on which the upstream
 	// responded; zero if it did not respond.
 	ConnectedAt time.Time
--- a/model/run.go
+++ b/model/run.go
@@ -348,7 +348,7 @@
 		o := azurestair.Observation{Load: &load, Shed: r == azurestair.AttemptNotRun, ConnectedAt: startTime.Add(u.startedAt)}
 		switch {
 		case r == azurestair.AttemptInterrupted:
-			o = azurestair.Observation{}
+			o = azurestair.Observation{ConnLost: true}
 		case u.down:
 			o = azurestair.Observation{Unreachable: true}
 		}
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -373,9 +373,6 @@
 		u.endTrial(c)
 		return
 	}
-	if r == azurestair.AttemptInterrupted {
-		u.cold.suspectRestart(now)
-	}
 	if r == azurestair.AttemptDone {
 		u.answeredAt, u.shedSince = now, time.Time{}
 	}
@@ -396,7 +393,10 @@
 	if u == nil {
 		return
 	}
-	if !o.ConnectedAt.IsZero() {
+	switch {
+	case o.ConnLost:
+		u.cold.suspectRestart(now)
+	case !o.ConnectedAt.IsZero():
 		u.cold.recordResponse(o.ConnectedAt, p.coldTime, now)
 	}
 	p.observeAnswer(u, o, now)
--- a/placement/restart_test.go
+++ b/placement/restart_test.go
@@ -218,6 +218,7 @@
 		if a.choice.Upstream != l.target {
 			return false
 		}
+		l.pickers[a.entry].Observe(a.choice, azurestair.Observation{ConnLost: true}, l.now)
 		l.pickers[a.entry].Done(a.choice, azurestair.AttemptInterrupted, latency, l.now)
 		return true
 	})
@@ -251,7 +252,7 @@
 		h.set(upstreams("huye", 1)...)
 		p := h.pickers[0]
 		c := h.place(0, workOn(1))
-		p.Done(h.pick(0), azurestair.AttemptInterrupted, latency, h.now)
+		p.Observe(h.pick(0), azurestair.Observation{ConnLost: true}, h.now)
 		expectRefused(p, workOn(1), h.now, azurestair.ReasonSaturated)
 		p.Observe(c, azurestair.Observation{ConnectedAt: h.now.Add(-time.Second)}, h.now)
 		for range 20 {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -80,6 +80,9 @@
 	// ConnectedAt is when the connection was opened on which the response came;
 	// zero if there was no response to this attempt.
 	ConnectedAt time.Time
+	// ConnLost is true if the upstream closed or reset the connection after bytes
+	// of the request had been written, and before the response.
+	ConnLost bool
 	// ConnStalled is true if the attempt timed out on a reused connection and,
 	// since it began, no response arrived on any connection that was open at
 	// its start. In that case the connections are the likely cause, not the
@@ -377,6 +380,7 @@
 		resp.Result, resp.Reason = azurestair.AttemptTimeout, azurestair.ReasonTimeout
 	default:
 		resp.Result, resp.Reason = azurestair.AttemptInterrupted, azurestair.ReasonBroken
+		resp.ConnLost = isConnEnd(err) || isConnEnd(uc.readErr)
 	}
 	// An attempt cancelled by its caller is no evidence against the connection.
 	if resp.Result == azurestair.AttemptTimeout && uc.reused && !errors.Is(ctx.Err(), context.Canceled) {
@@ -386,6 +390,12 @@
 	return resp, fmt.Errorf("attempt to %s: %w", p.addr, err)
 }
 
+// isConnEnd reports whether an exchange failed because the peer closed or reset
+// the connection, rather than by malformed bytes.
+func isConnEnd(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 var (
 	errIDMismatch        = errors.New("response does not carry the ID of this attempt")
 	errUnconfirmedNotRun = errors.New("response status implies that the attempt did not run, but the upstream did not confirm it")
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -197,6 +197,28 @@
 		DeferCleanup(func() { c.Close() })
 	})
 
+	// Guards against a process that has started again and is taken for the one
+	// before: only a lost connection, and the age of the next one, tell them
+	// apart.
+	DescribeTable("tell whether the connection was lost", func(h handlerFunc, lost, responded bool) {
+		f := newFakeUpstream(h)
+		connectedAt := clk.Now()
+		res := send(ctx, c, f.addr(), newAttempt(short))
+		Expect(res.ConnLost).To(Equal(lost))
+		Expect(res.ConnectedAt.IsZero()).To(Equal(!responded))
+		if responded {
+			Expect(res.ConnectedAt).To(Equal(connectedAt))
+		}
+	},
+		Entry("closed after the request", handlerFunc(func(serverConn, *http.Request) bool { return false }), true, false),
+		Entry("closed within the head", thenClose(rawResponse("HTTP/1.1 200 OK\r\nAzurestair-")), true, false),
+		Entry("closed within the body", thenClose(rawResponse("HTTP/1.1 200 OK\r\n"+requestIDHeader+"Content-Length: 9\r\n\r\nhi")), false, true),
+		Entry("complete response", rawResponse(okResponse), false, true),
+		Entry("refusal", rawResponse(shedResponse), false, true),
+		Entry("no response", handlerFunc(neverRespond), false, false),
+		Entry("not HTTP", rawResponse("SSH-2.0\r\n\r\n"), false, false),
+	)
+
 	// Guards against an attempt wrongly classified as not run, against
 	// responses that belong to another request or are truncated but taken as
 	// complete, and against replays: each attempt reaches the upstream at most
