Test that cut response heads never reach callers as success

Operators of a similar system saw clients get a 200 with an empty or short body, framed as whole, after an upstream had stopped within the head of its answer.

Ruled out: a cut head that is read as a whole one. net/textproto returns the last line of a head even if the connection ends within it, and drops the error of that read, but a head still needs the empty line after it; without it the next read fails.

--- /dev/null
+++ b/upstream/cut_test.go
@@ -0,0 +1,151 @@
+package upstream_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/upstream"
+)
+
+// cutMode is how a connection carries a cut response and then ends.
+type cutMode struct {
+	// reset ends the connection with RST instead of FIN.
+	reset bool
+	// reused sends the attempt on a connection that has delivered a response.
+	reused bool
+	// bytewise makes the client read one byte at a time.
+	bytewise bool
+}
+
+func (m cutMode) String() string {
+	return fmt.Sprintf("reset=%t reused=%t bytewise=%t", m.reset, m.reused, m.bytewise)
+}
+
+// byteConn reads one byte at a time.
+type byteConn struct{ net.Conn }
+
+func (c byteConn) Read(p []byte) (int, error) { return c.Conn.Read(p[:min(len(p), 1)]) }
+
+func (m cutMode) newClient() *upstream.Client {
+	c := upstream.NewClient(func(ctx context.Context, addr string) (net.Conn, error) {
+		nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+		if m.bytewise && err == nil {
+			nc = byteConn{nc}
+		}
+		return nc, err
+	}, newFakeClock())
+	DeferCleanup(func() { c.Close() })
+	return c
+}
+
+// thenReset is thenClose with RST instead of FIN.
+func thenReset(h handlerFunc) handlerFunc {
+	return func(c serverConn, r *http.Request) bool {
+		h(c, r)
+		_ = c.Conn.(*net.TCPConn).SetLinger(0)
+		return false
+	}
+}
+
+// cutCase is a response to be cut, and the result of the attempt if it is not.
+type cutCase struct {
+	name, method, head, body string
+	want                     azurestair.AttemptResult
+}
+
+const okHead = "HTTP/1.1 200 OK\r\n" + requestIDHeader
+
+// cutCases end their heads with the framing, so that a cut head lacks it.
+var cutCases = []cutCase{
+	{"with a length", http.MethodPost, okHead + "Content-Length: 25\r\n\r\n", strings.Repeat("x", 25), azurestair.AttemptDone},
+	{"with an empty body", http.MethodGet, okHead + "Content-Length: 0\r\n\r\n", "", azurestair.AttemptDone},
+	{"in chunks", http.MethodGet, okHead + "Transfer-Encoding: chunked\r\n\r\n", "2\r\nhi\r\n10\r\n0123456789abcdef\r\n0\r\n\r\n", azurestair.AttemptDone},
+	{"with trailers", http.MethodPost, okHead + "Transfer-Encoding: chunked\r\n\r\n", "2\r\nhi\r\n0\r\nX-Sum: 1\r\nX-End: 2\r\n\r\n", azurestair.AttemptDone},
+	{"with bare newlines", http.MethodPost, "HTTP/1.1 200 OK\nAzurestair-Request: ID\nContent-Length: 2\n\n", "hi", azurestair.AttemptDone},
+	{"with a folded field", http.MethodPost, okHead + "X-A: 1\r\n 2\r\n\t3\r\nContent-Length: 2\r\n\r\n", "hi", azurestair.AttemptDone},
+	{"after interim ones", http.MethodPost, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n" + okHead + "Content-Length: 2\r\n\r\n", "hi", azurestair.AttemptDone},
+	{"to HEAD", http.MethodHead, okHead + "Content-Length: 25\r\n\r\n", "", azurestair.AttemptDone},
+	{"without content", http.MethodPost, "HTTP/1.1 204 No Content\r\n" + requestIDHeader + "\r\n", "", azurestair.AttemptDone},
+	{"not modified", http.MethodGet, "HTTP/1.1 304 Not Modified\r\n" + requestIDHeader + "Content-Length: 25\r\n\r\n", "", azurestair.AttemptDone},
+	{"that says not run", http.MethodPost, "HTTP/1.1 503 No\r\n" + requestIDHeader + "Azurestair-Not-Run: ID\r\nContent-Length: 0\r\n\r\n", "", azurestair.AttemptNotRun},
+	{"with a state", http.MethodPost, okHead + "Azurestair-State: leaving\r\nContent-Length: 2\r\n\r\n", "hi", azurestair.AttemptDone},
+}
+
+// attempt returns an attempt with the ID of the response.
+func (t cutCase) attempt(id azurestair.RequestID) upstream.Attempt {
+	a := newAttempt(long)
+	a.ID, a.Method, a.Idempotent = id, t.method, t.method != http.MethodPost
+	if a.Idempotent {
+		a.Body, a.BodyLen = nil, 0
+	}
+	return a
+}
+
+// sendVia sends the attempt of a case to an upstream that responds with h, and
+// checks that it is sent once.
+func (t cutCase) sendVia(h handlerFunc, m cutMode, c *upstream.Client, f *fakeUpstream) result {
+	GinkgoHelper()
+	if m.reused {
+		f.setHandler(rawResponse(okResponse))
+		expectDone(send(context.Background(), c, f.addr(), newAttempt(long)))
+	}
+	f.setHandler(h)
+	before := f.requests.Load()
+	res := send(context.Background(), c, f.addr(), t.attempt("cut"))
+	Expect(f.requests.Load()-before).To(BeEquivalentTo(1), "requests of one attempt")
+	Expect(res.Reused).To(Equal(m.reused))
+	return res
+}
+
+// expectCut checks the result of an attempt of whose response only a part was
+// sent.
+func expectCut(res result, sent string, headLen int) {
+	GinkgoHelper()
+	if len(sent) < headLen {
+		Expect(res.err).To(HaveOccurred(), "after %q", sent)
+		Expect([]any{res.Result.String(), res.Reason, res.Status, res.State, res.Body}).To(
+			Equal([]any{azurestair.AttemptInterrupted.String(), azurestair.ReasonBroken, 0, azurestair.UpstreamState(""), nil}), "after %q", sent)
+		return
+	}
+	Expect(res.err).NotTo(HaveOccurred(), "after %q", sent)
+	Expect(res.bodyErr).To(HaveOccurred(), "after %q", sent)
+}
+
+var _ = Describe("a response", func() {
+	modes := []cutMode{{}, {reused: true, bytewise: true}, {reset: true, bytewise: true}, {reset: true, reused: true}}
+	for _, t := range cutCases {
+		expand := strings.NewReplacer("ID", "cut").Replace
+		head, body := expand(t.head), expand(t.body)
+		for _, m := range modes {
+			// Guards against a cut head that is taken for a whole one, for
+			// example without its length, and against a cut body that ends like
+			// a whole one.
+			It(fmt.Sprintf("%s is not believed when it is cut at any byte: %v", t.name, m), func() {
+				f, c := newFakeUpstream(neverRespond), m.newClient()
+				for cut := range len(head + body) {
+					sent := (head + body)[:cut]
+					h := thenClose(rawResponse(sent))
+					if m.reset {
+						h = thenReset(h)
+					}
+					expectCut(t.sendVia(h, m, c, f), sent, len(head))
+				}
+				Eventually(f.openConns).Should(BeZero())
+			})
+		}
+
+		// Shows that nothing but the cut makes the responses above fail.
+		It(t.name+" is believed when it is whole", func() {
+			m := cutMode{reused: true}
+			res := t.sendVia(thenClose(rawResponse(head+body)), m, m.newClient(), newFakeUpstream(neverRespond))
+			Expect([]any{res.Result, res.err, res.bodyErr}).To(Equal([]any{t.want, nil, nil}))
+		})
+	}
+})
