Reject bodies that a reset ended while the request was being sent

Callers on the platform got a 200 with the first part of a body, with the length of that part, if a worker responded without a length before it had read the whole request and then reset the connection, for example because it crashed.

Cause: the body ends with its connection, and the operating system reports a reset once. If the write of the request gets it, reads return what has arrived and then io.EOF, as after an orderly close. Only the platform's dialect accepts such bodies.

Evidence: the two cases of a reset fail before: requests of 40 KiB, written before the response is read, and of 200 KiB, written meanwhile.

Change: at the end of such a body a write in progress is ended, and if one has failed other than by its deadline, the body ends with io.ErrUnexpectedEOF, so that the attempt counts as interrupted. A response without a length to a request that could not be written is therefore no longer passed on, even if it is whole. Responses with a length or in chunks, refusals that say not run, and upstreams that go on reading are not affected.

writeFailed, which only the writer used, becomes the error of the failed write.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -389,19 +389,24 @@
 // checkResponse checks that the response belongs to the attempt and that its
 // framing allows a truncated body to be detected.
 func checkResponse(a Attempt, r *http.Response, info ResponseInfo, reused bool) error {
-	unframed := r.ContentLength < 0 && r.Close && len(r.TransferEncoding) == 0 && a.Method != http.MethodHead
 	switch {
 	case info.IDMismatch, info.Anonymous && reused:
 		return errIDMismatch
 	case info.UnconfirmedNotRun:
 		return errUnconfirmedNotRun
-	case unframed && !info.CloseDelimited:
+	case isCloseDelimited(a, r) && !info.CloseDelimited:
 		return errNoFraming
 	default:
 		return nil
 	}
 }
 
+// isCloseDelimited reports whether the body of a response ends with its
+// connection.
+func isCloseDelimited(a Attempt, r *http.Response) bool {
+	return r.ContentLength < 0 && r.Close && len(r.TransferEncoding) == 0 && a.Method != http.MethodHead
+}
+
 // handleResponse returns the response to an attempt. Its body returns the
 // connection to the pool.
 func (c *Client) handleResponse(p *pool, uc *conn, a Attempt, httpResp *http.Response, info ResponseInfo, stop func() bool) (Response, error) {
@@ -436,7 +441,7 @@
 	if info.NotRun {
 		resp.Result, resp.Reason = azurestair.AttemptNotRun, azurestair.ReasonShed
 	}
-	resp.Body = &body{ReadCloser: httpResp.Body, onDone: func(complete bool) {
+	b := &body{ReadCloser: httpResp.Body, onDone: func(complete bool) {
 		reusable := stop() && complete && !httpResp.Close && !uc.gotStaleResponse
 		if reusable {
 			p.put(uc, c.clock.Now())
@@ -444,5 +449,9 @@
 		}
 		p.discard(uc)
 	}}
+	if isCloseDelimited(a, httpResp) {
+		b.delimiter = uc
+	}
+	resp.Body = b
 	return resp, nil
 }
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -38,9 +39,10 @@
 	written atomic.Int64
 	// writing is true while a write is in progress.
 	writing atomic.Bool
-	// writeFailed is true once a write has failed. Only the writing goroutine
-	// accesses it.
-	writeFailed bool
+	// writeMu is held while a write is in progress. It guards writeErr, the error
+	// of a failed write, after which the connection is not reused.
+	writeMu  sync.Mutex
+	writeErr error
 	// readErr is the last read error. It is kept because http.ReadResponse does
 	// not return the timeout that cut off a header, but reports the header as
 	// malformed.
@@ -116,17 +118,36 @@
 
 // Write counts the bytes that the operating system accepted.
 func (c *conn) Write(p []byte) (int, error) {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
 	c.writing.Store(true)
 	defer c.writing.Store(false)
 	c.written.Add(int64(len(p)))
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n - len(p)))
 	if err != nil {
-		c.writeFailed = true
+		c.writeErr = err
 	}
 	return n, err
 }
 
+// failedWrite returns the error of a failed write. It waits for a write in
+// progress.
+func (c *conn) failedWrite() error {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	return c.writeErr
+}
+
+// mayBeReset reports whether the connection may have been reset, after a read
+// has returned io.EOF. The operating system reports a reset once: if a write
+// gets it, reads end as after an orderly close. A write in progress is ended.
+func (c *conn) mayBeReset() bool {
+	_ = c.SetWriteDeadline(time.Unix(1, 0))
+	err := c.failedWrite()
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // isClosedByPeer reports whether the upstream has closed an idle connection or
 // sent unsolicited data on it.
 func (c *conn) isClosedByPeer() bool {
@@ -160,13 +181,19 @@
 // body wraps a response body and returns or discards the connection at its end.
 type body struct {
 	io.ReadCloser
-	onDone   func(complete bool)
-	finished bool
+	// delimiter is the connection that ends with the body; nil for a body with
+	// a length or in chunks.
+	delimiter *conn
+	onDone    func(complete bool)
+	finished  bool
 }
 
 // Read reads the body. Only io.EOF marks the response as complete.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && !b.finished && b.delimiter != nil && b.delimiter.mayBeReset() {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		b.finish(errors.Is(err, io.EOF))
 	}
--- a/upstream/cut_test.go
+++ b/upstream/cut_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -149,3 +151,90 @@
 		})
 	}
 })
+
+// watchedConn closes failed once a write has failed.
+type watchedConn struct {
+	net.Conn
+	failed chan struct{}
+}
+
+func (c watchedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		close(c.failed)
+	}
+	return n, err
+}
+
+// gatedBody is a request body of which all but the first bytes are available
+// only once gate is closed.
+type gatedBody struct {
+	first, rest io.Reader
+	gate        chan struct{}
+}
+
+func (b *gatedBody) Read(p []byte) (int, error) {
+	if n, err := b.first.Read(p); err == nil {
+		return n, nil
+	}
+	<-b.gate
+	return b.rest.Read(p)
+}
+
+var _ = Describe("a body that ends with its connection, before the request has been sent", func() {
+	const early = "HTTP/1.1 200 OK\r\n\r\nhi"
+	var failed chan struct{}
+	// receive sends a request of size bytes, of which all but the first are sent
+	// only once the upstream has responded and called end.
+	receive := func(size int64, end func(c *net.TCPConn)) upstream.Response {
+		GinkgoHelper()
+		gate := make(chan struct{})
+		f := newFakeUpstream(func(c serverConn, _ *http.Request) bool {
+			_, _ = io.WriteString(c, early)
+			end(c.Conn.(*net.TCPConn))
+			close(gate)
+			_, _ = io.Copy(io.Discard, c.r)
+			return false
+		})
+		failed = make(chan struct{})
+		c := upstream.NewClient(func(ctx context.Context, addr string) (net.Conn, error) {
+			nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+			return watchedConn{nc, failed}, err
+		}, newFakeClock())
+		DeferCleanup(func() { c.Close() })
+		c.SetDialect(anonymousDialect{}, time.Hour)
+		const first = 8 << 10
+		a := newAttempt(long)
+		a.BodyLen = size
+		a.Body = &gatedBody{first: io.LimitReader(zeros{}, first), rest: io.LimitReader(zeros{}, size-first), gate: gate}
+		resp, err := c.Do(context.Background(), f.addr(), a)
+		Expect(err).NotTo(HaveOccurred())
+		return resp
+	}
+
+	// Guards against a response that was cut by a reset and looks whole, because
+	// the system reports the reset to the writer of the request only.
+	DescribeTable("is not believed after a reset",
+		func(size int64) {
+			resp := receive(size, func(c *net.TCPConn) {
+				_ = c.SetLinger(0)
+				_ = c.Close()
+			})
+			Eventually(failed).Should(BeClosed())
+			_, err := io.ReadAll(resp.Body)
+			Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+		},
+		Entry("in a request that is written before the response is read", int64(40<<10)),
+		Entry("in a request that is written while the response is read", int64(200<<10)),
+	)
+
+	It("is believed if the upstream goes on reading", func() {
+		resp := receive(64<<20, func(c *net.TCPConn) { _ = c.CloseWrite() })
+		data, err := io.ReadAll(resp.Body)
+		Expect([]any{string(data), err}).To(Equal([]any{"hi", nil}))
+	})
+})
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
--- a/upstream/upload.go
+++ b/upstream/upload.go
@@ -23,7 +23,6 @@
 // send writes the request. An error that does not come from the connection is
 // returned as ErrRequestBody.
 func (c *conn) send(r *http.Request) error {
-	c.writeFailed = false
 	w := writerPool.Get().(*bufio.Writer)
 	w.Reset(c)
 	err := r.Write(w)
@@ -32,7 +31,7 @@
 	}
 	w.Reset(nil)
 	writerPool.Put(w)
-	if err != nil && !c.writeFailed {
+	if err != nil && c.failedWrite() == nil {
 		return fmt.Errorf("%w: %w", ErrRequestBody, err)
 	}
 	return err
