Reset callers of HTTP/1.0 when a body without a length breaks off

Callers of HTTP/1.0 got a 200 with a part of the body that looked whole when an upstream's response without a length, longer than the 64 KiB that an entry buffers, broke off while it was forwarded.

Cause: without a length, net/http ends the body for such a caller with the connection. WriteUpstreamResponse aborts the connection, but the abort is an orderly close. Callers of HTTP/1.1 get chunks and miss the last one.

Change: the connection is reset in that case. WriteUpstreamResponse takes the request, whose version tells. The tests at an entry now use the server of a process instead of one of httptest.

Ruled out: buffering such a response, which has no bound.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -282,13 +282,13 @@
 	if r.Replayed {
 		h.Set(HeaderReplayed, "true")
 	}
-	WriteUpstreamResponse(c.Writer, r)
+	WriteUpstreamResponse(c.Writer, c.Request, r)
 }
 
 // WriteUpstreamResponse forwards the headers and the body of an upstream's
-// response. If the body cannot be copied in full, it panics with
+// response to req. If the body cannot be copied in full, it panics with
 // http.ErrAbortHandler, so that net/http aborts the connection.
-func WriteUpstreamResponse(w http.ResponseWriter, r Reply) {
+func WriteUpstreamResponse(w http.ResponseWriter, req *http.Request, r Reply) {
 	defer r.Body.Close() //nolint:errcheck // the response has been written or aborted
 	h := w.Header()
 	maps.Copy(h, forwardedHeader(r.Header))
@@ -301,10 +301,35 @@
 	}
 	w.WriteHeader(r.Status)
 	if err := copyBody(flushWriter{w}, r.Body); err != nil {
+		if r.Length < 0 && !req.ProtoAtLeast(1, 1) {
+			resetConn(w)
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// resetConn resets the connection of a caller. A caller of HTTP/1.0 gets a body
+// without a length up to the end of the connection, and would take an orderly
+// close for the end of the whole body.
+func resetConn(w http.ResponseWriter) {
+	// The writer of gin cannot be hijacked once the body has begun.
+	for {
+		u, ok := w.(interface{ Unwrap() http.ResponseWriter })
+		if !ok {
+			break
+		}
+		w = u.Unwrap()
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if l, ok := conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = l.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // copyBufferBytes is the size of the buffer for copying a response body.
 const copyBufferBytes = 32 << 10
 
--- a/caller/handler_test.go
+++ b/caller/handler_test.go
@@ -13,11 +13,13 @@
 	"net/netip"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/types"
 
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/caller"
@@ -229,6 +231,26 @@
 		Entry("with a length", int64(100), "part"), Entry("in chunks", int64(-1), "part"), Entry("before its first byte", int64(-1), ""),
 	)
 
+	// Guards against truncated responses that look complete to a caller of
+	// HTTP/1.0, for which a body without a length ends with the connection.
+	DescribeTable("a response that breaks off resets the connection of a caller of HTTP/1.0",
+		func(length int64, part string, want types.GomegaMatcher) {
+			f.reply = func(*caller.Request) caller.Reply {
+				body := io.MultiReader(strings.NewReader(part), failingReader{})
+				return caller.Reply{Outcome: azurestair.OutcomeDone, Status: 200, Length: length, Body: io.NopCloser(body)}
+			}
+			c, err := net.Dial("tcp", addr)
+			Expect(err).NotTo(HaveOccurred())
+			defer c.Close()
+			fmt.Fprint(c, "GET /v1/request/shop/read HTTP/1.0\r\n\r\n")
+			_, err = io.ReadAll(c)
+			Expect(err).To(want)
+		},
+		Entry("in its body", int64(-1), "part", MatchError(syscall.ECONNRESET)),
+		Entry("before its first byte", int64(-1), "", MatchError(syscall.ECONNRESET)),
+		Entry("but not with a length", int64(100), "part", Not(HaveOccurred())),
+	)
+
 	// Guards against callers that occupy a slot by not reading the response.
 	It("a response that is not read is closed at its deadline", func() {
 		closed := make(chan struct{})
--- a/instance/clientconns.go
+++ b/instance/clientconns.go
@@ -223,6 +223,15 @@
 	return n, err
 }
 
+// SetLinger implements the method of *net.TCPConn.
+func (c *clientConn) SetLinger(sec int) error {
+	l, ok := c.Conn.(interface{ SetLinger(sec int) error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return l.SetLinger(sec)
+}
+
 const (
 	// maxHeaderFields bounds the header fields of a request. Ordinary clients
 	// send fewer than 100.
--- a/instance/cut_test.go
+++ b/instance/cut_test.go
@@ -8,10 +8,10 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -19,6 +19,7 @@
 
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/caller"
+	"azurestair.example/azurestair/settings"
 	"azurestair.example/azurestair/upstream"
 )
 
@@ -121,7 +122,7 @@
 type cutFixture struct {
 	*entryFixture
 	upstream *cutUpstream
-	server   *httptest.Server
+	addr     string
 	client   http.Client
 }
 
@@ -134,13 +135,25 @@
 	f.dispatcher.retryPolicy.Backoff = time.Microsecond
 	f.dispatcher.retryPolicy.Disabled.Hedging = true
 	f.dispatcher.mu.Unlock()
-	f.server = httptest.NewServer(caller.NewHandler(f.Entry, SystemClock{}, longTimeout))
-	ginkgo.DeferCleanup(f.server.Close)
+	f.listen()
 	// Otherwise the client would itself repeat some requests.
 	f.client.Transport = &http.Transport{DisableKeepAlives: true}
 	return f
 }
 
+// listen serves callers as a process does.
+func (f *cutFixture) listen() {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &Process{settings: settings.Default(), options: Options{}.withDefaults(), log: f.log, entry: f.Entry, metrics: f.metrics, runCtx: ctx}
+	p.panics = &panicLog{log: f.log, count: f.metrics.panics}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	f.addr = l.Addr().String()
+	l, s := p.newServer(l, Endpoint{Name: "callers", Handler: caller.NewHandler(f.Entry, SystemClock{}, longTimeout)})
+	go s.Serve(l)
+	ginkgo.DeferCleanup(func() { cancel(); s.Close(); p.wg.Wait() })
+}
+
 // callerResponse is what a caller receives.
 type callerResponse struct {
 	status int
@@ -150,7 +163,7 @@
 
 func (f *cutFixture) request(method string, op azurestair.OperationName, key, path string) callerResponse {
 	ginkgo.GinkgoHelper()
-	q, err := http.NewRequest(method, f.server.URL+"/v1/request/shop/"+string(op)+path, strings.NewReader("x"))
+	q, err := http.NewRequest(method, "http://"+f.addr+"/v1/request/shop/"+string(op)+path, strings.NewReader("x"))
 	Expect(err).NotTo(HaveOccurred())
 	q.Header.Set(caller.HeaderKey, key)
 	resp, err := f.client.Do(q)
@@ -162,6 +175,18 @@
 	return callerResponse{status: resp.StatusCode, body: string(data), err: err}
 }
 
+// requestHTTP10 sends a request of HTTP/1.0 and reads until the connection ends.
+func (f *cutFixture) requestHTTP10(op azurestair.OperationName) (string, error) {
+	ginkgo.GinkgoHelper()
+	c, err := net.Dial("tcp", f.addr)
+	Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	_, err = fmt.Fprintf(c, "GET /v1/request/shop/%s HTTP/1.0\r\n\r\n", op)
+	Expect(err).NotTo(HaveOccurred())
+	data, err := io.ReadAll(c)
+	return string(data), err
+}
+
 // openIdle leaves an idle connection to the upstream.
 func (f *cutFixture) openIdle() {
 	ginkgo.GinkgoHelper()
@@ -275,6 +300,15 @@
 		}
 	})
 
+	// Guards against a body whose end a caller of HTTP/1.0 takes for the end of
+	// the whole one, since its own response has no length either.
+	ginkgo.It("resets the connection of a caller of HTTP/1.0 if it is too large to buffer", func() {
+		f := newCutFixture(cutHead+"Transfer-Encoding: chunked\r\n\r\n"+strings.Repeat("4\r\nxxxx\r\n", recordBufferLimit/4)+"0\r\n\r\n", false)
+		f.upstream.setCut(recordBufferLimit, 0)
+		data, err := f.requestHTTP10("read")
+		Expect(err).To(MatchError(syscall.ECONNRESET), "%d bytes taken for a whole response: %.80q", len(data), data)
+	})
+
 	// Guards against a body beyond what an entry buffers that ends early and
 	// looks whole.
 	ginkgo.DescribeTable("breaks off at the caller if it is too large to buffer", func(framing, body string, reset bool) {
