Test cut responses to requests that are still being sent

A request of more than 64 KiB is written while its response is read, on a path of its own that the tests of cut heads did not take.

The eight cases with a request body are now also cut in answer to 80 KiB, read by the upstream before or not at all, ended by FIN and by RST. No fault was found.

--- a/upstream/cut_test.go
+++ b/upstream/cut_test.go
@@ -24,10 +24,29 @@
 	reused bool
 	// bytewise makes the client read one byte at a time.
 	bytewise bool
+	// upload makes the request so large that it is written while the response
+	// is read; unread makes the upstream respond without reading its body.
+	upload, unread bool
 }
 
 func (m cutMode) String() string {
-	return fmt.Sprintf("reset=%t reused=%t bytewise=%t", m.reset, m.reused, m.bytewise)
+	return fmt.Sprintf("reset=%t reused=%t bytewise=%t upload=%t unread=%t", m.reset, m.reused, m.bytewise, m.upload, m.unread)
+}
+
+// respond returns a handler that sends a part of a response and ends the
+// connection.
+func (m cutMode) respond(sent string) handlerFunc {
+	h := rawResponse(sent)
+	if m.unread {
+		h = func(c serverConn, _ *http.Request) bool {
+			_, _ = io.WriteString(c, sent)
+			return false
+		}
+	}
+	if m.reset {
+		return thenReset(h)
+	}
+	return thenClose(h)
 }
 
 // byteConn reads one byte at a time.
@@ -80,12 +99,19 @@
 	{"with a state", http.MethodPost, okHead + "Azurestair-State: leaving\r\nContent-Length: 2\r\n\r\n", "hi", azurestair.AttemptDone},
 }
 
+// uploadSize is above the size of requests that are written before the response
+// is read.
+const uploadSize = 80 << 10
+
 // attempt returns an attempt with the ID of the response.
-func (t cutCase) attempt(id azurestair.RequestID) upstream.Attempt {
+func (t cutCase) attempt(id azurestair.RequestID, m cutMode) upstream.Attempt {
 	a := newAttempt(long)
 	a.ID, a.Method, a.Idempotent = id, t.method, t.method != http.MethodPost
-	if a.Idempotent {
+	switch {
+	case a.Idempotent:
 		a.Body, a.BodyLen = nil, 0
+	case m.upload:
+		a.Body, a.BodyLen = io.LimitReader(zeros{}, uploadSize), uploadSize
 	}
 	return a
 }
@@ -100,7 +126,7 @@
 	}
 	f.setHandler(h)
 	before := f.requests.Load()
-	res := send(context.Background(), c, f.addr(), t.attempt("cut"))
+	res := send(context.Background(), c, f.addr(), t.attempt("cut", m))
 	Expect(f.requests.Load()-before).To(BeEquivalentTo(1), "requests of one attempt")
 	Expect(res.Reused).To(Equal(m.reused))
 	return res
@@ -121,11 +147,23 @@
 }
 
 var _ = Describe("a response", func() {
-	modes := []cutMode{{}, {reused: true, bytewise: true}, {reset: true, bytewise: true}, {reset: true, reused: true}}
+	modes := []cutMode{
+		{},
+		{reused: true, bytewise: true},
+		{reset: true, bytewise: true},
+		{reset: true, reused: true},
+		{upload: true},
+		{reset: true, upload: true, reused: true},
+		{upload: true, unread: true},
+		{reset: true, upload: true, unread: true},
+	}
 	for _, t := range cutCases {
 		expand := strings.NewReplacer("ID", "cut").Replace
 		head, body := expand(t.head), expand(t.body)
 		for _, m := range modes {
+			if m.upload && t.method != http.MethodPost {
+				continue
+			}
 			// Guards against a cut head that is taken for a whole one, for
 			// example without its length, and against a cut body that ends like
 			// a whole one.
@@ -133,11 +171,7 @@
 				f, c := newFakeUpstream(neverRespond), m.newClient()
 				for cut := range len(head + body) {
 					sent := (head + body)[:cut]
-					h := thenClose(rawResponse(sent))
-					if m.reset {
-						h = thenReset(h)
-					}
-					expectCut(t.sendVia(h, m, c, f), sent, len(head))
+					expectCut(t.sendVia(m.respond(sent), m, c, f), sent, len(head))
 				}
 				Eventually(f.openConns).Should(BeZero())
 			})
@@ -146,7 +180,7 @@
 		// Shows that nothing but the cut makes the responses above fail.
 		It(t.name+" is believed when it is whole", func() {
 			m := cutMode{reused: true}
-			res := t.sendVia(thenClose(rawResponse(head+body)), m, m.newClient(), newFakeUpstream(neverRespond))
+			res := t.sendVia(m.respond(head+body), m, m.newClient(), newFakeUpstream(neverRespond))
 			Expect([]any{res.Result, res.err, res.bodyErr}).To(Equal([]any{t.want, nil, nil}))
 		})
 	}
