Adapt the test of cut probe answers to the target of a probe

Cause: the test was written beside the change that gives a probe the announcement of its target instead of an id and an address, so that the merged tests did not compile.

Change: the test passes the announcement. What it checks is unchanged.

Measured: the tests of cut responses in instance pass.

--- a/instance/cut_test.go
+++ b/instance/cut_test.go
@@ -359,7 +359,8 @@
 	f.dispatcher.mu.Unlock()
 	probe := func(cut int) {
 		f.upstream.setCut(cut, 0)
-		(&prober{entry: f.Entry, dispatcher: f.dispatcher, id: "u1", addr: p.addr, deadline: time.Now().Add(longTimeout)}).run()
+		target := azurestair.Announcement{Upstream: "u1", Addr: p.addr}
+		(&prober{entry: f.Entry, dispatcher: f.dispatcher, target: target, deadline: time.Now().Add(longTimeout)}).run()
 	}
 	whole := len(head) - len("ID") + len("probe-u1")
 	for cut := range whole {
