Suspect a restart only after two connections have failed in a row

Cause: each lost connection raised the suspicion of a restart. An entry with one connection to the upstream then had no older one to end the suspicion, and sent its requests to upstreams that handle their objects cold.

Change: a restart is suspected when a connection could not be opened and the upstream has not answered for half a second, as before, or when two connections in a row were lost or could not be opened without a response in between. A crash ends all of them.

--- a/placement/cold.go
+++ b/placement/cold.go
@@ -27,8 +27,11 @@
 	quota int
 	sent  []time.Time
 
-	// suspectedSince is when a connection last failed; zero if none has, or if a
-	// connection that was open then has carried a response since.
+	// failedConns is the number of connections that have failed since the last
+	// response.
+	failedConns int
+	// suspectedSince is when a connection last failed; zero if a restart is not
+	// suspected.
 	suspectedSince time.Time
 	// suspectedUntil is the time until which the upstream is cold if it started
 	// just before its first response since then; zero if there was none.
@@ -41,8 +44,20 @@
 
 func (c *coldLimiter) isCold(now time.Time) bool { return now.Before(c.until) }
 
-// suspectRestart records that a connection has failed. The process that responds
-// next may be another one, and the entry may learn of it much later.
+// minFailedConns is the number of connections that fail in a row before a restart
+// is suspected. Upstreams lose single connections without having crashed, and a
+// suspicion costs them requests.
+const minFailedConns = 2
+
+// recordFailedConn records that a connection was lost or could not be opened.
+func (c *coldLimiter) recordFailedConn(now time.Time) {
+	if c.failedConns++; c.failedConns >= minFailedConns {
+		c.suspectRestart(now)
+	}
+}
+
+// suspectRestart records that the process has probably ended. The one that
+// responds next may be another one, and the entry may learn of it much later.
 func (c *coldLimiter) suspectRestart(now time.Time) {
 	c.suspectedSince, c.suspectedUntil = now, time.Time{}
 }
@@ -52,6 +67,7 @@
 // connection that was open before another one failed leads to the same process
 // as before.
 func (c *coldLimiter) recordResponse(connectedAt time.Time, coldTime time.Duration, now time.Time) {
+	c.failedConns = 0
 	switch {
 	case c.suspectedSince.IsZero():
 	case connectedAt.Before(c.suspectedSince):
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -394,8 +394,8 @@
 		return
 	}
 	switch {
-	case o.ConnLost:
-		u.cold.suspectRestart(now)
+	case o.ConnLost, o.Unreachable:
+		u.cold.recordFailedConn(now)
 	case !o.ConnectedAt.IsZero():
 		u.cold.recordResponse(o.ConnectedAt, p.coldTime, now)
 	}
