Log that a restart of an upstream is suspected

An operator could not see why an entry sent little to an upstream that no listing calls cold.

Cause: the suspicion of a restart limits requests without a log line, and the status called the upstream serving.

Change: the log line "upstream may have started again" and the standing "slowStart". A service without cold starts has no even quota, instead of a very large one. No decision changes.

--- a/instance/dispatcher.go
+++ b/instance/dispatcher.go
@@ -373,6 +373,10 @@
 				"coldMs", r.ColdMs, "recentRequests", r.RecentRequests, "quota", r.Quota)
 			continue
 		}
+		if e.Suspected {
+			d.log.Info("upstream may have started again", "upstream", e.Upstream)
+			continue
+		}
 		if e.Ejected {
 			d.log.Warn("upstream taken out", "upstream", e.Upstream, "cause", e.Cause, "inRow", e.ConsecutiveFailures, "rate", e.FailRate,
 				"forMs", e.Until.Sub(d.clock.Now()).Milliseconds())
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -37,8 +37,8 @@
 	// just before its first response since then; zero if there was none.
 	suspectedUntil time.Time
 	// evenQuota is this entry's part of what a cold upstream tolerates if all
-	// entries send to it. Entries that do not know of a restart do not agree on
-	// a few senders.
+	// entries send to it; zero if upstreams are not cold after a start. Entries
+	// that do not know of a restart do not agree on a few senders.
 	evenQuota int
 }
 
@@ -49,17 +49,20 @@
 // suspicion costs them requests.
 const minFailedConns = 2
 
-// recordFailedConn records that a connection was lost or could not be opened.
-func (c *coldLimiter) recordFailedConn(now time.Time) {
-	if c.failedConns++; c.failedConns >= minFailedConns {
-		c.suspectRestart(now)
-	}
+// recordFailedConn records that a connection was lost or could not be opened. It
+// reports whether a restart is suspected from now on.
+func (c *coldLimiter) recordFailedConn(now time.Time) bool {
+	c.failedConns++
+	return c.failedConns >= minFailedConns && c.suspectRestart(now)
 }
 
 // suspectRestart records that the process has probably ended. The one that
-// responds next may be another one, and the entry may learn of it much later.
-func (c *coldLimiter) suspectRestart(now time.Time) {
+// responds next may be another one, and the entry may learn of it much later. It
+// reports whether a restart was not suspected before.
+func (c *coldLimiter) suspectRestart(now time.Time) bool {
+	before := c.isSuspected(now)
 	c.suspectedSince, c.suspectedUntil = now, time.Time{}
+	return c.isSuspected(now) && !before
 }
 
 // recordResponse records a response on a connection that was opened at the given
@@ -80,7 +83,7 @@
 // isSuspected reports whether the upstream may be a cold process that the entry
 // does not know of.
 func (c *coldLimiter) isSuspected(now time.Time) bool {
-	return !c.suspectedSince.IsZero() && (c.suspectedUntil.IsZero() || now.Before(c.suspectedUntil))
+	return c.evenQuota > 0 && !c.suspectedSince.IsZero() && (c.suspectedUntil.IsZero() || now.Before(c.suspectedUntil))
 }
 
 // allows reports whether a request may be sent now.
@@ -136,10 +139,11 @@
 }
 
 // evenColdQuota returns how many requests within coldWindow each of n entries
-// may send to an upstream of the service that may have just started.
+// may send to an upstream of the service that may have just started, or zero if
+// there is no limit.
 func evenColdQuota(n int, s azurestair.Service) int {
 	if s.ColdPerSecond <= 0 || s.ColdMs <= 0 {
-		return int(azurestair.MaxSlots)
+		return 0
 	}
 	return max(1, int(s.ColdPerSecond)/max(n, 1))
 }
--- a/placement/event.go
+++ b/placement/event.go
@@ -31,12 +31,17 @@
 	RecentRequests, Quota int
 }
 
-// Event reports the ejection, the return or the restart of an upstream.
+// Event reports the ejection, the return or the restart of an upstream, or that
+// a restart is suspected.
 type Event struct {
 	Upstream azurestair.UpstreamID
 	// Restart is set if the upstream has started again under its id; the other
 	// fields are then not set.
 	Restart *Restart
+	// Suspected is true if connections have failed and the upstream may be
+	// another process now, which the entry sends no more than its part of what
+	// a cold one tolerates; the other fields are then not set.
+	Suspected bool
 	// Ejected is true if the upstream was ejected until Until, and false if it
 	// is used again.
 	Ejected bool
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -395,7 +395,9 @@
 	}
 	switch {
 	case o.ConnLost, o.Unreachable:
-		u.cold.recordFailedConn(now)
+		if u.cold.recordFailedConn(now) {
+			p.addSuspicionEvent(u)
+		}
 	case !o.ConnectedAt.IsZero():
 		u.cold.recordResponse(o.ConnectedAt, p.coldTime, now)
 	}
@@ -436,7 +438,9 @@
 // is enough: each further one would cost a request the whole connection
 // timeout.
 func (p *Picker) markUnreachable(u *upstream, c azurestair.Choice, now time.Time) {
-	u.cold.suspectRestart(now)
+	if u.cold.suspectRestart(now) {
+		p.addSuspicionEvent(u)
+	}
 	if c.Trial {
 		p.recordOutcome(u, c, false, now)
 		return
@@ -446,6 +450,12 @@
 	}
 }
 
+// addSuspicionEvent records that the process of an upstream may be another one
+// now.
+func (p *Picker) addSuspicionEvent(u *upstream) {
+	p.addEvent(Event{Upstream: u.announcement.Upstream, Suspected: true})
+}
+
 // Abandon ends an attempt whose outcome says nothing about the upstream.
 func (p *Picker) Abandon(c azurestair.Choice, sent bool, _ time.Duration, now time.Time) {
 	u := p.chosen(c)
@@ -538,7 +548,7 @@
 			s.Standing = routing.StandingPaused
 		case u.health.isEjected(now):
 			s.Standing = routing.StandingEjected
-		case u.cold.isCold(now):
+		case u.cold.isCold(now), u.cold.isSuspected(now):
 			s.Standing = routing.StandingSlowStart
 		}
 		list = append(list, s)
--- a/placement/restart_test.go
+++ b/placement/restart_test.go
@@ -256,6 +256,7 @@
 		p.Observe(h.pick(0), lost, h.now)
 		h.pick(0)
 		p.Observe(h.pick(0), lost, h.now)
+		Expect(p.Events()).To(Equal([]placement.Event{{Upstream: c.Upstream, Suspected: true}}))
 		expectRefused(p, workOn(1), h.now, azurestair.ReasonSaturated)
 		p.Observe(c, azurestair.Observation{ConnectedAt: h.now.Add(-time.Second)}, h.now)
 		for range 20 {
