Date a suspected restart from the first failed connection

Cause: each further failure moved the time of the suspicion. A connection that was opened to the new process before such a failure, such as a late reset of an old request, then looked older than the crash and refuted the restart.

Change: the suspicion dates from the first failure since the last response, and a further failure only renews it. One function records failures, with one rule for when they count.

--- a/placement/cold.go
+++ b/placement/cold.go
@@ -28,10 +28,12 @@
 	sent  []time.Time
 
 	// failedConns is the number of connections that have failed since the last
-	// response.
-	failedConns int
-	// suspectedSince is when a connection last failed; zero if a restart is not
-	// suspected.
+	// response, and firstFailedAt the time of the first of them.
+	failedConns   int
+	firstFailedAt time.Time
+	// suspectedSince is the time of the first failure that led to the suspicion
+	// of a restart; zero if there is none. Only a connection that was open before
+	// it is known to lead to the earlier process.
 	suspectedSince time.Time
 	// suspectedUntil is the time until which the upstream is cold if it started
 	// just before its first response since then; zero if there was none.
@@ -45,30 +47,31 @@
 func (c *coldLimiter) isCold(now time.Time) bool { return now.Before(c.until) }
 
 // minFailedConns is the number of connections that fail in a row before a restart
-// is suspected. Upstreams lose single connections without having crashed, and a
-// suspicion costs them requests.
+// is suspected of an upstream that has just responded. Upstreams lose single
+// connections without having crashed, and a suspicion costs them requests. An
+// entry with one request in progress does not notice a crash that is over before
+// its next request.
 const minFailedConns = 2
 
-// recordFailedConn records that a connection was lost or could not be opened. It
-// reports whether a restart is suspected from now on.
-func (c *coldLimiter) recordFailedConn(now time.Time) bool {
-	c.failedConns++
-	return c.failedConns >= minFailedConns && c.suspectRestart(now)
-}
-
-// suspectRestart records that the process has probably ended. The one that
-// responds next may be another one, and the entry may learn of it much later. It
-// reports whether a restart was not suspected before.
-func (c *coldLimiter) suspectRestart(now time.Time) bool {
-	before := c.isSuspected(now)
-	c.suspectedSince, c.suspectedUntil = now, time.Time{}
-	return c.isSuspected(now) && !before
+// recordFailedConn records that a connection was lost or could not be opened. The
+// process that responds next may be another one, and the entry may learn of it
+// much later. silent is true if the upstream has not responded for a while either.
+func (c *coldLimiter) recordFailedConn(silent bool, now time.Time) {
+	suspected := c.isSuspected(now)
+	if c.failedConns++; c.failedConns == 1 {
+		c.firstFailedAt = now
+	}
+	if !suspected {
+		if c.failedConns < minFailedConns && !silent {
+			return
+		}
+		c.suspectedSince = c.firstFailedAt
+	}
+	c.suspectedUntil = time.Time{}
 }
 
 // recordResponse records a response on a connection that was opened at the given
-// time, from an upstream that is cold for coldTime after it has started. A
-// connection that was open before another one failed leads to the same process
-// as before.
+// time, from an upstream that is cold for coldTime after it has started.
 func (c *coldLimiter) recordResponse(connectedAt time.Time, coldTime time.Duration, now time.Time) {
 	c.failedConns = 0
 	switch {
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -136,14 +136,14 @@
 		p.usableCount++
 		p.byRegion[a.Region] = append(p.byRegion[a.Region], u)
 	}
-	p.removeUnlisted(listed, now)
+	p.updateListed(listed, now)
 	p.updatePlan()
 	p.updateSpread(s)
 }
 
-// removeUnlisted removes the records of upstreams that are no longer listed and
-// that have got no requests lately.
-func (p *Picker) removeUnlisted(listed map[azurestair.UpstreamID]bool, now time.Time) {
+// updateListed records which upstreams are listed, and removes the others that
+// have no request in flight and to which none was sent within coldWindow.
+func (p *Picker) updateListed(listed map[azurestair.UpstreamID]bool, now time.Time) {
 	for id, u := range p.byID {
 		u.listed = listed[id]
 		u.cold.dropExpired(now)
@@ -197,7 +197,7 @@
 // upstreamFor returns the record of an upstream; a new incarnation gets a new
 // one. The requests that were sent shortly before it was listed have reached the
 // new process, so they count towards its cold limit. While an upstream stays
-// listed, an earlier incarnation is old news from a new leader.
+// listed, an earlier incarnation comes from a new leader with an outdated list.
 func (p *Picker) upstreamFor(a azurestair.Announcement, now time.Time) *upstream {
 	u := p.byID[a.Upstream]
 	if u != nil && u.listed && a.Incarnation < u.announcement.Incarnation {
@@ -393,21 +393,15 @@
 	if u == nil {
 		return
 	}
-	switch {
-	case o.ConnLost, o.Unreachable:
-		if u.cold.recordFailedConn(now) {
-			p.addSuspicionEvent(u)
-		}
-	case !o.ConnectedAt.IsZero():
-		u.cold.recordResponse(o.ConnectedAt, p.coldTime, now)
-	}
+	silent := now.Sub(u.answeredAt) >= recentResponsePeriod
+	p.observeConn(u, o, silent, now)
 	p.observeAnswer(u, o, now)
 	switch {
 	case o.AddressReused:
 		if !u.health.isEjected(now) || c.Trial {
 			p.eject(u, CauseAddressReused, now)
 		}
-	case o.Unreachable && now.Sub(u.answeredAt) >= recentResponsePeriod:
+	case o.Unreachable && silent:
 		p.markUnreachable(u, c, now)
 	case o.Shed && !o.IsFull(u.announcement.Slots) && u.recordShed(now):
 		p.recordOutcome(u, c, false, now)
@@ -416,6 +410,20 @@
 	}
 }
 
+// observeConn records what the connection of an attempt shows of the process.
+func (p *Picker) observeConn(u *upstream, o azurestair.Observation, silent bool, now time.Time) {
+	before := u.cold.isSuspected(now)
+	switch {
+	case o.ConnLost, o.Unreachable:
+		u.cold.recordFailedConn(o.Unreachable && silent, now)
+	case !o.ConnectedAt.IsZero():
+		u.cold.recordResponse(o.ConnectedAt, p.coldTime, now)
+	}
+	if !before && u.cold.isSuspected(now) {
+		p.addEvent(Event{Upstream: u.announcement.Upstream, Suspected: true})
+	}
+}
+
 // observeAnswer records what the upstream has said of itself.
 func (p *Picker) observeAnswer(u *upstream, o azurestair.Observation, now time.Time) {
 	if o.Load != nil {
@@ -438,9 +446,6 @@
 // is enough: each further one would cost a request the whole connection
 // timeout.
 func (p *Picker) markUnreachable(u *upstream, c azurestair.Choice, now time.Time) {
-	if u.cold.suspectRestart(now) {
-		p.addSuspicionEvent(u)
-	}
 	if c.Trial {
 		p.recordOutcome(u, c, false, now)
 		return
@@ -450,12 +455,6 @@
 	}
 }
 
-// addSuspicionEvent records that the process of an upstream may be another one
-// now.
-func (p *Picker) addSuspicionEvent(u *upstream) {
-	p.addEvent(Event{Upstream: u.announcement.Upstream, Suspected: true})
-}
-
 // Abandon ends an attempt whose outcome says nothing about the upstream.
 func (p *Picker) Abandon(c azurestair.Choice, sent bool, _ time.Duration, now time.Time) {
 	u := p.chosen(c)
--- a/placement/restart_test.go
+++ b/placement/restart_test.go
@@ -265,6 +265,31 @@
 	})
 })
 
+// Guards against a later failure that makes a connection to the new process look
+// older than the crash.
+var _ = It("a suspected restart is not refuted by a connection that was opened after the first failure", func() {
+	h := newHarness(7, "huye", upstreams("huye", 1)...)
+	h.snap.Config.Services[0].ColdMs = 3000
+	h.set(upstreams("huye", 1)...)
+	sent := 0
+	for e, p := range h.pickers {
+		lost := azurestair.Observation{ConnLost: true}
+		first, second, third := h.pick(e), h.pick(e), h.pick(e)
+		p.Observe(first, lost, h.now.Add(10*time.Millisecond))
+		p.Observe(second, lost, h.now.Add(10*time.Millisecond))
+		p.Observe(third, lost, h.now.Add(1400*time.Millisecond))
+		opened := h.now.Add(1300 * time.Millisecond)
+		p.Observe(third, azurestair.Observation{ConnectedAt: opened}, h.now.Add(1600*time.Millisecond))
+		for range coldBound {
+			if _, err := p.Pick(workOn(1), nil, h.now.Add(2600*time.Millisecond)); err == nil {
+				sent++
+			}
+		}
+	}
+	Expect(sent).To(BeNumerically("<=", coldBound))
+	Expect(sent).To(BeNumerically(">", 0))
+})
+
 // pick returns where an entry sends a request that does not end.
 func (h *harness) pick(entry int) azurestair.Choice {
 	GinkgoHelper()
