Limit suspected restarts when a new leader lists few entries

Seven entries sent 28 requests at once to an upstream that may have just started, where 19 are allowed, while a new leader listed no entries, and 21 while it listed three.

Cause: an entry divided what a cold upstream tolerates by the number of listed entries, or took all of it if none was listed.

Measured: both cases failed before and pass, as does the one with a whole list.

--- a/placement/cold.go
+++ b/placement/cold.go
@@ -141,12 +141,16 @@
 	return max(1, int(perSecond)/n)
 }
 
-// evenColdQuota returns how many requests within coldWindow each of n entries
-// may send to an upstream of the service that may have just started, or zero if
-// there is no limit.
-func evenColdQuota(n int, s azurestair.Service) int {
-	if s.ColdPerSecond <= 0 || s.ColdMs <= 0 {
+// evenColdQuota returns how many requests within coldWindow the entry self may
+// send to an upstream of the service that may have just started, or zero if there
+// is no limit. entries are all entries; a list without self is incomplete.
+func evenColdQuota(self uint64, entries []uint64, s azurestair.Service) int {
+	switch {
+	case s.ColdPerSecond <= 0 || s.ColdMs <= 0:
 		return 0
+	case !slices.Contains(entries, self):
+		return 1
+	default:
+		return max(1, int(s.ColdPerSecond)/len(entries))
 	}
-	return max(1, int(s.ColdPerSecond)/max(n, 1))
 }
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -125,7 +125,7 @@
 		u.updateColdTime(info, now)
 		a = u.announcement
 		u.cold.quota = coldQuota(u.seed, self, entries, service.ColdPerSecond)
-		u.cold.evenQuota = evenColdQuota(len(entries), service)
+		u.cold.evenQuota = evenColdQuota(self, entries, service)
 		if earlier != nil && earlier != u {
 			p.addRestartEvent(earlier, u)
 		}
--- a/placement/restart_test.go
+++ b/placement/restart_test.go
@@ -290,6 +290,33 @@
 	Expect(sent).To(BeNumerically(">", 0))
 })
 
+// Guards against entries that each take the whole quota of a cold upstream,
+// because a new leader lists no entries yet.
+var _ = DescribeTable("a suspected restart is limited although a new leader lists", func(listed int) {
+	h := newHarness(7, "huye", upstreams("huye", 1)...)
+	h.snap.Config.Services[0].ColdMs = 3000
+	h.snap.Instances = h.snap.Instances[:listed]
+	h.set(upstreams("huye", 1)...)
+	sent := 0
+	for e, p := range h.pickers {
+		for range 2 {
+			p.Observe(h.pick(e), azurestair.Observation{ConnLost: true}, h.now)
+		}
+		p.Observe(azurestair.Choice{Upstream: "huye-0", Incarnation: 1}, azurestair.Observation{ConnectedAt: h.now}, h.now.Add(2*time.Second))
+		for range coldBound {
+			if _, err := p.Pick(workOn(1), nil, h.now.Add(2*time.Second)); err == nil {
+				sent++
+			}
+		}
+	}
+	Expect(sent).To(BeNumerically("<=", coldBound))
+	Expect(sent).To(BeNumerically(">", 0))
+},
+	Entry("no entries", 0),
+	Entry("three of seven entries", 3),
+	Entry("all entries", 7),
+)
+
 // pick returns where an entry sends a request that does not end.
 func (h *harness) pick(entry int) azurestair.Choice {
 	GinkgoHelper()
