Forget unlisted upstreams whose requests have timed out

The memory of an entry grew by one record for each upstream that was gone with a request that had timed out.

Cause: a late slot is released when the upstream is ranked for a request. One that is no longer listed is never ranked again, so that its record had a request in flight for ever.

Change: late slots are released before unlisted records are removed.

Measured: the test failed with two records and passes with none.

--- a/placement/picker.go
+++ b/placement/picker.go
@@ -146,6 +146,7 @@
 func (p *Picker) updateListed(listed map[azurestair.UpstreamID]bool, now time.Time) {
 	for id, u := range p.byID {
 		u.listed = listed[id]
+		u.releaseExpired(now)
 		u.cold.dropExpired(now)
 		if !u.listed && u.inFlight == 0 && len(u.cold.sent) == 0 {
 			delete(p.byID, id)
--- a/placement/restart_test.go
+++ b/placement/restart_test.go
@@ -317,6 +317,22 @@
 	Entry("all entries", 7),
 )
 
+// Guards against records of upstreams that are gone, each kept for ever by a
+// request that timed out.
+var _ = It("an unlisted upstream is forgotten once its late slots have expired", func() {
+	h := newHarness(1, "huye", upstreams("huye", 2)...)
+	for i := range 6 {
+		c, err := h.pickers[0].Pick(workOn(i), nil, h.now)
+		Expect(err).NotTo(HaveOccurred())
+		h.pickers[0].Done(c, azurestair.AttemptTimeout, latency, h.now)
+	}
+	h.set()
+	Expect(h.pickers[0].Status(nil, h.now)).To(HaveLen(2))
+	h.now = h.now.Add(2 * time.Second)
+	h.set()
+	Expect(h.pickers[0].Status(nil, h.now)).To(BeEmpty())
+})
+
 // pick returns where an entry sends a request that does not end.
 func (h *harness) pick(entry int) azurestair.Choice {
 	GinkgoHelper()
