Keep an upstream listed that starts again at its address

Callers could not use a live upstream for up to 35 of 80 s after it had started again at its address with a clock that was behind, or without start times.

Cause: "Report as alive only the process that announces itself to the entry" leaves the id of an upstream out of a report while the leader lists a later process. At the same address the listed process is the one that announces itself, and its lease expired.

Evidence: both cases of the new test lose the confirmation of the upstream.

Change: the id is left out only if the addresses differ, where callers would be sent to a process that is gone.

--- a/budget.go
+++ b/budget.go
@@ -88,7 +88,8 @@
 	Announcements []Announcement  `cbor:"2,keyasint,omitempty" json:"announcements,omitempty"`
 	// Alive lists the upstreams whose announcements have not changed. An id does
 	// not tell which process is alive, so the sender lists one only if its snapshot
-	// has no other process of the upstream than the one that announces itself to it.
+	// has no process of the upstream at another address than that of the one that
+	// announces itself to it.
 	Alive   []UpstreamID `cbor:"3,keyasint,omitempty" json:"alive,omitempty"`
 	Demands []Demand     `cbor:"4,keyasint,omitempty" json:"demands,omitempty"`
 	// SnapshotTerm and SnapshotRevision identify the snapshot that the instance
--- a/instance/member.go
+++ b/instance/member.go
@@ -292,9 +292,10 @@
 //
 // An id in Report.Alive does not tell which process of the upstream is alive, and
 // would keep a process listed after its end if the leader lists another one than
-// the one that announces itself here. An earlier one is answered by another
-// announcement, because the leader has not got or not accepted the last one. A
-// later one is left to the entry that knows it.
+// the one that announces itself here. If the leader lists an earlier process, the
+// announcement is sent again. If it lists a later one at another address, the id is
+// left out. At the same address the process that announces itself is the one that
+// callers reach, whatever its clock says.
 func (m *Member) addUpstreams(r *azurestair.Report, now time.Time) {
 	listsAlive := len(m.announced) == 0 || now.Sub(m.aliveListedAt) >= reportInterval
 	if listsAlive {
@@ -307,7 +308,7 @@
 		case a.unsent || a.latest.Load != a.sentLoad || listsAlive && isEarlier:
 			r.Announcements = append(r.Announcements, a.latest)
 			a.unsent, a.sentLoad = false, a.latest.Load
-		case isListed && listed.Announcement.IsNewerThan(a.latest):
+		case isListed && listed.Announcement.IsNewerThan(a.latest) && listed.Announcement.Addr != a.latest.Addr:
 			// Without incarnations, the processes differ in their sequences.
 		case listsAlive:
 			r.Alive = append(r.Alive, id)
--- a/instance/restart_test.go
+++ b/instance/restart_test.go
@@ -215,6 +215,22 @@
 		ginkgo.Entry("without start times", process(0, 80, 100), process(0, 81, 0), forgetTime),
 	)
 
+	// Guards against an upstream that serves and is not listed, because the leader
+	// takes its process for an earlier one.
+	ginkgo.DescribeTable("and keeps an upstream listed that starts again at its address",
+		func(before, after azurestair.Announcement) {
+			f.run(5, before)
+			for range 2 * forgetTime {
+				f.run(1, after)
+				after.Sequence++
+				f.expectListed(before)
+				Expect(f.registry.Upstreams()[0].Confirmed).To(BeTrue())
+			}
+		},
+		ginkgo.Entry("with a clock that is behind", process(2, 80, 0), process(1, 80, 0)),
+		ginkgo.Entry("without start times", process(0, 80, 100), process(0, 80, 0)),
+	)
+
 	ginkgo.It("when the leader has rejected the later process, whose address was taken", func() {
 		f.run(5, process(5, 80, 0))
 		owner := process(7, 81, 0)
