Do not take a broken request body for a lost connection

Cause: an attempt whose caller breaks off the body of its request ends with an unexpected end of file, which could count as a connection that the upstream had lost. net/http hides that error today, so that no caller sees a difference.

Change: errors of the request body do not count.

No test fails without the change.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -380,7 +380,7 @@
 		resp.Result, resp.Reason = azurestair.AttemptTimeout, azurestair.ReasonTimeout
 	default:
 		resp.Result, resp.Reason = azurestair.AttemptInterrupted, azurestair.ReasonBroken
-		resp.ConnLost = isConnEnd(err) || isConnEnd(uc.readErr)
+		resp.ConnLost = !errors.Is(err, ErrRequestBody) && (isConnEnd(err) || isConnEnd(uc.readErr))
 	}
 	// An attempt cancelled by its caller is no evidence against the connection.
 	if resp.Result == azurestair.AttemptTimeout && uc.reused && !errors.Is(ctx.Err(), context.Canceled) {
