Test the flood after short outages and behind many entries

A cold upstream can still be flooded if it crashes for 0.2 s or less, or serves 20 entries or more, and its restart is listed seconds late, for instance while control is unreachable.

Cause: an entry with at most one request in progress does not notice a short crash, and the sum of one request for each of many entries exceeds what a cold upstream tolerates.

They were found by a review. Nothing is changed.

--- a/model/model_test.go
+++ b/model/model_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"azurestair.example/azurestair/knownred"
 	"azurestair.example/azurestair/model"
 )
 
@@ -96,6 +97,21 @@
 			Expect(r.Between(16*time.Second, 40*time.Second).Score()).To(BeNumerically(">", 0.9))
 		})
 	})
+
+	// Guards against the same flood where few entries notice the crash, and where
+	// the sum of one request for each entry exceeds what a cold upstream tolerates.
+	DescribeTable("are not flooded while unnoticed, with", func(entries int, outage time.Duration) {
+		knownred.Skip()
+		s := pattern("unnoticedRestart")
+		s.Entries, s.Outage.To = entries, s.Outage.From+outage
+		eachSeed(s, func(r model.Result) {
+			Expect(r.MaxColdRate).To(BeNumerically("<=", 19), "9.7 per second, plus 50%, plus 5")
+		})
+	},
+		Entry("an outage of 200 ms", 6, 200*time.Millisecond),
+		Entry("an outage of 20 ms", 6, 20*time.Millisecond),
+		Entry("30 entries in each region", 30, 200*time.Millisecond),
+	)
 })
 
 var _ = Describe("retries of many entries", func() {
