--- a/review/_stand2/case_repair.go
+++ b/review/_stand2/case_repair.go
@@ -13,7 +13,10 @@
 	// counts as lost (catch_up_s).
 	catchUp = 4 * time.Second
 	// lossMargin is added to that before the next machine is lost.
-	lossMargin = 300 * time.Millisecond
+	lossMargin = 1100 * time.Millisecond
+	// readBackTime is how long the operator reads the configuration at the end:
+	// far longer than recover_s and contact_ms.
+	readBackTime = 40 * time.Second
 )
 
 // runRepair replaces control machines one after the other, each time by an empty
@@ -27,56 +30,70 @@
 	}
 	defer f.close()
 	defer stopAll(workers)
-	f.seedsOf = func() []*machine { return o.targets[:3] }
-	setTargets := func(list []*machine) {
-		o.targets = list
-		for _, w := range workers {
-			w.setTargets(list)
+	c := &coreChanges{fleet: f, operator: o, workers: workers, live: append([]*machine{}, f.cores()...), version: 1, acked: 1}
+	c.change(time.Now().Add(2 * time.Second))
+	if disrupted() {
+		for _, i := range []int{3, 3, 4, 2} {
+			c.replace(i, successorAfter, catchUp+lossMargin)
 		}
 	}
-	version := 1
-	acked := version
-	// change sends changes of the configuration until the given time.
-	change := func(until time.Time) {
-		for time.Now().Before(until) {
-			version++
-			if o.put(baseConfig(version), time.Now().Add(4*time.Second)) {
-				acked = version
-			}
-			time.Sleep(max(0, min(time.Second, time.Until(until))))
+	return c.readBack()
+}
+
+// coreChanges replaces control machines while the configuration changes.
+type coreChanges struct {
+	fleet    *fleet
+	operator *operator
+	workers  []*worker
+	// live holds the control machines, each successor in the place of the one
+	// that was lost.
+	live []*machine
+	// version is the last configuration that was sent, acked the last one that
+	// was acknowledged.
+	version, acked int
+}
+
+// change sends a change of the configuration each second until the given time.
+func (c *coreChanges) change(until time.Time) {
+	for time.Now().Before(until) {
+		c.version++
+		if c.operator.put(baseConfig(c.version), time.Now().Add(4*time.Second)) {
+			c.acked = c.version
 		}
+		time.Sleep(max(0, min(time.Second, time.Until(until))))
 	}
-	live := append([]*machine{}, f.cores()...)
-	// replace loses a machine for good and starts its successor.
-	replace := func(i int) {
-		lost := live[i]
-		rec.line("%s is lost for good", lost.name)
-		lost.kill()
-		time.Sleep(successorAfter)
-		next := f.add("core", lost.zone, 280)
-		next.bootstrap = false
-		live[i] = next
-		if err := next.start(); err != nil {
-			rec.line("%s: %v", next.name, err)
-		}
-		started := time.Now()
-		rec.line("%s replaces %s", next.name, lost.name)
-		setTargets(append([]*machine{}, live...))
-		change(started.Add(catchUp + lossMargin))
+}
+
+// replace loses a machine for good, starts its successor and waits.
+func (c *coreChanges) replace(i int, successorAfter, wait time.Duration) {
+	lost := c.live[i]
+	c.fleet.rec.line("%s is lost for good", lost.name)
+	lost.kill()
+	time.Sleep(successorAfter)
+	next := c.fleet.add("core", lost.zone, coreMB)
+	next.bootstrap = false
+	c.live[i] = next
+	c.fleet.seedsOf = func() []*machine { return c.live[:3] }
+	if err := next.start(); err != nil {
+		c.fleet.rec.line("%s: %v", next.name, err)
 	}
-	change(time.Now().Add(2 * time.Second))
-	if disrupted() {
-		replace(3)
-		replace(3)
-		replace(4)
-		replace(2)
+	started := time.Now()
+	c.fleet.rec.line("%s replaces %s", next.name, lost.name)
+	targets := append([]*machine{}, c.live...)
+	c.operator.targets = targets
+	for _, w := range c.workers {
+		w.setTargets(targets)
 	}
-	change(time.Now().Add(3 * time.Second))
-	// Far longer than recover_s, and longer than contact_ms.
+	c.change(started.Add(wait))
+}
+
+// readBack reads the configuration at the end, and returns the exit status.
+func (c *coreChanges) readBack() int {
+	c.change(time.Now().Add(3 * time.Second))
 	got := ""
-	for end := time.Now().Add(40 * time.Second); got == "" && time.Now().Before(end); {
-		got = o.get(time.Now().Add(5 * time.Second))
+	for end := time.Now().Add(readBackTime); got == "" && time.Now().Before(end); {
+		got = c.operator.get(time.Now().Add(5 * time.Second))
 	}
-	want := fmt.Sprintf("%08x", acked)
-	return rec.verdict(got < want, "the newest acknowledged configuration is %s; read back for 40 s: %q", want, got)
+	want := fmt.Sprintf("%08x", c.acked)
+	return c.fleet.rec.verdict(got < want, "the newest acknowledged configuration is %s; read back for %v: %q", want, readBackTime, got)
 }
--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -12,10 +12,11 @@
 func disrupted() bool { return os.Getenv("TROUBLE") != "0" }
 
 var cases = map[string]func(*record) int{
-	"repair": runRepair,
-	"grow":   runGrow,
-	"first":  runFirst,
-	"lines":  runLines,
+	"repair":  runRepair,
+	"grow":    runGrow,
+	"first":   runFirst,
+	"lines":   runLines,
+	"leaders": runLeaders,
 }
 
 func main() {
