Count only the head of a request as header fields

Callers saw: a request with more than 1,000 line feeds in the first 4 KB of its body was answered 400. With a body of 3,000 bytes, it was passed on and cancelled at its upstream while it ran, and its client got 502 or 503 (callerLeft).

Cause: clientConn counted each line feed that it read as a header field until net/http reported the request as active. net/http reads up to 4 KB at once, so that the beginning of the body was counted with the head. Above 1,000 the read failed: before the head was parsed that became a 400, afterwards net/http cancelled the request.

Change: headScanner follows the lines of the head and ends at its empty line; only the bytes before that are counted and reserved. The number of fields is also checked when the head is complete, because a head may arrive together with the request before it.

--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -90,6 +90,18 @@
 		}
 	})
 
+	// Guards against a body whose line ends count as header fields.
+	It("is served with a body of short lines", func() {
+		m := startMachine(memoryLimits()...)
+		c := &http.Client{Timeout: time.Minute}
+		for _, size := range []int{3000, 8000, maxBody} {
+			resp, err := c.Post("http://"+m.callers+pathIdempotent, "text/plain", strings.NewReader(strings.Repeat("1\n", size/2)))
+			Expect(err).NotTo(HaveOccurred())
+			_ = resp.Body.Close()
+			Expect(resp.StatusCode).To(Equal(http.StatusOK), "%d bytes", size)
+		}
+	})
+
 	It("is served with the largest head", func() {
 		m := startMachine(memoryLimits()...)
 		req, err := http.NewRequest(http.MethodGet, "http://"+m.callers+pathIdempotent, nil)
--- a/instance/clientconns.go
+++ b/instance/clientconns.go
@@ -1,7 +1,6 @@
 package instance
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -200,9 +199,10 @@
 	block azurestair.ClientBlock
 	// head holds the memory of the current request head.
 	head *memoryHolder
-	// fields counts the header fields of the current request head that have
-	// arrived; only Read and net/http's callbacks use it, one at a time.
-	fields int
+	// scanner and lines describe the part of the current request head that has
+	// arrived; only Read and net/http's callbacks use them, one at a time.
+	scanner headScanner
+	lines   int
 }
 
 // Read implements net.Conn.
@@ -248,12 +248,16 @@
 // request head.
 var errHeadRefused = errors.New("request head refused")
 
-// countHead reserves the memory for a part of a request head. Part of the body
-// may come with the end of the head; net/http reads at most 4 KiB at a time.
+// countHead reserves the memory for the part of p that belongs to the request
+// head. The beginning of the body may follow it in p.
 func (c *clientConn) countHead(p []byte) error {
-	n := bytes.Count(p, []byte{'\n'})
-	c.fields += n
-	if c.fields > maxHeaderFields || !c.reserveHead(headerTextFactor*len(p)+headerFieldBytes*n) {
+	if c.scanner.ended {
+		// net/http would not read on in this state if the head were complete.
+		c.scanner = headScanner{}
+	}
+	n, lines := c.scanner.scan(p)
+	c.lines += lines
+	if c.lines > maxHeaderFields || !c.reserveHead(headerTextFactor*n+headerFieldBytes*lines) {
 		c.conns.tooMany.Inc(1)
 		c.conns.log("request head refused")
 		return &net.OpError{Op: "read", Net: "tcp", Err: errHeadRefused}
@@ -268,7 +272,7 @@
 // endHead records that a request head is complete. Its memory is held until the
 // request ends.
 func (c *clientConn) endHead() {
-	c.fields = 0
+	c.scanner, c.lines = headScanner{}, 0
 	if c.head != nil {
 		c.head.setEvict(nil)
 	}
@@ -304,7 +308,7 @@
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(l.bodyTimeout))
 		r.Body = &receivedBody{ReadCloser: r.Body, conn: conn}
 	}
-	if int64(l.maxHeaderBytes) < headSize(r) {
+	if size, fields := headSize(r); size > l.maxHeaderBytes || fields > maxHeaderFields {
 		g.conns.tooMany.Inc(1)
 		w.Header().Set("Connection", "close")
 		http.Error(w, "request head is too large", http.StatusRequestHeaderFieldsTooLarge)
@@ -313,15 +317,17 @@
 	g.next.ServeHTTP(w, r)
 }
 
-// headSize returns the size of a request head in bytes, without its line ends.
-func headSize(r *http.Request) int64 {
+// headSize returns the size of a request head in bytes, without its line ends,
+// and the number of its fields.
+func headSize(r *http.Request) (size azurestair.Bytes, fields int) {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
 	for name, values := range r.Header {
+		fields += len(values)
 		for _, v := range values {
 			n += len(name) + len(v)
 		}
 	}
-	return int64(n)
+	return azurestair.Bytes(n), fields
 }
 
 // receivedBody records that a request body has been read to its end.
