Judge members of the log by the time of the last contact

Callers saw: when control machines were replaced one at a time, each as soon as the platform allows, no configuration was acknowledged and no read of it answered any more, for good, with five sound machines.

Cause: the planner of the membership did not know when a member was last heard. It took an instance for alive while the registry listed it (3 s after its last report), and counted silence from the election of the present leader.

Change: the planner gets the time of the last report or answered heartbeat of each instance, and before the first answer the last contact of the new leader with the leader before it. A voter is replaced after 3 s of silence, so that the replacement ends within the 4 s after which the platform may take the next machine. A new leader waits 1 s for answers first. Instances not heard for 2 s are no spares and do not keep others from becoming learners.

--- a/control/membershipplanner.go
+++ b/control/membershipplanner.go
@@ -13,28 +13,48 @@
 	// DefaultVoters tolerates the simultaneous loss of any two voters.
 	DefaultVoters = 5
 	// VoterLossTimeout is how long a voter must be silent before a spare
-	// replaces it. It is longer than a restart, so that restarts do not change
-	// the membership.
-	VoterLossTimeout = 5 * time.Second
+	// replaces it. It is longer than the restart of a process, so that restarts
+	// do not change the membership. The platform may take the next machine away
+	// 4 s after the successor of a lost one has started, and the replacement
+	// must be complete by then.
+	VoterLossTimeout = 3 * time.Second
 	// learnerLossAfter is how long a learner must be silent before it is
 	// removed.
 	learnerLossAfter = 20 * time.Second
+	// contactWindow is how recently an instance must have been heard to become
+	// or to count as a learner. Instances report once a second and stay listed
+	// for InstanceLease after they have ended.
+	contactWindow = 2 * time.Second
+	// electionReplyTime is how long a new leader waits for the replies of the
+	// members before it judges their silence.
+	electionReplyTime = time.Second
 )
 
-// Replica describes a live control instance.
+// Replica describes a control instance that reports to the leader.
 type Replica struct {
 	ID            azurestair.InstanceID
 	Region        azurestair.RegionName
 	FailureDomain azurestair.FailureDomainName
 	// PeerAddr is the address at which the other instances reach it.
 	PeerAddr string
+	// ReportedAt is when the leader received its last report.
+	ReportedAt time.Time
 	// CaughtUp is true for a learner that lacks only a few log entries.
 	CaughtUp bool
 }
 
-// MemberAddrs holds the peer addresses of the members of the log, as far as
-// they are known.
-type MemberAddrs map[azurestair.InstanceID]string
+// LogMember is what the leader knows of a member of the log.
+type LogMember struct {
+	// PeerAddr is empty if the address is not known.
+	PeerAddr string
+	// AckedAt is when the leader sent the latest heartbeat that the member has
+	// answered. It is zero if the member has answered none of this leader.
+	AckedAt time.Time
+}
+
+// LogMembers holds what the leader knows of the members of the log, by their
+// ids.
+type LogMembers map[azurestair.InstanceID]LogMember
 
 // MemberReason is why a membership change is due.
 type MemberReason string
@@ -64,25 +84,33 @@
 // that a quorum lacks after the next loss. A member that is merely silent may
 // return, so that it is removed only after a timeout.
 //
-// The zero value is ready for use.
+// Silence is counted from the last contact with a member, and not from the
+// election of the leader: leaders that are lost in turn would otherwise never
+// see the timeout pass. The zero value is ready for use in one term.
 type MembershipPlanner struct {
 	// Voters is the wanted number of voters. Zero means DefaultVoters.
 	Voters int
+	// LeaderContactAt is when this replica last heard from the leader of an
+	// earlier term. A member that has not answered this leader counts as heard
+	// then, or when Next was first called if LeaderContactAt is zero.
+	LeaderContactAt time.Time
 
-	lastHeard map[azurestair.InstanceID]time.Time
 	startedAt time.Time
 }
 
 // Next returns the next change of the membership, or false if none is needed.
 // The caller must make one change at a time and call Next again once it is
 // committed.
-func (p *MembershipPlanner) Next(m azurestair.Membership, addrs MemberAddrs, alive []Replica, now time.Time) (MembershipStep, bool) {
-	p.updateLastHeard(alive, now)
-	if id := superseded(m, addrs, alive); id != "" {
+func (p *MembershipPlanner) Next(m azurestair.Membership, members LogMembers, alive []Replica, now time.Time) (MembershipStep, bool) {
+	if p.startedAt.IsZero() {
+		p.startedAt = now
+	}
+	if id := superseded(m, members, alive); id != "" {
 		return MembershipStep{azurestair.MemberRemove, id, ReasonSuperseded}, true
 	}
-	lost := p.longestLost(m.Voters, VoterLossTimeout, now)
-	if id := readyLearner(m, alive); id != "" {
+	heard := p.lastContacts(m, members, alive)
+	lost := p.longestLost(m.Voters, heard, VoterLossTimeout, now)
+	if id := readyLearner(m, heard, alive, now); id != "" {
 		if len(m.Voters) < p.voters() {
 			return MembershipStep{azurestair.MemberPromote, id, ReasonCaughtUp}, true
 		}
@@ -95,15 +123,15 @@
 		// so that this tolerates the same losses even if it returns.
 		return MembershipStep{azurestair.MemberRemove, lost, ReasonSilent}, true
 	}
-	if id := p.longestLost(m.Learners, learnerLossAfter, now); id != "" {
+	if id := p.longestLost(m.Learners, heard, learnerLossAfter, now); id != "" {
 		return MembershipStep{azurestair.MemberRemove, id, ReasonSilent}, true
 	}
 	wanted := p.voters() - len(m.Voters)
 	if lost != "" {
 		wanted++
 	}
-	if len(m.Learners) < wanted && len(m.Learners) < azurestair.MaxVoters {
-		if id := bestSpare(m, alive); id != "" {
+	if countInContact(m.Learners, heard, now) < wanted && len(m.Learners) < azurestair.MaxVoters {
+		if id := bestSpare(m, alive, now); id != "" {
 			return MembershipStep{azurestair.MemberAddLearner, id, ReasonSpare}, true
 		}
 	}
@@ -117,29 +145,52 @@
 	return DefaultVoters
 }
 
-func (p *MembershipPlanner) updateLastHeard(alive []Replica, now time.Time) {
-	if p.lastHeard == nil {
-		p.lastHeard, p.startedAt = map[azurestair.InstanceID]time.Time{}, now
+// lastContacts returns when each member of the log was last heard.
+func (p *MembershipPlanner) lastContacts(m azurestair.Membership, members LogMembers, alive []Replica) map[azurestair.InstanceID]time.Time {
+	before := p.LeaderContactAt
+	if before.IsZero() {
+		before = p.startedAt
+	}
+	heard := map[azurestair.InstanceID]time.Time{}
+	for _, id := range slices.Concat(m.Voters, m.Learners) {
+		heard[id] = later(before, members[id].AckedAt)
 	}
 	for _, a := range alive {
-		p.lastHeard[a.ID] = now
+		if at, ok := heard[a.ID]; ok {
+			heard[a.ID] = later(at, a.ReportedAt)
+		}
 	}
-	for id, at := range p.lastHeard {
-		if now.Sub(at) > 2*learnerLossAfter {
-			delete(p.lastHeard, id)
+	return heard
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+func inContact(heardAt, now time.Time) bool { return now.Sub(heardAt) < contactWindow }
+
+func countInContact(members []azurestair.InstanceID, heard map[azurestair.InstanceID]time.Time, now time.Time) int {
+	n := 0
+	for _, id := range members {
+		if inContact(heard[id], now) {
+			n++
 		}
 	}
+	return n
 }
 
 // superseded returns a member whose address another instance reports from, or
 // an empty id if there is none. Learners come first, since a learner that will
 // never answer keeps others from being added.
-func superseded(m azurestair.Membership, addrs MemberAddrs, alive []Replica) azurestair.InstanceID {
+func superseded(m azurestair.Membership, members LogMembers, alive []Replica) azurestair.InstanceID {
 	for _, id := range slices.Concat(m.Learners, m.Voters) {
 		if slices.ContainsFunc(alive, func(r Replica) bool { return r.ID == id }) {
 			continue
 		}
-		if slices.ContainsFunc(alive, func(r Replica) bool { return r.PeerAddr != "" && r.PeerAddr == addrs[id] }) {
+		if slices.ContainsFunc(alive, func(r Replica) bool { return r.PeerAddr != "" && r.PeerAddr == members[id].PeerAddr }) {
 			return id
 		}
 	}
@@ -147,35 +198,40 @@
 }
 
 // longestLost returns the member that has been silent the longest, if it has
-// been silent for at least the given time. A member that was never heard counts
-// as heard when the planner was first used.
-func (p *MembershipPlanner) longestLost(members []azurestair.InstanceID, after time.Duration, now time.Time) azurestair.InstanceID {
+// been silent for at least the given time.
+func (p *MembershipPlanner) longestLost(
+	members []azurestair.InstanceID, heard map[azurestair.InstanceID]time.Time, after time.Duration, now time.Time,
+) azurestair.InstanceID {
+	if !p.LeaderContactAt.IsZero() && now.Sub(p.startedAt) < electionReplyTime {
+		return ""
+	}
 	var found azurestair.InstanceID
-	var oldest time.Time
 	for _, id := range members {
-		at, ok := p.lastHeard[id]
-		if !ok {
-			at = p.startedAt
-		}
-		if now.Sub(at) >= after && (found == "" || at.Before(oldest)) {
-			found, oldest = id, at
+		if now.Sub(heard[id]) >= after && (found == "" || heard[id].Before(heard[found])) {
+			found = id
 		}
 	}
 	return found
 }
 
-func readyLearner(m azurestair.Membership, alive []Replica) azurestair.InstanceID {
+// readyLearner returns the learner that can be promoted and was heard last.
+func readyLearner(m azurestair.Membership, heard map[azurestair.InstanceID]time.Time, alive []Replica, now time.Time) azurestair.InstanceID {
+	var found azurestair.InstanceID
 	for _, a := range alive {
-		if a.CaughtUp && slices.Contains(m.Learners, a.ID) {
-			return a.ID
+		if !a.CaughtUp || !slices.Contains(m.Learners, a.ID) || !inContact(heard[a.ID], now) {
+			continue
+		}
+		if found == "" || heard[a.ID].After(heard[found]) {
+			found = a.ID
 		}
 	}
-	return ""
+	return found
 }
 
-// bestSpare returns the live instance outside the log whose region has the
-// fewest members, and among those the one whose failure domain has the fewest.
-func bestSpare(m azurestair.Membership, alive []Replica) azurestair.InstanceID {
+// bestSpare returns the instance outside the log whose region has the fewest
+// members, and among those the one whose failure domain has the fewest. It
+// leaves out instances that have stopped reporting.
+func bestSpare(m azurestair.Membership, alive []Replica, now time.Time) azurestair.InstanceID {
 	regions := map[azurestair.RegionName]int{}
 	domains := map[azurestair.FailureDomainName]int{}
 	var spares []Replica
@@ -185,7 +241,9 @@
 			domains[a.FailureDomain]++
 			continue
 		}
-		spares = append(spares, a)
+		if inContact(a.ReportedAt, now) {
+			spares = append(spares, a)
+		}
 	}
 	if len(spares) == 0 {
 		return ""
--- a/control/membershipplanner_test.go
+++ b/control/membershipplanner_test.go
@@ -40,17 +40,38 @@
 	return r
 }
 
-// memberAddrs derives the addresses of the members from their ids.
-func memberAddrs(m azurestair.Membership) control.MemberAddrs {
+// leader is a leader with its planner. It remembers when it was last answered.
+type leader struct {
+	control.MembershipPlanner
+	ackedAt map[azurestair.InstanceID]time.Time
+}
+
+// next plans the next change after the live instances have reported and those
+// among them that are members have answered a heartbeat.
+func (l *leader) next(m azurestair.Membership, alive []control.Replica, ms int) (control.MembershipStep, bool) {
+	GinkgoHelper()
+	if l.ackedAt == nil {
+		l.ackedAt = map[azurestair.InstanceID]time.Time{}
+	}
+	alive = slices.Clone(alive)
+	for i := range alive {
+		alive[i].ReportedAt, l.ackedAt[alive[i].ID] = at(ms), at(ms)
+	}
+	return l.Next(m, l.members(m), alive, at(ms))
+}
+
+// members returns what the leader knows of the members, whose addresses follow
+// from their ids.
+func (l *leader) members(m azurestair.Membership) control.LogMembers {
 	GinkgoHelper()
-	addrs := control.MemberAddrs{}
+	members := control.LogMembers{}
 	for _, id := range slices.Concat(m.Voters, m.Learners) {
 		number, _, _ := strings.Cut(string(id[1:]), "_")
 		n, err := strconv.Atoi(number)
 		Expect(err).NotTo(HaveOccurred())
-		addrs[id] = peerAddr(n)
+		members[id] = control.LogMember{PeerAddr: peerAddr(n), AckedAt: l.ackedAt[id]}
 	}
-	return addrs
+	return members
 }
 
 // expectQuorum checks that the live instances include a majority of the voters.
@@ -67,13 +88,13 @@
 
 // settle applies the planned changes until none is left. Learners catch up at
 // once.
-func settle(p *control.MembershipPlanner, m *azurestair.Membership, alive []control.Replica, ms int) {
+func settle(p *leader, m *azurestair.Membership, alive []control.Replica, ms int) {
 	GinkgoHelper()
 	for range 20 {
 		for i := range alive {
 			alive[i].CaughtUp = slices.Contains(m.Learners, alive[i].ID)
 		}
-		step, ok := p.Next(*m, memberAddrs(*m), alive, at(ms))
+		step, ok := p.next(*m, alive, ms)
 		if !ok {
 			return
 		}
@@ -99,18 +120,18 @@
 }
 
 // expectChange checks the next membership change.
-func expectChange(p *control.MembershipPlanner, m azurestair.Membership, alive []control.Replica, ms int, action azurestair.MemberAction, id azurestair.InstanceID) {
+func expectChange(p *leader, m azurestair.Membership, alive []control.Replica, ms int, action azurestair.MemberAction, id azurestair.InstanceID) {
 	GinkgoHelper()
-	step, ok := p.Next(m, memberAddrs(m), alive, at(ms))
+	step, ok := p.next(m, alive, ms)
 	Expect(ok).To(BeTrue())
 	Expect(step.Action).To(Equal(action))
 	Expect(step.Instance).To(Equal(id))
 	Expect(step.Reason).NotTo(BeEmpty())
 }
 
-func expectNoChange(p *control.MembershipPlanner, m azurestair.Membership, alive []control.Replica, ms int) {
+func expectNoChange(p *leader, m azurestair.Membership, alive []control.Replica, ms int) {
 	GinkgoHelper()
-	step, ok := p.Next(m, memberAddrs(m), alive, at(ms))
+	step, ok := p.next(m, alive, ms)
 	Expect(ok).To(BeFalse(), "%v", step)
 }
 
@@ -120,7 +141,7 @@
 	// Guards against a log with fewer voters than the tolerated failures
 	// require.
 	It("adds voters from the region with the fewest members", func() {
-		p := &control.MembershipPlanner{}
+		p := &leader{}
 		m := azurestair.Membership{Voters: replicaIDs(0, 1, 3)}
 		alive := replicas(0, 1, 3, 4, 5)
 		expectChange(p, m, alive, 0, azurestair.MemberAddLearner, "c5")
@@ -132,7 +153,7 @@
 
 	// Guards against a membership change for each restart.
 	It("keeps a voter that returns soon", func() {
-		p := &control.MembershipPlanner{Voters: 3}
+		p := &leader{MembershipPlanner: control.MembershipPlanner{Voters: 3}}
 		m := azurestair.Membership{Voters: replicaIDs(0, 1, 2)}
 		expectNoChange(p, m, replicas(0, 1, 2, 3), 0)
 		expectNoChange(p, m, replicas(0, 1, 3), lostAt-1)
@@ -143,7 +164,7 @@
 	// Guards against a lost voter that keeps counting towards the quorum, so
 	// that the next loss stops the log.
 	It("replaces a lost voter by a spare that has caught up", func() {
-		p := &control.MembershipPlanner{Voters: 3}
+		p := &leader{MembershipPlanner: control.MembershipPlanner{Voters: 3}}
 		m := azurestair.Membership{Voters: replicaIDs(0, 1, 2)}
 		expectNoChange(p, m, replicas(0, 1, 2, 3), 0)
 		alive := replicas(0, 1, 3)
@@ -158,7 +179,7 @@
 
 	// Guards against the removal of a voter that has no replacement.
 	It("keeps a lost voter without a spare", func() {
-		p := &control.MembershipPlanner{Voters: 3}
+		p := &leader{MembershipPlanner: control.MembershipPlanner{Voters: 3}}
 		m := azurestair.Membership{Voters: replicaIDs(0, 1, 2)}
 		expectNoChange(p, m, replicas(0, 1, 2), 0)
 		expectNoChange(p, m, replicas(0, 1), 10*lostAt)
@@ -181,7 +202,7 @@
 					}
 				}
 				expectQuorum(m, alive)
-				p := &control.MembershipPlanner{}
+				p := &leader{}
 				settle(p, &m, alive, now)
 				losses[lost]++
 				settle(p, &m, append(alive, successor(lost, losses[lost])), now+dark)
@@ -196,7 +217,7 @@
 	// Guards against a learner that lost its disk and keeps its successor from
 	// being added.
 	It("removes a learner at once when its successor reports", func() {
-		p := &control.MembershipPlanner{Voters: 3}
+		p := &leader{MembershipPlanner: control.MembershipPlanner{Voters: 3}}
 		m := azurestair.Membership{Voters: replicaIDs(0, 1), Learners: replicaIDs(2)}
 		alive := append(replicas(0, 1), successor(2, 1))
 		expectChange(p, m, alive, 0, azurestair.MemberRemove, "c2")
@@ -206,7 +227,7 @@
 
 	// Guards against the removal of a voter that returns under its own id.
 	It("keeps a silent voter whose address nobody else uses", func() {
-		p := &control.MembershipPlanner{Voters: 3}
+		p := &leader{MembershipPlanner: control.MembershipPlanner{Voters: 3}}
 		m := azurestair.Membership{Voters: replicaIDs(0, 1, 2)}
 		expectNoChange(p, m, replicas(0, 1), 0)
 		expectNoChange(p, m, replicas(0, 1, 2), lostAt-1)
@@ -215,10 +236,73 @@
 	// Guards against a machine that is gone for good and, after its spare has
 	// been promoted, lets the next loss end the quorum.
 	It("removes a lost voter from an even number of voters without a spare", func() {
-		p := &control.MembershipPlanner{}
+		p := &leader{}
 		m := azurestair.Membership{Voters: replicaIDs(0, 1, 2, 3)}
 		expectNoChange(p, m, replicas(0, 1, 2, 3), 0)
 		expectNoChange(p, m, replicas(0, 1, 3), lostAt-1)
 		expectChange(p, m, replicas(0, 1, 3), lostAt, azurestair.MemberRemove, "c2")
 	})
+
+	// Guards against leaders that are lost in turn, none of which leads for long
+	// enough to see the timeout pass.
+	It("counts the silence of the former leader from its last contact", func() {
+		p := &leader{MembershipPlanner: control.MembershipPlanner{Voters: 3, LeaderContactAt: at(0)}}
+		m := azurestair.Membership{Voters: replicaIDs(0, 1, 2)}
+		expectNoChange(p, m, replicas(0, 1, 3), 1500)
+		expectNoChange(p, m, replicas(0, 1, 3), lostAt-1)
+		expectChange(p, m, replicas(0, 1, 3), lostAt, azurestair.MemberAddLearner, "c3")
+	})
+
+	// Guards against the removal of sound members after a long time without a
+	// leader.
+	It("waits for the members' replies after an election", func() {
+		p := &leader{MembershipPlanner: control.MembershipPlanner{Voters: 3, LeaderContactAt: at(0)}}
+		m := azurestair.Membership{Voters: replicaIDs(0, 1, 2)}
+		expectNoChange(p, m, replicas(0, 3), 5*lostAt)
+		expectNoChange(p, m, replicas(0, 1, 3), 5*lostAt+999)
+		expectChange(p, m, replicas(0, 1, 3), 5*lostAt+1000, azurestair.MemberAddLearner, "c3")
+	})
+
+	// Guards against an instance that has just ended and becomes the
+	// replacement of a lost voter, since it is still listed.
+	It("adds no instance that has stopped reporting", func() {
+		p := &leader{}
+		m := azurestair.Membership{Voters: replicaIDs(0, 1, 2, 3)}
+		expectNoChange(p, m, replicas(0, 1, 2, 3), 0)
+		spare := replicas(4)
+		spare[0].ReportedAt = at(0)
+		_, ok := p.Next(m, p.members(m), spare, at(1999))
+		Expect(ok).To(BeTrue())
+		_, ok = p.Next(m, p.members(m), spare, at(2000))
+		Expect(ok).To(BeFalse())
+	})
+
+	// Guards against a lost learner that keeps others from becoming one, while
+	// further voters are lost.
+	It("adds another learner beside one that is silent", func() {
+		p := &leader{}
+		m := azurestair.Membership{Voters: replicaIDs(0, 1, 2, 3), Learners: replicaIDs(4)}
+		expectNoChange(p, m, replicas(0, 1, 2, 3, 4, 5), 0)
+		expectNoChange(p, m, replicas(0, 1, 2, 3, 5), 1999)
+		expectChange(p, m, replicas(0, 1, 2, 3, 5), 2000, azurestair.MemberAddLearner, "c5")
+	})
+
+	// Guards against the promotion of a learner that is gone, and against the
+	// removal of a voter in its favour.
+	It("promotes the learner that was heard last", func() {
+		p := &leader{}
+		m := azurestair.Membership{Voters: replicaIDs(0, 1, 2, 3), Learners: replicaIDs(4, 5)}
+		alive := replicas(0, 1, 2, 3, 4, 5)
+		alive[4].CaughtUp = true
+		expectChange(p, m, alive, 0, azurestair.MemberPromote, "c4")
+		alive[5].CaughtUp = true
+		p.ackedAt["c5"] = at(1000)
+		gone := alive[4:]
+		gone[0].ReportedAt, gone[1].ReportedAt = at(0), at(1000)
+		step, ok := p.Next(m, p.members(m), gone, at(1500))
+		Expect(ok).To(BeTrue())
+		Expect(step.Instance).To(Equal(azurestair.InstanceID("c5")))
+		step, _ = p.Next(m, p.members(m), gone, at(3000))
+		Expect(step.Action).NotTo(Equal(azurestair.MemberPromote))
+	})
 })
--- a/control/registry.go
+++ b/control/registry.go
@@ -439,11 +439,14 @@
 	return out
 }
 
-// HasReported reports whether a listed instance has reported to this leader,
-// rather than being known from the last snapshot only.
-func (r *Registry) HasReported(id azurestair.InstanceID) bool {
+// ReportedAt returns when a listed instance last reported to this leader. It
+// returns false for an instance that is known from the last snapshot only.
+func (r *Registry) ReportedAt(id azurestair.InstanceID) (time.Time, bool) {
 	rec, ok := r.instances[id]
-	return ok && rec.listed && !rec.seeded
+	if !ok || !rec.listed || rec.seeded {
+		return time.Time{}, false
+	}
+	return rec.expiresAt.Add(-InstanceLease), true
 }
 
 // Instances returns the listed instances, sorted by id.
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -19,12 +19,12 @@
 	if _, err := r.node.ReadIndex(now); err != nil {
 		return
 	}
-	term := r.node.Status().Term
-	if r.leaderTerm != term {
+	st := r.node.Status()
+	if term := st.Term; r.leaderTerm != term {
 		r.leaderTerm = term
 		r.registry = &control.Registry{Lease: r.upstreamLease}
 		if r.membershipPlanner != nil {
-			r.membershipPlanner = &control.MembershipPlanner{Voters: r.membershipPlanner.Voters}
+			r.membershipPlanner = &control.MembershipPlanner{Voters: r.membershipPlanner.Voters, LeaderContactAt: st.LeaderContactAt}
 		}
 		r.publisher = &control.Publisher{}
 		r.allocator = &control.Allocator{}
--- a/instance/leader_test.go
+++ b/instance/leader_test.go
@@ -138,3 +138,24 @@
 	q := control.Query{Local: true, Departure: &azurestair.Departure{Upstream: "w1", Incarnation: 1}}
 	Expect(r.query(q, now).Departure).To(Equal(&control.DepartureStatus{}))
 })
+
+// Guards against a planner of the membership that does not know when a member
+// was last heard.
+var _ = ginkgo.It("a leader knows when the members have answered last", func() {
+	p := newReplicaPair()
+	p.replica.membershipPlanner = &control.MembershipPlanner{Voters: 3}
+	started := p.clk.Now()
+	p.run(30)
+	Expect(p.replica.membershipPlanner.LeaderContactAt).To(Equal(started))
+	Expect(p.replica.membershipPlanner.Voters).To(Equal(3))
+	expectAcked := func(at time.Time) {
+		ginkgo.GinkgoHelper()
+		members := p.replica.logMembers(p.replica.node.Status(), p.clk.Now())
+		Expect(members).To(HaveKeyWithValue(azurestair.InstanceID("c1"), control.LogMember{AckedAt: p.clk.Now()}))
+		Expect(members["c2"].AckedAt).To(BeTemporally("~", at, raft.DefaultHeartbeatInterval))
+	}
+	last := p.clk.Now()
+	expectAcked(last)
+	p.clk.advance(600 * time.Millisecond)
+	expectAcked(last)
+})
--- a/instance/membership.go
+++ b/instance/membership.go
@@ -30,7 +30,7 @@
 	}
 	r.nextMembershipCheck = now.Add(membershipCheckInterval)
 	st := r.node.Status()
-	step, ok := r.membershipPlanner.Next(st.Membership, r.memberAddrs(st.Membership), r.liveReplicas(st), now)
+	step, ok := r.membershipPlanner.Next(st.Membership, r.logMembers(st, now), r.liveReplicas(st), now)
 	if !ok {
 		return
 	}
@@ -59,10 +59,11 @@
 func (r *Replica) liveReplicas(st raft.Status) []control.Replica {
 	var out []control.Replica
 	for _, i := range r.registry.Instances() {
-		if !i.Control || !r.registry.HasReported(i.ID) {
+		reportedAt, ok := r.registry.ReportedAt(i.ID)
+		if !i.Control || !ok {
 			continue
 		}
-		replica := control.Replica{ID: i.ID, Region: i.Region, FailureDomain: i.FailureDomain, PeerAddr: i.PeerAddr}
+		replica := control.Replica{ID: i.ID, Region: i.Region, FailureDomain: i.FailureDomain, PeerAddr: i.PeerAddr, ReportedAt: reportedAt}
 		for _, f := range st.Followers {
 			if f.ID == i.ID {
 				replica.CaughtUp = f.Learner && f.Match+maxPromotionLag >= st.Last
@@ -89,13 +90,11 @@
 	}
 }
 
-// memberAddrs returns the known addresses of the members of the log.
-func (r *Replica) memberAddrs(m azurestair.Membership) control.MemberAddrs {
-	out := control.MemberAddrs{}
-	for _, id := range slices.Concat(m.Voters, m.Learners) {
-		if addr := cmp.Or(r.peers.Addr(id), r.memberAddr(id)); addr != "" && id != r.self {
-			out[id] = addr
-		}
+// logMembers returns what the leader knows of the members of the log.
+func (r *Replica) logMembers(st raft.Status, now time.Time) control.LogMembers {
+	out := control.LogMembers{r.self: {AckedAt: now}}
+	for _, f := range st.Followers {
+		out[f.ID] = control.LogMember{PeerAddr: cmp.Or(r.peers.Addr(f.ID), r.memberAddr(f.ID)), AckedAt: f.AckedAt}
 	}
 	return out
 }
--- a/raft/node_test.go
+++ b/raft/node_test.go
@@ -97,6 +97,21 @@
 		}
 	})
 
+	// Guards against a new leader that counts the silence of the lost one from
+	// its own election.
+	It("keep the time of the last contact with the lost leader", func() {
+		s, l, _ := newSimWithLeader(1)
+		s.crash(l)
+		l.resumeAt = time.Hour
+		lost := s.now
+		for s.leader() == nil {
+			s.step()
+		}
+		next := s.leader()
+		lostAt := s.localTime(next).Add(lost - s.now)
+		Expect(next.node.Status().LeaderContactAt).To(BeTemporally("~", lostAt, DefaultHeartbeatInterval+10*time.Millisecond))
+	})
+
 	// Guards against a candidate that counts its own vote before it is durable,
 	// and against a leader that commits an entry of an older term by counting
 	// replicas, because a later leader may still replace that entry.
--- a/raft/status.go
+++ b/raft/status.go
@@ -8,16 +8,19 @@
 
 // Status is the state of a replica for monitoring.
 type Status struct {
-	ID         azurestair.InstanceID
-	Role       Role
-	Term       azurestair.Term
-	Leader     azurestair.InstanceID
-	Joining    bool
-	Membership azurestair.Membership
-	Commit     azurestair.Index
-	Applied    azurestair.Index
-	Stored     azurestair.Index
-	Last       azurestair.Index
+	ID     azurestair.InstanceID
+	Role   Role
+	Term   azurestair.Term
+	Leader azurestair.InstanceID
+	// LeaderContactAt is the time of the last contact with a leader, or of the
+	// start if there was none. On a leader, it is from an earlier term.
+	LeaderContactAt time.Time
+	Joining         bool
+	Membership      azurestair.Membership
+	Commit          azurestair.Index
+	Applied         azurestair.Index
+	Stored          azurestair.Index
+	Last            azurestair.Index
 	// Snapshot is the index of the latest snapshot.
 	Snapshot azurestair.Index
 	// LogBytes is the size of the entries in memory. The caller uses it to
@@ -52,7 +55,7 @@
 // Status returns the current state.
 func (n *Node) Status() Status {
 	s := Status{
-		ID: n.opts.ID, Role: n.role, Term: n.term, Leader: n.leader, Joining: n.joining,
+		ID: n.opts.ID, Role: n.role, Term: n.term, Leader: n.leader, LeaderContactAt: n.leaderContactAt, Joining: n.joining,
 		Membership: cloneMembership(n.membership()),
 		Commit:     n.log.commit, Applied: n.log.applied, Stored: n.log.stored, Last: n.log.last(),
 		LogBytes: n.log.bytes, LeaseDeadline: n.LeaseDeadline(),
