Bound the history of the configuration by its size

Callers saw: after a configuration had grown to 1,910 routes (395 KB), 40 to 55 changes of it made the control processes exceed the 280 MB of their machines. They were killed, exceeded it again after each start, and changes and reads waited for seconds.

Cause: the state keeps up to 50 versions of the configuration, bounded by their number and by their workspaces, but not by their size. The runtime got a memory limit on entries only.

Change: the versions take 6 MB together at most, and the current one is always kept. Dropped versions are released. All processes get the memory limit.

--- a/control/config.go
+++ b/control/config.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"slices"
 
 	"azurestair.example/azurestair"
 )
@@ -15,6 +16,11 @@
 	// workspaces takes 3 MB with its document, so that 50 of them would not fit
 	// into the memory of a small control instance.
 	MaxHistoryWorkspaces = 20_000
+	// MaxHistoryBytes bounds the size of all versions together; the current
+	// version is always kept. The state, its image and the stored snapshot of
+	// the log each hold all versions, and a query of them has to fit into one
+	// message.
+	MaxHistoryBytes azurestair.Bytes = 6 << 20
 	// MaxDiffLines bounds the diff in the result of a conflict.
 	MaxDiffLines = 64
 )
@@ -50,8 +56,8 @@
 	return s.history.items[n-1].Config
 }
 
-// History returns the newest versions of the configuration, oldest first, at
-// most MaxHistory of them.
+// History returns the newest versions of the configuration, oldest first, as
+// many as the limits of the history allow.
 func (s *State) History() []ConfigRecord { return s.history.view() }
 
 func (s *State) applyConfig(c azurestair.Command) azurestair.Result {
@@ -80,22 +86,34 @@
 	if s.fleet == "" {
 		s.fleet = c.Fleet
 	}
-	s.history.push(ConfigRecord{
+	dropped := s.history.push(ConfigRecord{
 		Config:   next,
 		Operator: c.Config.Change.Operator,
 		Reason:   c.Config.Change.Reason,
 		ChangeID: c.Config.Change.ID,
 		At:       c.At,
 	}, s.historyLimit(next))
+	if len(dropped) > 0 {
+		// The array of the window would keep the dropped versions in memory.
+		s.history.items = slices.Clone(s.history.items)
+	}
 	return azurestair.Result{Code: azurestair.ResultAccepted, Version: next.Version}
 }
 
 // historyLimit returns how many versions are kept once next has been added.
 func (s *State) historyLimit(next *azurestair.Config) int {
-	n, total := 1, len(next.Workspaces)
-	for i := len(s.history.items) - 1; i >= 0 && n < MaxHistory; i-- {
-		total += len(s.history.items[i].Config.Workspaces)
-		if total > MaxHistoryWorkspaces {
+	return 1 + keptVersions(s.history.items, len(next.Workspaces), next.Size())
+}
+
+// keptVersions returns how many of the newest versions are kept beside a later
+// one with the given workspaces and size.
+func keptVersions(items []ConfigRecord, workspaces int, size azurestair.Bytes) int {
+	n := 0
+	for i := len(items) - 1; i >= 0 && n+1 < MaxHistory; i-- {
+		cfg := items[i].Config
+		workspaces += len(cfg.Workspaces)
+		size += cfg.Size()
+		if workspaces > MaxHistoryWorkspaces || size > MaxHistoryBytes {
 			break
 		}
 		n++
--- a/instance/clientmemory.go
+++ b/instance/clientmemory.go
@@ -183,13 +183,18 @@
 	return func() { _ = c.SetReadDeadline(time.Unix(1, 0)) }
 }
 
-// initMemory sets the memory of the process for clients, and the limit of the
-// runtime, from the memory of its machine.
+// limitRuntime sets the memory limit of the Go runtime from the memory of the
+// machine.
+func (p *Process) limitRuntime() {
+	if machine := p.settings.Limits.MemoryBytes; machine > 0 {
+		debug.SetMemoryLimit(int64(runtimeMemoryFraction * float64(machine)))
+	}
+}
+
+// initMemory sets the memory of the process for clients from the memory of its
+// machine.
 func (p *Process) initMemory(m *clientMemory) {
 	m.machine = p.settings.Limits.MemoryBytes
-	if m.machine > 0 {
-		debug.SetMemoryLimit(int64(runtimeMemoryFraction * float64(m.machine)))
-	}
 	r := p.metrics.registry
 	metrics.NewRegisteredFunctionalGauge(memoryUsedMetric, r, func() int64 { return int64(m.used()) })
 	refused, evicted := metrics.NewRegisteredCounter(memoryRefusedMetric, r), metrics.NewRegisteredCounter(memoryEvictedMetric, r)
--- a/instance/process.go
+++ b/instance/process.go
@@ -256,6 +256,7 @@
 		entry.panics = p.panics
 	}
 	p.auth.set(s.Tokens)
+	p.limitRuntime()
 	m.registerVersionMismatch(versions)
 	if entry != nil {
 		p.self = entry.self
