Bound the encoded deltas of reply caches by their size

With 1,910 routes each takes about 0.6 MB.

Change: the cached deltas of a revision take 8 MB at most; beyond that they are encoded again. The new test fails without the limit.

--- a/peer/replycache.go
+++ b/peer/replycache.go
@@ -109,13 +109,18 @@
 type replyCache struct {
 	mu sync.Mutex
 	// snapshot is the last one requested. deltaForms holds the deltas that lead
-	// to revision.
+	// to revision, and deltaBytes their size.
 	snapshot      *azurestair.Snapshot
 	snapshotForms encodedForms
 	deltaForms    map[*azurestair.SnapshotDelta]encodedForms
+	deltaBytes    azurestair.Bytes
 	revision      azurestair.Revision
 }
 
+// maxDeltaBytes bounds the encoded deltas. After a change of the configuration
+// each delta holds it, and there is one for each revision that instances hold.
+const maxDeltaBytes azurestair.Bytes = 8 << 20
+
 // encodedForms holds the encoded forms of a value. compressed is nil for values
 // smaller than minCompressBytes.
 type encodedForms struct {
@@ -150,6 +155,10 @@
 	return out, nil
 }
 
+func (f encodedForms) size() azurestair.Bytes {
+	return azurestair.Bytes(len(f.plain) + len(f.compressed))
+}
+
 func (f encodedForms) forVersion(v azurestair.ProtocolVersion) (cbor.RawMessage, []byte) {
 	if v >= azurestair.ProtocolCompressed && f.compressed != nil {
 		return nil, f.compressed
@@ -183,9 +192,10 @@
 	if err != nil {
 		return encodedForms{}, err
 	}
-	if c.deltaForms == nil || d.Revision != c.revision {
-		c.deltaForms, c.revision = map[*azurestair.SnapshotDelta]encodedForms{}, d.Revision
+	if c.deltaForms == nil || d.Revision != c.revision || c.deltaBytes+f.size() > maxDeltaBytes {
+		c.deltaForms, c.deltaBytes, c.revision = map[*azurestair.SnapshotDelta]encodedForms{}, 0, d.Revision
 	}
 	c.deltaForms[d] = f
+	c.deltaBytes += f.size()
 	return f, nil
 }
--- a/peer/replycache_test.go
+++ b/peer/replycache_test.go
@@ -92,6 +92,23 @@
 		Expect(&second.CompressedSnapshot[0]).To(BeIdenticalTo(&first.CompressedSnapshot[0]))
 	})
 
+	// Guards against a leader that runs out of memory after a change of a large
+	// configuration, because instances hold many revisions.
+	It("keep a bounded size of encoded deltas", func() {
+		cfg := &azurestair.Config{Document: bytes.Repeat([]byte("d"), 500_000)}
+		for base := range azurestair.Revision(100) {
+			r := azurestair.ReportReply{Delta: &azurestair.SnapshotDelta{Term: 1, Base: base, Revision: 100, Config: cfg}}
+			_, err := cache.encodeReply(r, azurestair.ProtocolCurrent)
+			Expect(err).NotTo(HaveOccurred())
+			held := azurestair.Bytes(0)
+			for _, f := range cache.deltaForms {
+				held += f.size()
+			}
+			Expect(held).To(And(Equal(cache.deltaBytes), BeNumerically("<=", maxDeltaBytes)))
+		}
+		Expect(cache.deltaForms).NotTo(BeEmpty())
+	})
+
 	DescribeTable("are rejected when their update cannot be decoded",
 		func(r encodedReply) {
 			_, err := r.decode()
