--- a/configsize.go
+++ b/configsize.go
@@ -56,10 +56,7 @@
 
 func (w Workspace) size() Bytes {
 	n := workspaceBytes + Bytes(len(w.Name)) + stringsSize(w.HomeRegions)
-	for _, k := range w.Keys {
-		n += Bytes(len(k))
-	}
-	return n
+	return n + Bytes(len(w.Keys)*len(KeyDigest{}))
 }
 
 func stringsSize[T ~string](list []T) Bytes {
