Reject responses with a status that none may have

The statuses 600 and 999 were passed on.

Cause: conn.readHeader took each status below 200 for an interim response and read the bytes after it as the head of the next one. There was no upper limit.

Change: a status below 100 or above 599, an unrequested 101 and an interim response that announces a body are errors at once. The connection is closed. The attempt counts as interrupted, so that it is retried only if it is idempotent and is never called "not run".

--- a/instance/cut_test.go
+++ b/instance/cut_test.go
@@ -38,6 +38,8 @@
 	// whole is the request of a series from which on responses are not cut;
 	// zero means none.
 	whole int64
+	// keep leaves the connection open after a response.
+	keep bool
 }
 
 const firstPath = "/first"
@@ -75,8 +77,9 @@
 			_, _ = fmt.Fprintf(c, ranResponse, id)
 			continue
 		}
-		u.respond(c, id)
-		return
+		if u.respond(c, id); !u.keep {
+			return
+		}
 	}
 }
 
@@ -370,3 +373,31 @@
 	probe(whole)
 	Expect(p.states).To(Equal([]azurestair.UpstreamState{azurestair.StateLeaving}))
 })
+
+// Guards against a status that no response may have and that reaches the caller,
+// keeps it waiting, or is taken as proof that the request did not run.
+var _ = ginkgo.Describe("a response with a status that none may have", func() {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		for _, op := range []azurestair.OperationName{"read", "pay"} {
+			ginkgo.It(fmt.Sprintf("is never passed on: %s for %s", status, op), func() {
+				f := newCutFixture("HTTP/1.1 "+status+" Odd\r\n"+upstream.HeaderAttemptID+": ID\r\nContent-Length: 2\r\n\r\nok", false)
+				f.upstream.keep = true
+				for _, reused := range []bool{false, true} {
+					f.upstream.setCut(0, 1)
+					if reused {
+						f.openIdle()
+					}
+					key := fmt.Sprintf("k%t", reused)
+					expectUnknown(f.request(http.MethodPost, op, key, ""), http.MethodPost, status)
+					if op == "read" {
+						Expect(f.upstream.requests.Load()).To(BeEquivalentTo(maxTries))
+						continue
+					}
+					Expect(f.upstream.requests.Load()).To(BeEquivalentTo(1))
+					Expect(f.ledger.stateOf(azurestair.RequestKey(key))).To(Equal(azurestair.ClaimUnknown))
+				}
+				Expect(f.freeSlots()).To(Equal(fixtureSlots))
+			})
+		}
+	}
+})
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -333,7 +333,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK {
+		if err := checkStatus(resp); err != nil {
+			return nil, err
+		}
+		if !isInterim(resp) {
 			return resp, nil
 		}
 	}
