--- a/control/membershipplanner.go
+++ b/control/membershipplanner.go
@@ -21,10 +21,6 @@
 	// learnerLossAfter is how long a learner must be silent before it is
 	// removed.
 	learnerLossAfter = 20 * time.Second
-	// contactWindow is how recently an instance must have been heard to become
-	// or to count as a learner. Instances report once a second and stay listed
-	// for InstanceLease after they have ended.
-	contactWindow = 2 * time.Second
 	// electionReplyTime is how long a new leader waits for the replies of the
 	// members before it judges their silence.
 	electionReplyTime = time.Second
@@ -108,7 +104,7 @@
 	if id := superseded(m, members, alive); id != "" {
 		return MembershipStep{azurestair.MemberRemove, id, ReasonSuperseded}, true
 	}
-	heard := p.lastContacts(m, members, alive)
+	heard := p.lastHeard(m, members, alive)
 	lost := p.longestLost(m.Voters, heard, VoterLossTimeout, now)
 	if id := readyLearner(m, heard, alive, now); id != "" {
 		if len(m.Voters) < p.voters() {
@@ -130,7 +126,7 @@
 	if lost != "" {
 		wanted++
 	}
-	if countInContact(m.Learners, heard, now) < wanted && len(m.Learners) < azurestair.MaxVoters {
+	if heard.countRecent(m.Learners, now) < wanted && len(m.Learners) < azurestair.MaxVoters {
 		if id := bestSpare(m, alive, now); id != "" {
 			return MembershipStep{azurestair.MemberAddLearner, id, ReasonSpare}, true
 		}
@@ -145,13 +141,13 @@
 	return DefaultVoters
 }
 
-// lastContacts returns when each member of the log was last heard.
-func (p *MembershipPlanner) lastContacts(m azurestair.Membership, members LogMembers, alive []Replica) map[azurestair.InstanceID]time.Time {
+// lastHeard returns when each member of the log was last heard.
+func (p *MembershipPlanner) lastHeard(m azurestair.Membership, members LogMembers, alive []Replica) lastHeard {
 	before := p.LeaderContactAt
 	if before.IsZero() {
 		before = p.startedAt
 	}
-	heard := map[azurestair.InstanceID]time.Time{}
+	heard := lastHeard{}
 	for _, id := range slices.Concat(m.Voters, m.Learners) {
 		heard[id] = later(before, members[id].AckedAt)
 	}
@@ -163,25 +159,6 @@
 	return heard
 }
 
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
-func inContact(heardAt, now time.Time) bool { return now.Sub(heardAt) < contactWindow }
-
-func countInContact(members []azurestair.InstanceID, heard map[azurestair.InstanceID]time.Time, now time.Time) int {
-	n := 0
-	for _, id := range members {
-		if inContact(heard[id], now) {
-			n++
-		}
-	}
-	return n
-}
-
 // superseded returns a member whose address another instance reports from, or
 // an empty id if there is none. Learners come first, since a learner that will
 // never answer keeps others from being added.
@@ -198,27 +175,19 @@
 }
 
 // longestLost returns the member that has been silent the longest, if it has
-// been silent for at least the given time.
-func (p *MembershipPlanner) longestLost(
-	members []azurestair.InstanceID, heard map[azurestair.InstanceID]time.Time, after time.Duration, now time.Time,
-) azurestair.InstanceID {
+// been silent for at least the given time and could have answered this leader.
+func (p *MembershipPlanner) longestLost(members []azurestair.InstanceID, heard lastHeard, after time.Duration, now time.Time) azurestair.InstanceID {
 	if !p.LeaderContactAt.IsZero() && now.Sub(p.startedAt) < electionReplyTime {
 		return ""
 	}
-	var found azurestair.InstanceID
-	for _, id := range members {
-		if now.Sub(heard[id]) >= after && (found == "" || heard[id].Before(heard[found])) {
-			found = id
-		}
-	}
-	return found
+	return heard.longestSilent(members, after, now)
 }
 
 // readyLearner returns the learner that can be promoted and was heard last.
-func readyLearner(m azurestair.Membership, heard map[azurestair.InstanceID]time.Time, alive []Replica, now time.Time) azurestair.InstanceID {
+func readyLearner(m azurestair.Membership, heard lastHeard, alive []Replica, now time.Time) azurestair.InstanceID {
 	var found azurestair.InstanceID
 	for _, a := range alive {
-		if !a.CaughtUp || !slices.Contains(m.Learners, a.ID) || !inContact(heard[a.ID], now) {
+		if !a.CaughtUp || !slices.Contains(m.Learners, a.ID) || !isRecent(heard[a.ID], now) {
 			continue
 		}
 		if found == "" || heard[a.ID].After(heard[found]) {
@@ -241,7 +210,7 @@
 			domains[a.FailureDomain]++
 			continue
 		}
-		if inContact(a.ReportedAt, now) {
+		if isRecent(a.ReportedAt, now) {
 			spares = append(spares, a)
 		}
 	}
