--- a/control/membershipplanner.go
+++ b/control/membershipplanner.go
@@ -104,7 +104,7 @@
 	if id := superseded(m, members, alive); id != "" {
 		return MembershipStep{azurestair.MemberRemove, id, ReasonSuperseded}, true
 	}
-	heard := p.lastHeard(m, members, alive)
+	heard := p.contactTimes(m, members, alive)
 	lost := p.longestLost(m.Voters, heard, VoterLossTimeout, now)
 	if id := readyLearner(m, heard, alive, now); id != "" {
 		if len(m.Voters) < p.voters() {
@@ -141,8 +141,8 @@
 	return DefaultVoters
 }
 
-// lastHeard returns when each member of the log was last heard.
-func (p *MembershipPlanner) lastHeard(m azurestair.Membership, members LogMembers, alive []Replica) lastHeard {
+// contactTimes returns when each member of the log was last heard.
+func (p *MembershipPlanner) contactTimes(m azurestair.Membership, members LogMembers, alive []Replica) lastHeard {
 	before := p.LeaderContactAt
 	if before.IsZero() {
 		before = p.startedAt
