--- a/control/replacements_test.go
+++ b/control/replacements_test.go
@@ -16,6 +16,14 @@
 const (
 	fleetStep      = 50
 	reportInterval = 1000
+	checkInterval  = 250
+	// A lost leader is replaced after minElection to maxElection.
+	minElection = 700
+	maxElection = 2000
+	// learnTime is how long a learner takes to catch up. A learner that has not
+	// answered for promoteWindow is not promoted.
+	learnTime     = 500
+	promoteWindow = 700
 	// catchUp is the time after the start of a successor until the next machine
 	// may be lost.
 	catchUp = 4000
@@ -64,6 +72,7 @@
 	return m
 }
 
+// elect makes a machine the leader, which nobody has reported to or answered.
 func (f *controlFleet) elect(m *machine, p *control.MembershipPlanner) {
 	f.leader, f.planner, f.plansAt = m, p, f.now
 	for _, m := range f.machines {
@@ -75,7 +84,7 @@
 func (f *controlFleet) lose(m *machine) {
 	m.isLost = true
 	if m == f.leader {
-		f.planner, f.electAt = &control.MembershipPlanner{LeaderContactAt: at(f.now)}, f.now+700+f.rng.IntN(1300)
+		f.planner, f.electAt = &control.MembershipPlanner{LeaderContactAt: at(f.now)}, f.now+minElection+f.rng.IntN(maxElection-minElection)
 	}
 }
 
@@ -89,6 +98,7 @@
 	return out
 }
 
+// run lets time pass and checks that the log keeps a quorum.
 func (f *controlFleet) run(ms int) {
 	GinkgoHelper()
 	for end := f.now + ms; f.now < end; f.now += fleetStep {
@@ -102,7 +112,7 @@
 		}
 		f.receive()
 		if f.now >= f.plansAt {
-			f.plansAt = f.now + 250
+			f.plansAt = f.now + checkInterval
 			f.plan()
 		}
 	}
@@ -146,7 +156,7 @@
 		if m.reportedAt >= 0 && at(f.now).Sub(at(m.reportedAt)) < control.InstanceLease {
 			r := m.Replica
 			r.ReportedAt = at(m.reportedAt)
-			r.CaughtUp = slices.Contains(f.m.Learners, m.ID) && m.ackedAt >= m.learnerSince+500
+			r.CaughtUp = slices.Contains(f.m.Learners, m.ID) && m.ackedAt >= m.learnerSince+learnTime
 			reporting = append(reporting, r)
 		}
 	}
@@ -159,7 +169,7 @@
 func (f *controlFleet) apply(step control.MembershipStep) {
 	i := slices.IndexFunc(f.machines, func(m *machine) bool { return m.ID == step.Instance })
 	target := f.machines[i]
-	if target == f.leader || (step.Action == azurestair.MemberPromote && f.now-target.ackedAt >= 700) {
+	if target == f.leader || (step.Action == azurestair.MemberPromote && f.now-target.ackedAt >= promoteWindow) {
 		return
 	}
 	is := func(id azurestair.InstanceID) bool { return id == step.Instance }
--- a/instance/replicamemory_test.go
+++ b/instance/replicamemory_test.go
@@ -17,9 +17,9 @@
 type configuredReplica struct {
 	*leadingReplica
 	images chan control.Image
-	// imageBytes is the size of the last image, and images the number of them.
-	imageBytes int
-	imageCount int
+	// imageBytes is the size of the last image, and imageCount the number of
+	// images so far.
+	imageBytes, imageCount int
 }
 
 func newConfiguredReplica() *configuredReplica {
