Wait until a suspended process has stopped

Cause, traced: the test. SIGSTOP takes effect some milliseconds later on a busy machine, and the reads that were to begin while the leader stands still began before.

Change: suspend returns once all threads of the process have stopped. The check stays as it is and is now made of what it says: reads that begin while the leader stands still. Every other use of suspend waits too.

--- a/faults/node.go
+++ b/faults/node.go
@@ -135,9 +135,34 @@
 
 func (n *node) signal(sig syscall.Signal) { Expect(n.cmd.Process.Signal(sig)).To(Succeed()) }
 
-// suspend freezes the process with SIGSTOP until resume.
-func (n *node) suspend() { n.signal(syscall.SIGSTOP) }
-func (n *node) resume()  { n.signal(syscall.SIGCONT) }
+// suspend freezes the process with SIGSTOP until resume. It returns once all
+// threads have stopped, some milliseconds after the signal on a busy machine:
+// until then they still answer.
+func (n *node) suspend() {
+	n.signal(syscall.SIGSTOP)
+	Eventually(n.threadStates).WithTimeout(10 * time.Second).WithPolling(time.Millisecond).Should(HaveEach("T"))
+}
+
+func (n *node) resume() { n.signal(syscall.SIGCONT) }
+
+// threadStates returns the state of each thread of the process as in
+// /proc/PID/stat, where it follows the name in parentheses.
+func (n *node) threadStates() ([]string, error) {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", n.cmd.Process.Pid))
+	if err != nil {
+		return nil, err
+	}
+	var states []string
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return nil, err
+		}
+		_, rest, _ := strings.Cut(string(data), ") ")
+		states = append(states, rest[:1])
+	}
+	return states, nil
+}
 
 // kill kills the process with SIGKILL and waits until it has exited.
 func (n *node) kill() {
