Trim the history of the configuration in one place

Cause: pushing a version and reading an image each had their own way to cut the history, and pushing copied the items on top of the window, which keeps dropped items until its array grows. The window serves sequences that are bounded by count; this one is bounded by size.

Before: historyLimit, keptVersions, trimHistory and a copy in pushConfig. After: newestVersions, which both use, on a plain list.

Conclusion: no change of behaviour is meant.

--- a/control/config.go
+++ b/control/config.go
@@ -49,16 +49,16 @@
 
 // Config returns the current configuration. It is immutable and never nil.
 func (s *State) Config() *azurestair.Config {
-	n := len(s.history.items)
+	n := len(s.history)
 	if n == 0 {
 		return emptyConfig
 	}
-	return s.history.items[n-1].Config
+	return s.history[n-1].Config
 }
 
 // History returns the newest versions of the configuration, oldest first, as
 // many as the limits of the history allow.
-func (s *State) History() []ConfigRecord { return s.history.view() }
+func (s *State) History() []ConfigRecord { return slices.Clip(s.history) }
 
 func (s *State) applyConfig(c azurestair.Command) azurestair.Result {
 	current := s.Config().Version
@@ -86,39 +86,31 @@
 	if s.fleet == "" {
 		s.fleet = c.Fleet
 	}
-	dropped := s.history.push(ConfigRecord{
+	s.history = newestVersions(append(s.History(), ConfigRecord{
 		Config:   next,
 		Operator: c.Config.Change.Operator,
 		Reason:   c.Config.Change.Reason,
 		ChangeID: c.Config.Change.ID,
 		At:       c.At,
-	}, s.historyLimit(next))
-	if len(dropped) > 0 {
-		// The array of the window would keep the dropped versions in memory.
-		s.history.items = slices.Clone(s.history.items)
-	}
+	}))
 	return azurestair.Result{Code: azurestair.ResultAccepted, Version: next.Version}
 }
 
-// historyLimit returns how many versions are kept once next has been added.
-func (s *State) historyLimit(next *azurestair.Config) int {
-	return 1 + keptVersions(s.history.items, len(next.Workspaces), next.Size())
-}
-
-// keptVersions returns how many of the newest versions are kept beside a later
-// one with the given workspaces and size.
-func keptVersions(items []ConfigRecord, workspaces int, size azurestair.Bytes) int {
-	n := 0
-	for i := len(items) - 1; i >= 0 && n+1 < MaxHistory; i-- {
-		cfg := items[i].Config
+// newestVersions returns a copy of the newest versions that the limits of the
+// history allow, so that the others are released. The last version is always
+// among them.
+func newestVersions(list []ConfigRecord) []ConfigRecord {
+	n, workspaces, size := 0, 0, azurestair.Bytes(0)
+	for n < min(len(list), MaxHistory) {
+		cfg := list[len(list)-1-n].Config
 		workspaces += len(cfg.Workspaces)
 		size += cfg.Size()
-		if workspaces > MaxHistoryWorkspaces || size > MaxHistoryBytes {
+		if n > 0 && (workspaces > MaxHistoryWorkspaces || size > MaxHistoryBytes) {
 			break
 		}
 		n++
 	}
-	return n
+	return slices.Clone(list[len(list)-n:])
 }
 
 // applyHighest applies a configuration if its version is higher than the
@@ -148,7 +140,7 @@
 	if v == 0 {
 		return emptyConfig
 	}
-	for _, r := range s.history.items {
+	for _, r := range s.history {
 		if r.Config.Version == v {
 			return r.Config
 		}
--- a/control/image.go
+++ b/control/image.go
@@ -47,7 +47,7 @@
 	}
 	return Image{
 		Applied:         s.applied,
-		History:         s.history.view(),
+		History:         s.History(),
 		Drains:          s.drains,
 		Changes:         s.changes.order.view(),
 		Audit:           s.audit.view(),
@@ -69,7 +69,8 @@
 		return nil, err
 	}
 	s := &State{applied: i.Applied, drains: i.Drains, holders: i.Holders, requiredVersion: i.RequiredVersion, fleet: i.Fleet}
-	s.history.items = trimHistory(i.History)
+	// An earlier program may have kept more versions.
+	s.history = newestVersions(i.History)
 	s.audit.items = slices.Clip(i.Audit)
 	for _, r := range i.Changes {
 		s.changes.add(r)
@@ -84,17 +85,6 @@
 	return s, nil
 }
 
-// trimHistory returns the versions of an image that are kept. An earlier program
-// may have kept more.
-func trimHistory(items []ConfigRecord) []ConfigRecord {
-	if len(items) == 0 {
-		return nil
-	}
-	last := items[len(items)-1].Config
-	kept := 1 + keptVersions(items[:len(items)-1], len(last.Workspaces), last.Size())
-	return slices.Clone(items[len(items)-kept:])
-}
-
 // restore adds the records in image order. That is heap order, so the heap is
 // valid without reordering.
 func (l *ledger) restore(records []*LedgerRecord, lastAnswerSeq uint64) {
--- a/control/state.go
+++ b/control/state.go
@@ -29,7 +29,7 @@
 // first log entry. It is not safe for concurrent use.
 type State struct {
 	applied         azurestair.Index
-	history         window[ConfigRecord]
+	history         []ConfigRecord
 	drains          []azurestair.Drain
 	changes         changeIndex
 	audit           window[azurestair.AuditRecord]
