Serve the tests of client connections as a process does

Cause: the tests of client connections wired the server by hand and left out the context of connections, so that the guard's part was not exercised; cut_test.go wired it in full a second time.

Before: two copies of the wiring, one incomplete. After: listenAsClients uses Process.newServer for both. The same cases pass.

--- a/instance/clientconns_test.go
+++ b/instance/clientconns_test.go
@@ -3,18 +3,18 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"azurestair.example/azurestair/admission"
+	"azurestair.example/azurestair/settings"
 )
 
 // expectHead checks how much of the input a headScanner takes for the head,
@@ -47,29 +47,29 @@
 	ginkgo.Entry("which has not arrived", "POST / HTTP/1.1\r\nHost: a\r\n", ""),
 )
 
-// startClientServer serves requests behind the limits of client connections and
-// answers each with its body. It returns the address.
-func startClientServer() string {
+// listenAsClients serves an endpoint of a process as clients reach it, and
+// returns its address.
+func listenAsClients(p *Process, h http.Handler) string {
 	ginkgo.GinkgoHelper()
-	limits := effectiveLimits{
-		ConnLimits:     admission.ConnLimits{MaxConns: 10, HeaderTimeout: time.Minute, IdleTimeout: time.Minute},
-		maxHeaderBytes: 16 << 10, bodyTimeout: time.Minute,
-	}
-	p := &Process{metrics: newProcessMetrics(), options: Options{}.withDefaults(), log: slog.New(slog.DiscardHandler)}
-	conns := newClientConns("test", func() effectiveLimits { return limits }, p)
-	echo := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		data, err := io.ReadAll(r.Body)
-		if err != nil || r.Context().Err() != nil {
-			return
-		}
-		_, _ = w.Write(data)
-	})
-	s := &http.Server{Handler: clientGuard{next: echo, conns: conns}, ConnState: conns.connState, ReadHeaderTimeout: time.Minute}
+	ctx, cancel := context.WithCancel(context.Background())
+	p.settings, p.options, p.runCtx = settings.Default(), Options{}.withDefaults(), ctx
+	p.panics = &panicLog{log: p.log, count: p.metrics.panics}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	go func() { _ = s.Serve(&clientListener{Listener: l, conns: conns}) }()
-	ginkgo.DeferCleanup(s.Close)
-	return l.Addr().String()
+	addr := l.Addr().String()
+	l, s := p.newServer(l, Endpoint{Name: "callers", Handler: h})
+	go s.Serve(l)
+	ginkgo.DeferCleanup(func() { cancel(); s.Close(); p.wg.Wait() })
+	return addr
+}
+
+// echo answers a request with its body.
+func echo(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil || r.Context().Err() != nil {
+		return
+	}
+	_, _ = w.Write(data)
 }
 
 // exchange sends data on a new connection and returns the status and the body of
@@ -96,7 +96,10 @@
 
 var _ = ginkgo.Describe("a client connection", func() {
 	var addr string
-	ginkgo.BeforeEach(func() { addr = startClientServer() })
+	ginkgo.BeforeEach(func() {
+		p := &Process{metrics: newProcessMetrics(), log: slog.New(slog.DiscardHandler)}
+		addr = listenAsClients(p, http.HandlerFunc(echo))
+	})
 
 	// Guards against a body of short lines that is refused as a head with too
 	// many fields, or whose request is cancelled.
--- a/instance/cut_test.go
+++ b/instance/cut_test.go
@@ -19,7 +19,6 @@
 
 	"azurestair.example/azurestair"
 	"azurestair.example/azurestair/caller"
-	"azurestair.example/azurestair/settings"
 	"azurestair.example/azurestair/upstream"
 )
 
@@ -138,25 +137,13 @@
 	f.dispatcher.retryPolicy.Backoff = time.Microsecond
 	f.dispatcher.retryPolicy.Disabled.Hedging = true
 	f.dispatcher.mu.Unlock()
-	f.listen()
+	p := &Process{log: f.log, entry: f.Entry, metrics: f.metrics}
+	f.addr = listenAsClients(p, caller.NewHandler(f.Entry, SystemClock{}, longTimeout))
 	// Otherwise the client would itself repeat some requests.
 	f.client.Transport = &http.Transport{DisableKeepAlives: true}
 	return f
 }
 
-// listen serves callers as a process does.
-func (f *cutFixture) listen() {
-	ctx, cancel := context.WithCancel(context.Background())
-	p := &Process{settings: settings.Default(), options: Options{}.withDefaults(), log: f.log, entry: f.Entry, metrics: f.metrics, runCtx: ctx}
-	p.panics = &panicLog{log: f.log, count: f.metrics.panics}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	f.addr = l.Addr().String()
-	l, s := p.newServer(l, Endpoint{Name: "callers", Handler: caller.NewHandler(f.Entry, SystemClock{}, longTimeout)})
-	go s.Serve(l)
-	ginkgo.DeferCleanup(func() { cancel(); s.Close(); p.wg.Wait() })
-}
-
 // callerResponse is what a caller receives.
 type callerResponse struct {
 	status int
