Reword two comments of tests

Both were hard to read: what an election resets in the model of replaced machines, and which hang the writer of standard output guards against.

--- a/control/replacements_test.go
+++ b/control/replacements_test.go
@@ -72,9 +72,10 @@
 	return m
 }
 
-// elect makes a machine the leader, which nobody has reported to or answered.
-func (f *controlFleet) elect(m *machine, p *control.MembershipPlanner) {
-	f.leader, f.planner, f.plansAt = m, p, f.now
+// elect makes a machine the leader. Reports and answers to earlier leaders do not
+// count for it.
+func (f *controlFleet) elect(leader *machine, p *control.MembershipPlanner) {
+	f.leader, f.planner, f.plansAt = leader, p, f.now
 	for _, m := range f.machines {
 		m.reportedAt, m.ackedAt = -1, -1
 	}
--- a/stdout/writer_test.go
+++ b/stdout/writer_test.go
@@ -42,7 +42,8 @@
 	g.Expect(strings.Join(out.lines, "")).To(ContainSubstring("log lines dropped"))
 }
 
-// Guards against a process that never ends because nobody reads its output.
+// Guards against a process that cannot exit while the reader of its standard
+// output is stalled.
 func TestCloseDoesNotWaitForABlockedOutput(t *testing.T) {
 	out := &blockingWriter{open: make(chan struct{})}
 	w := stdout.New(out)
