Review: case 11, entries stop following control after 257 services

An entry reports the traffic of each service that any configuration of its run has named. With more than 256, the leader refuses all its reports.

--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -5,15 +5,25 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
+	"time"
 )
 
 func main() {
-	cases := map[string]func() int{"probe": probe, "chaos": chaos, "cold": cold, "term": term, "long": long, "names": names, "odd": odd, "again": again, "gone": gone, "hup": hup}
-	if len(os.Args) < 2 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand3 CASE")
-		os.Exit(2)
+	cases := map[string]func(*record) int{"11": case11, "12": case12, "13": case13, "14": case14}
+	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: stand3 CASE, in the root of the repository")
+		os.Exit(exitNotRun)
 	}
-	os.Exit(cases[os.Args[1]]())
+	rec, err := newRecord(filepath.Join("review", os.Args[1]))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitNotRun)
+	}
+	status := cases[os.Args[1]](rec)
+	rec.say("exit status %d", status)
+	rec.close()
+	os.Exit(status)
 }
 
 // setUp starts a deployment with a configuration and workers.
@@ -26,7 +36,7 @@
 		f.close()
 		return nil, err
 	}
-	if s := f.order("/azurestair/Config.Put", configDoc(1, usualRules(), []string{"desk"}, nil), 20e9); s != 200 {
+	if s := f.order("/azurestair/Config.Put", configDoc(1, usualRules(), []string{"desk"}, nil), 20*time.Second); s != 200 {
 		f.close()
 		return nil, fmt.Errorf("the configuration was answered %d", s)
 	}
@@ -37,7 +47,7 @@
 			return nil, err
 		}
 	}
-	if err := f.waitReady(20e9); err != nil {
+	if err := f.waitReady(20 * time.Second); err != nil {
 		f.close()
 		return nil, err
 	}
