Review: case 13, long requests without a body are broken off in a shutdown

The read deadline of a request without a body ends the context of its connection after 30 s. Adds the case: a SIGTERM 27 s after six requests of 31 s; all six were answered 502 while their worker was at work. Renumbers the two lesser cases to 14 and 15.

--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -10,7 +10,7 @@
 )
 
 func main() {
-	cases := map[string]func(*record) int{"11": case11, "12": case12, "13": case13, "14": case14}
+	cases := map[string]func(*record) int{"11": case11, "12": case12, "13": case13, "14": case14, "15": case15}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand3 CASE, in the root of the repository")
 		os.Exit(exitNotRun)
