--- a/review/_stand3/case11.go
+++ b/review/_stand3/case11.go
@@ -14,7 +14,7 @@
 	// case11Gap is the gap between two changes in the site file.
 	case11Gap = 330 * time.Millisecond
 	// case11Kept is how many changes a preview route stays.
-	case11Kept = 5
+	case11Kept = 1
 	applyTime  = 2000 * time.Millisecond
 	drainTime  = 2000 * time.Millisecond
 )
@@ -42,7 +42,7 @@
 				rules = append(rules, rule{Name: "r-" + name, Kind: "safe", Prefix: "/" + name + "/", Service: name, Timeout: 2000, Attempts: 1, Priority: 2})
 			}
 		}
-		return configDoc(version, rules, services, nil)
+		return configDoc(version, rules, services)
 	}
 	version := 1
 	if s := f.order("/azurestair/Config.Put", config(version, "desk", nil), 20*time.Second); s != 200 {
