--- a/review/_stand3/case15.go
+++ b/review/_stand3/case15.go
@@ -20,6 +20,8 @@
 	// crashes. It is well above what it tolerates (coldPerS) and above the bound
 	// of the rule.
 	crashAt = 30
+	// addedWorkers is how many workers are added, one after the other.
+	addedWorkers = 7
 	// workerDelay is how long workers work on a request, and workerSlots how many
 	// they work on.
 	workerDelay = 80 * time.Millisecond
@@ -161,7 +163,7 @@
 		began, end time.Time
 	}
 	var periods []period
-	for n := range 4 {
+	for n := range addedWorkers {
 		w := f.newWorker(fmt.Sprintf("i-new-%d", n), "desk", "kigali-b")
 		p := period{w: w, began: time.Now()}
 		p.end = p.began.Add(coldTime)
