Report and keep only the services of the configuration

Requests were run by the service from which a later version had moved them, also by an upstream that had left, and nothing showed it: changes were acknowledged and entries were ready.

Cause: an entry kept a dispatcher for each service that any configuration of its run had named, and reported the traffic of all of them. The leader refuses a report with more than 256 elements of traffic as a whole, and with it the reply that carries configuration, upstreams and departures.

Change: reports contain the services of the configuration alone, so that their lists are bounded by what a configuration may contain, and the bounds of the lists are derived from those of the configuration. A dispatcher ends once its service is in no configuration, no request uses it and no upstream of the service is listed; until then it keeps leaving marks and pauses, in case the service comes back.

--- a/budget.go
+++ b/budget.go
@@ -75,8 +75,10 @@
 	MaxFloor int64 `cbor:"5,keyasint,omitempty" json:"maxFloor,omitempty"`
 }
 
-// MaxDemands is the maximum number of demands in a report.
-const MaxDemands = 512
+// MaxDemands is the maximum number of demands in a report. An entry demands slots
+// of each service in each region and shifts of it into each other one, and the links
+// of its own region.
+const MaxDemands = MaxServices*(2*MaxRegions-1) + 2*(MaxRegions-1)
 
 // Report is the message that an instance sends to the leader at each report
 // interval.
--- a/instance/dispatcher.go
+++ b/instance/dispatcher.go
@@ -49,7 +49,11 @@
 	// those attempts.
 	lateSlots []lateSlot
 	inFlight  map[azurestair.RegionName]azurestair.Slots
+	// users counts the requests that use the dispatcher.
+	users int
 
+	// retired is closed once the dispatcher takes no more requests.
+	retired chan struct{}
 	// wakeup makes run recompute its next deadline.
 	wakeup chan struct{}
 	// slotFreed is closed and replaced when a slot may have become free.
@@ -72,11 +76,51 @@
 		clock: clock, admitter: a, picker: p, rand: r,
 		waiting:  map[azurestair.AdmissionID]chan azurestair.AdmissionEvent{},
 		inFlight: map[azurestair.RegionName]azurestair.Slots{},
+		retired:  make(chan struct{}),
 		wakeup:   make(chan struct{}, 1),
 	}
 }
 
-// run expires queued requests and late slots until ctx ends.
+// beginRequest reports whether the dispatcher takes a request. If so, the caller
+// must call endRequest once the request has ended.
+func (d *dispatcher) beginRequest() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.isRetired() {
+		return false
+	}
+	d.users++
+	return true
+}
+
+func (d *dispatcher) endRequest() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.users--
+}
+
+// retire ends the dispatcher if no request uses it, and reports whether it did.
+func (d *dispatcher) retire() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.users > 0 || d.isRetired() {
+		return false
+	}
+	close(d.retired)
+	return true
+}
+
+func (d *dispatcher) isRetired() bool {
+	select {
+	case <-d.retired:
+		return true
+	default:
+		return false
+	}
+}
+
+// run expires queued requests and late slots until ctx ends or the dispatcher is
+// retired.
 func (d *dispatcher) run(ctx context.Context) {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
@@ -85,6 +129,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-d.retired:
+			return
 		case <-d.wakeup:
 		case <-timer.C:
 		}
--- a/instance/entry.go
+++ b/instance/entry.go
@@ -91,16 +91,15 @@
 // update applies the services and upstreams of a new snapshot.
 func (e *Entry) update(s *azurestair.Snapshot) {
 	dispatchers := map[azurestair.ServiceName]*dispatcher{}
-	if old := e.dispatchers.Load(); old != nil {
-		dispatchers = maps.Clone(*old)
-	}
+	maps.Copy(dispatchers, e.allDispatchers())
 	for _, service := range s.Config.Services {
-		d, ok := dispatchers[service.Name]
-		if !ok {
-			d = dispatcherFor(service.Name, e, s.Config)
+		if _, ok := dispatchers[service.Name]; !ok {
+			d := dispatcherFor(service.Name, e, s.Config)
 			dispatchers[service.Name] = d
 			e.wg.Go(func() { d.run(e.ctx) })
 		}
+	}
+	for _, d := range dispatchers {
 		d.update(s)
 	}
 	e.dispatchers.Store(&dispatchers)
@@ -149,9 +148,34 @@
 	e.processes = processes
 }
 
-// tick adjusts the slots to leases that have expired and probes upstreams. now is
-// a time of the lease clock.
+// retireDispatchers ends the dispatchers of services that the configuration no
+// longer has, once their requests have ended. What a dispatcher knows of upstreams
+// is kept while these are listed, in case the service comes back.
+func (e *Entry) retireDispatchers() {
+	v, all := e.view.Load(), e.allDispatchers()
+	if v == nil || len(all) <= len(v.snapshot.Config.Services) {
+		return
+	}
+	unused := maps.Clone(all)
+	for _, s := range v.snapshot.Config.Services {
+		delete(unused, s.Name)
+	}
+	for _, u := range v.snapshot.Upstreams {
+		delete(unused, u.Announcement.Service)
+	}
+	maps.DeleteFunc(unused, func(_ azurestair.ServiceName, d *dispatcher) bool { return !d.retire() })
+	if len(unused) == 0 {
+		return
+	}
+	kept := maps.Clone(all)
+	maps.DeleteFunc(kept, func(name azurestair.ServiceName, _ *dispatcher) bool { return unused[name] != nil })
+	e.dispatchers.Store(&kept)
+}
+
+// tick adjusts the slots to leases that have expired, retires dispatchers and
+// probes upstreams. now is a time of the lease clock.
 func (e *Entry) tick(now time.Time) {
+	e.retireDispatchers()
 	e.updateSlots(now)
 	e.probe(e.clock.Now())
 }
@@ -187,6 +211,19 @@
 	return nil
 }
 
+// configuredDispatchers returns the dispatchers of the services of a
+// configuration, without those that only finish earlier requests. Its size, and
+// that of what is reported for each of them, is bounded by the configuration.
+func (e *Entry) configuredDispatchers(cfg *azurestair.Config) map[azurestair.ServiceName]*dispatcher {
+	all, out := e.allDispatchers(), make(map[azurestair.ServiceName]*dispatcher, len(cfg.Services))
+	for _, s := range cfg.Services {
+		if d, ok := all[s.Name]; ok {
+			out[s.Name] = d
+		}
+	}
+	return out
+}
+
 // confirmState records the state that an upstream announced.
 func (e *Entry) confirmState(a azurestair.Announcement) {
 	if d, ok := e.allDispatchers()[a.Service]; ok {
@@ -201,7 +238,7 @@
 	if v == nil || !v.snapshot.Config.LeasesBudgets() {
 		return nil
 	}
-	dispatchers := e.allDispatchers()
+	dispatchers := e.configuredDispatchers(s.Config)
 	for _, name := range slices.SortedFunc(maps.Keys(dispatchers), cmp.Compare[azurestair.ServiceName]) {
 		use := dispatchers[name].usage()
 		home := v.slotLimit(name, e.self.Region, now)
@@ -221,10 +258,10 @@
 	return append(out, e.linkPacer.demands(s, h, now)...)
 }
 
-// trafficCounts returns the request counts of each service.
-func (e *Entry) trafficCounts() map[azurestair.ServiceName]control.TrafficCount {
+// trafficCounts returns the request counts of each service of a configuration.
+func (e *Entry) trafficCounts(cfg *azurestair.Config) map[azurestair.ServiceName]control.TrafficCount {
 	counts := map[azurestair.ServiceName]control.TrafficCount{}
-	for name, d := range e.allDispatchers() {
+	for name, d := range e.configuredDispatchers(cfg) {
 		counts[name] = d.trafficCount()
 	}
 	return counts
--- a/instance/objects.go
+++ b/instance/objects.go
@@ -37,19 +37,19 @@
 	if e == nil || s == nil || s.Config.LeasesBudgets() {
 		return
 	}
-	r.Traffic = t.meter.Rates(e.trafficCounts(), now)
+	r.Traffic = t.meter.Rates(e.trafficCounts(s.Config), now)
 	if s.Config.Defaults.SpreadObjects && now.Sub(t.objectsAt) >= reportInterval {
 		t.objectsAt = now
-		r.Objects = e.objectTraffic(now)
+		r.Objects = e.objectTraffic(s.Config, now)
 	}
 }
 
-// objectTraffic returns the rates of the objects that the pickers have counted,
-// and updates the metrics.
-func (e *Entry) objectTraffic(now time.Time) []azurestair.ObjectTraffic {
+// objectTraffic returns the rates of the objects that the pickers of the services
+// of a configuration have counted, and updates the metrics.
+func (e *Entry) objectTraffic(cfg *azurestair.Config, now time.Time) []azurestair.ObjectTraffic {
 	var out []azurestair.ObjectTraffic
 	var sum placement.SpreadStats
-	for _, d := range e.allDispatchers() {
+	for _, d := range e.configuredDispatchers(cfg) {
 		list, stats := d.objectTraffic(now)
 		out = append(out, list...)
 		sum.Add(stats)
--- a/instance/serve.go
+++ b/instance/serve.go
@@ -113,10 +113,14 @@
 	if !e.admitsDuringShutdown(c.work, now) {
 		return e.refuseInShutdown(r, v)
 	}
+	if !d.beginRequest() {
+		return clearUnprovenNotRun(r, invalidReply(azurestair.ReasonUnknownOperation))
+	}
 	ctx, cancel := context.WithDeadline(ctx, c.work.Deadline)
 	done := func() {
 		cancel()
 		c.body.close()
+		d.endRequest()
 	}
 	if c.isUnkeyed() {
 		return releaseOnClose(c.mayEvictResponse(ctx, c.settleQuota(c.serveUnkeyed(ctx))), done)
--- a/traffic.go
+++ b/traffic.go
@@ -11,11 +11,12 @@
 // MeanSlots is the mean number of slots in use.
 type MeanSlots float64
 
-// MaxTraffic is the maximum number of services in the traffic of a report.
-// MaxPlans is the maximum number of region plans of all services in a snapshot.
+// MaxTraffic is the maximum number of services in the traffic of a report, and of
+// pairs of a service and a region in its objects. MaxPlans is the maximum number of
+// region plans of all services in a snapshot.
 const (
-	MaxTraffic = 256
-	MaxPlans   = 1024
+	MaxTraffic = 4 * MaxServices
+	MaxPlans   = MaxServices * MaxRegions
 )
 
 // maxTrafficRate is the maximum of each value in a report's traffic. It ensures
