Limit the time for a request body only while there is one

Every further request on that connection was refused at once with 503.

Cause: the handlers of callers set the read deadline of a body on the connection of each request. Without a body net/http reads the connection in the background from the start, to notice that the caller disconnects. A timeout of that read ends the context of the connection, which stands for a caller that has left.

Related paths: the guard of client connections sets its deadline only for a body. The listeners have no ReadTimeout or WriteTimeout. Write deadlines are those of the answer and are lifted after it.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -100,11 +100,7 @@
 		return
 	}
 	rc := http.NewResponseController(c.Writer)
-	readDeadline := h.clock.Now().Add(h.bodyTimeout)
-	if !r.Deadline.IsZero() && r.Deadline.Before(readDeadline) {
-		readDeadline = r.Deadline
-	}
-	_ = rc.SetReadDeadline(readDeadline)
+	LimitBody(c.Writer, c.Request, r.BodyDeadline(h.clock.Now().Add(h.bodyTimeout)))
 	if errors.Is(h.server.Ready(), azurestair.ErrClosed) {
 		c.Header("Connection", "close")
 	}
--- a/caller/request.go
+++ b/caller/request.go
@@ -42,6 +42,15 @@
 	Deadline time.Time
 }
 
+// BodyDeadline returns the time by which the body must have arrived: the limit of
+// the listener, or the caller's deadline if that is earlier.
+func (r *Request) BodyDeadline(limit time.Time) time.Time {
+	if !r.Deadline.IsZero() && r.Deadline.Before(limit) {
+		return r.Deadline
+	}
+	return limit
+}
+
 // Reply is the result of Server.Serve. Body is set only for OutcomeDone.
 type Reply struct {
 	Outcome azurestair.Outcome
