Close connections whose next request would be lost

Callers saw: a request that was in progress when its entry began to stop got a response without "Connection: close" from the built-in listener, so that its caller sent the next request on a connection that was about to close. And after net/http had ended the context of a connection, each further request on it was refused with 503 until the caller closed it.

Cause: the handler of callers looked whether the instance stops before it served the request; that of the platform looks after it. net/http gives all requests on a connection one context, which an aborted read ends too: memory for clients that runs short aborts reads of bodies.

Evidence: two of the three new cases failed before. No caller was seen to meet it with real processes.

--- a/caller/conn_test.go
+++ b/caller/conn_test.go
@@ -50,3 +50,27 @@
 },
 	Entry("without a body", "GET", ""), Entry("with a body", "POST", "abc"),
 )
+
+// Guards against callers that send their next request on a connection that is about
+// to close, or on one whose requests net/http reports as cancelled.
+var _ = DescribeTable("a response says whether its connection closes", func(stop, cancelled bool, want string) {
+	f := &fakeEntry{}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f.reply = func(r *caller.Request) caller.Reply {
+		if stop {
+			f.ready = azurestair.ErrClosed
+		}
+		if cancelled {
+			cancel()
+		}
+		return doneReply(200, "hi", nil)(r)
+	}
+	w := httptest.NewRecorder()
+	caller.NewHandler(f, clock{}, bodyTimeout).ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/request/shop/read", nil).WithContext(ctx))
+	Expect(w.Header().Get("Connection")).To(Equal(want))
+},
+	Entry("of a running instance", false, false, ""),
+	Entry("of an instance that has begun to stop meanwhile", true, false, "close"),
+	Entry("of a request whose context has ended", false, true, "close"),
+)
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -101,10 +101,10 @@
 	}
 	rc := http.NewResponseController(c.Writer)
 	LimitBody(c.Writer, c.Request, r.BodyDeadline(h.clock.Now().Add(h.bodyTimeout)))
-	if errors.Is(h.server.Ready(), azurestair.ErrClosed) {
+	reply := h.server.Serve(c.Request.Context(), r)
+	if ClosesConn(c.Request, h.server.Ready()) {
 		c.Header("Connection", "close")
 	}
-	reply := h.server.Serve(c.Request.Context(), r)
 	// Otherwise the write deadline would also apply to the next request on the
 	// connection.
 	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
