Let an answer go on when the time for the request body is over

Callers would see: an upstream that answers before it has read a long body is cut off in the middle of its answer, and so is the caller, when the caller has not sent the rest of the body within the time for bodies.

When a large request could not be written for its body, the pending read of the connection was cancelled, whether or not the response had begun.

The new test failed before with an i/o timeout after the first half of the answer; its second row, a caller that has disconnected, held and holds.

Change: the read is cancelled only if the response has not begun or the body failed otherwise than by a timeout, which stands for a caller that has left. Not seen with real processes.

--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -376,6 +377,34 @@
 		Eventually(f.openConns).Should(BeZero())
 	})
 
+	// Guards against an answer in progress that is broken off because the time for
+	// the request body is over.
+	DescribeTable("whose body breaks off after the answer has begun", func(bodyErr error, isKept bool) {
+		broken := make(chan struct{})
+		f := newFakeUpstream(func(c serverConn, r *http.Request) bool {
+			head := "HTTP/1.1 200 OK\r\n" + requestIDHeader + "Content-Length: 4\r\n\r\nhi"
+			_, _ = io.WriteString(c, strings.ReplaceAll(head, "ID", r.Header.Get(upstream.HeaderAttemptID)))
+			<-broken
+			time.Sleep(short)
+			_, _ = io.WriteString(c, "ho")
+			return false
+		})
+		answered := make(chan struct{})
+		resp, err := c.Do(ctx, f.addr(), newUpload(&partialBody{parts: 4, end: func() error {
+			<-answered
+			close(broken)
+			return bodyErr
+		}}, long))
+		Expect(err).NotTo(HaveOccurred())
+		close(answered)
+		data, err := io.ReadAll(resp.Body)
+		Expect(err == nil && string(data) == "hiho").To(Equal(isKept), "got %q, %v", data, err)
+		Expect(resp.Body.Close()).To(Succeed())
+	},
+		Entry("get the rest if the caller has stalled", os.ErrDeadlineExceeded, true),
+		Entry("end if the caller has disconnected", errors.New("caller disconnected"), false),
+	)
+
 	// Guards against leaking bytes of one request into another through the
 	// pooled write buffers.
 	It("leave no bytes of an aborted request in the next one", func() {
--- a/upstream/upload.go
+++ b/upstream/upload.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -41,28 +43,50 @@
 type upload struct {
 	conn    *conn
 	request *http.Request
+	body    *sourceBody
 	done    chan struct{}
 	err     error
+	// answered is true once the response header has been read.
+	answered atomic.Bool
 }
 
-// run writes the request. If the caller's body is truncated, no response can be
-// expected, so the pending read is cancelled.
+// run writes the request. If the caller's body is truncated, the pending read is
+// cancelled: no response can be expected, or the caller has left. A response that has
+// begun goes on if the caller has only sent too slowly.
 func (u *upload) run() {
 	u.err = u.conn.send(u.request)
 	close(u.done)
-	if errors.Is(u.err, ErrRequestBody) {
+	hasStalled := IsTimeout(u.body.err)
+	if errors.Is(u.err, ErrRequestBody) && (!hasStalled || !u.answered.Load()) {
 		_ = u.conn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
 
+// sourceBody records the error of the caller's body, which net/http hides.
+type sourceBody struct {
+	io.ReadCloser
+	err error
+}
+
+// Read implements io.Reader.
+func (b *sourceBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.err = err
+	}
+	return n, err
+}
+
 // roundTripLarge awaits the response while the request is being written, since
 // an upstream may respond without reading the rest and a caller may stall
 // within its body. The connection is reused only if the request was fully
 // written before the response header arrived.
 func (c *conn) roundTripLarge(r *http.Request) (*http.Response, error) {
-	u := &upload{conn: c, request: r, done: make(chan struct{})}
+	u := &upload{conn: c, request: r, body: &sourceBody{ReadCloser: r.Body}, done: make(chan struct{})}
+	r.Body = u.body
 	go u.run()
 	resp, err := c.readHeader(r)
+	u.answered.Store(err == nil)
 	select {
 	case <-u.done:
 		if err != nil && u.err != nil {
