Keep the cold times of upstreams as deadlines on every hop

Cause: on the way from an upstream to the pickers, remaining cold times were compared with each other and not their ends. The entry or control instance that gets the announcement took a longer one than the last for news and reported it. The leader compared it with the last one that was reported, from the start of the first cold time, and took as much or less remaining time for a repetition. Nothing was published, and the pickers let the first cold time run out.

Change: each hop keeps the end. Ends that differ by more than 250 ms, up or down, are news; ends within that are taken for one, since announcements take differently long to arrive, and what the leader lists is later by as much, so that it is never earlier than what was announced.

The list in the log keeps remaining times: a leader does not know when it was written, so it holds the longest that may remain, as before.

--- a/control/listing.go
+++ b/control/listing.go
@@ -52,8 +52,9 @@
 }
 
 // UpstreamListDiff returns the change that makes the stored listing match the
-// current contents of the registry, or false if they already match. Of the cold
-// time it contains the beginning and the end.
+// current contents of the registry, or false if they already match. A later leader
+// does not know when the listing was written, so a cold time in it is the longest
+// that may remain.
 func (s *State) UpstreamListDiff(r *Registry) (azurestair.UpstreamListChange, bool) {
 	var c azurestair.UpstreamListChange
 	listed := map[azurestair.UpstreamID]bool{}
@@ -61,7 +62,7 @@
 		a := u.Announcement
 		a.Load, a.Sequence = azurestair.Load{}, 0
 		listed[a.Upstream] = true
-		if old, ok := s.listed[a.Upstream]; !ok || !old.IsRepeatedBy(a) {
+		if old, ok := s.listed[a.Upstream]; !ok || !old.IsRepeatedBy(a) || a.ColdMs > old.ColdMs {
 			c.Listed = append(c.Listed, a)
 		}
 	}
--- a/control/publisher.go
+++ b/control/publisher.go
@@ -163,9 +163,24 @@
 func (p *Publisher) merge(next *azurestair.Snapshot, c *revisionChange, r *Registry, d compareDepth, now time.Time) {
 	p.markCompared(r, d, now)
 	next.Upstreams, c.upstreams = mergeSorted(next.Upstreams, r.Upstreams(), upstreamKey, d.keepsUpstream)
+	next.Upstreams = withColdTimes(next.Upstreams, now)
 	next.Instances, c.instances = mergeSorted(next.Instances, r.Instances(), instanceKey, d.keepsInstance)
 }
 
+// withColdTimes returns the list with the cold times that remain at now. An instance
+// that gets the whole list counts them from its receipt.
+func withColdTimes(list []azurestair.UpstreamInfo, now time.Time) []azurestair.UpstreamInfo {
+	isCold := func(u azurestair.UpstreamInfo) bool { return u.Announcement.ColdMs > 0 }
+	if !slices.ContainsFunc(list, isCold) {
+		return list
+	}
+	out := slices.Clone(list)
+	for i, u := range out {
+		out[i].Announcement = u.Announcement.WithColdEnd(u.ColdEnd, now)
+	}
+	return out
+}
+
 // updatePlans performs a step of the plans if one is due, and reports whether
 // it changed the plans of s.
 func (p *Publisher) updatePlans(s *azurestair.Snapshot, r *Registry, now time.Time) bool {
@@ -221,7 +236,7 @@
 func (p *Publisher) startTerm(src SnapshotSource, now time.Time) {
 	s := &azurestair.Snapshot{
 		Term: src.Term, Revision: 1, Commit: src.Commit, Config: src.Config, Drains: slices.Clone(src.Drains),
-		Upstreams: src.Registry.Upstreams(), Instances: src.Registry.Instances(),
+		Upstreams: withColdTimes(src.Registry.Upstreams(), now), Instances: src.Registry.Instances(),
 		Plans: src.Registry.seededPlans, Fleet: src.Fleet,
 	}
 	if s.Config.Defaults.SpreadObjects && !s.Config.LeasesBudgets() {
@@ -278,7 +293,7 @@
 // keepsUpstream reports whether the published value old is kept instead of cur.
 func (d compareDepth) keepsUpstream(old, cur azurestair.UpstreamInfo) bool {
 	a, b := old.Announcement, cur.Announcement
-	if old.Confirmed != cur.Confirmed || !a.IsRepeatedBy(b) {
+	if !old.IsRepeatedBy(cur) {
 		return false
 	}
 	switch {
--- a/control/registry.go
+++ b/control/registry.go
@@ -106,7 +106,7 @@
 	r.seeded, r.seededPlans, r.seededObjects = true, s.Plans, s.Objects
 	r.initMaps()
 	for _, u := range s.Upstreams {
-		u.Confirmed = false
+		u.Confirmed, u.ColdEnd = false, listedColdEnd(u.Announcement, now)
 		r.upstreams[u.Announcement.Upstream] = &upstreamRecord{info: u, expiresAt: now.Add(r.lease()), listed: true}
 		r.setAddrOwner(u.Announcement)
 	}
@@ -158,20 +158,35 @@
 	if old.IsNewerThan(a) || (old.State == azurestair.StateLeaving && !a.IsNewerThan(old)) {
 		return nil
 	}
-	switch {
-	case !rec.listed || !rec.info.Confirmed || !old.IsRepeatedBy(a):
+	info := azurestair.UpstreamInfo{Announcement: a, Confirmed: true, ColdEnd: listedColdEnd(a, now)}
+	if rec.listed && rec.info.IsRepeatedBy(info) {
+		// Otherwise differences within the tolerance could add up.
+		info.ColdEnd = rec.info.ColdEnd
+		if old.Load != a.Load {
+			r.softChanges++
+		}
+	} else {
 		r.listingChanges++
-	case old.Load != a.Load:
-		r.softChanges++
 	}
 	r.takeOverAddr(a, now)
-	rec.info = azurestair.UpstreamInfo{Announcement: a, Confirmed: true}
+	rec.info = info
 	rec.listed = true
 	rec.expiresAt = now.Add(r.lease())
 	r.scheduleCheck(rec.expiresAt)
 	return nil
 }
 
+// listedColdEnd returns the end of the cold time that is listed for an upstream that
+// is announced at now. Until it has passed, announcements of ends that are later
+// within the tolerance need not be listed.
+func listedColdEnd(a azurestair.Announcement, now time.Time) time.Time {
+	end := a.ColdEnd(now)
+	if end.IsZero() {
+		return end
+	}
+	return end.Add(azurestair.ColdTolerance)
+}
+
 // MarkDeparted ends new work for an upstream, regardless of its later
 // announcements.
 func (r *Registry) MarkDeparted(d azurestair.Departure, now time.Time) {
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -193,7 +193,7 @@
 		return true
 	}
 	for i, u := range next.Upstreams {
-		if needsNoticeOf(prev.Upstreams[i].Announcement, u.Announcement) {
+		if needsNoticeOf(prev.Upstreams[i], u) {
 			return true
 		}
 	}
@@ -208,9 +208,10 @@
 // needsNoticeOf reports whether entries should learn of a change of an upstream
 // at once. An entry sends requests at the full rate to an upstream that it takes
 // for the earlier, warm process.
-func needsNoticeOf(prev, next azurestair.Announcement) bool {
+func needsNoticeOf(before, after azurestair.UpstreamInfo) bool {
+	prev, next := before.Announcement, after.Announcement
 	return next.Upstream != prev.Upstream || next.State != prev.State || next.Addr != prev.Addr ||
-		next.Incarnation != prev.Incarnation || next.ColdMs > prev.ColdMs
+		next.Incarnation != prev.Incarnation || next.ColdMs > prev.ColdMs || after.ColdEnd.After(before.ColdEnd)
 }
 
 // report answers an instance's report.
--- a/instance/member.go
+++ b/instance/member.go
@@ -134,8 +134,12 @@
 type announcedUpstream struct {
 	latest     azurestair.Announcement
 	receivedAt time.Time
-	unsent     bool
-	sentLoad   azurestair.Load
+	// coldEnd is when the upstream becomes warm; zero if it is warm.
+	coldEnd  time.Time
+	unsent   bool
+	sentLoad azurestair.Load
+	// sentColdEnd is the end that was reported last.
+	sentColdEnd time.Time
 }
 
 func newMember(self azurestair.InstanceInfo, entry *Entry, rep *reporter, log *slog.Logger) *Member {
@@ -175,11 +179,12 @@
 		old = &announcedUpstream{}
 		m.announced[a.Upstream] = old
 	}
-	if !known || !old.latest.IsRepeatedBy(a) {
+	coldEnd := a.ColdEnd(now)
+	if !known || !old.latest.IsRepeatedBy(a) || !azurestair.IsSameColdEnd(old.sentColdEnd, coldEnd) {
 		old.unsent = true
 		m.requestReport()
 	}
-	old.latest, old.receivedAt = a, now
+	old.latest, old.receivedAt, old.coldEnd = a, now, coldEnd
 	if m.entry != nil {
 		m.entry.confirmState(a)
 	}
@@ -306,8 +311,8 @@
 		isEarlier := isListed && listed.Announcement.Incarnation < a.latest.Incarnation
 		switch {
 		case a.unsent || a.latest.Load != a.sentLoad || listsAlive && isEarlier:
-			r.Announcements = append(r.Announcements, a.latest)
-			a.unsent, a.sentLoad = false, a.latest.Load
+			r.Announcements = append(r.Announcements, a.latest.WithColdEnd(a.coldEnd, now))
+			a.unsent, a.sentLoad, a.sentColdEnd = false, a.latest.Load, a.coldEnd
 		case isListed && listed.Announcement.IsNewerThan(a.latest) && listed.Announcement.Addr != a.latest.Addr:
 			// Without incarnations, the processes differ in their sequences.
 		case listsAlive:
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -50,6 +50,8 @@
 
 	health health
 	cold   coldLimiter
+	// coldTime is the cold time of the last listing.
+	coldTime listedColdTime
 
 	// listed is true if the last snapshot lists the upstream.
 	listed bool
@@ -64,6 +66,14 @@
 	pausedUntil time.Time
 }
 
+// listedColdTime identifies the cold time of a listing. Later snapshots repeat it
+// until another one is published.
+type listedColdTime struct {
+	sequence  azurestair.Sequence
+	left      azurestair.Millis
+	confirmed bool
+}
+
 // endTrial ends the trial of an upstream without an outcome if the attempt was
 // the trial.
 func (u *upstream) endTrial(c azurestair.Choice) {
@@ -72,17 +82,18 @@
 	}
 }
 
-// updateColdTime applies the cold time of a listing. A listing that no
-// announcement has confirmed comes from a new leader, which may not know that
-// the upstream is cold.
+// updateColdTime applies the cold time of a listing, which counts from the first
+// snapshot that contains it. A listing that no announcement has confirmed comes from
+// a new leader, which may not know how long the upstream is cold.
 func (u *upstream) updateColdTime(info azurestair.UpstreamInfo, now time.Time) {
 	a := info.Announcement
-	switch {
-	case a.Incarnation != u.announcement.Incarnation:
-	case a.ColdMs > 0:
-		u.cold.until = now.Add(a.ColdMs.Duration())
-	case info.Confirmed:
-		u.cold.until = time.Time{}
+	listed := listedColdTime{sequence: a.Sequence, left: a.ColdMs, confirmed: info.Confirmed}
+	if a.Incarnation != u.announcement.Incarnation || listed == u.coldTime {
+		return
+	}
+	u.coldTime = listed
+	if end := a.ColdEnd(now); info.Confirmed || end.After(u.cold.until) {
+		u.cold.until = end
 	}
 }
 
--- a/snapshot.go
+++ b/snapshot.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"time"
 )
 
 // Snapshot is the control state used by an instance. It is immutable once
@@ -115,6 +116,16 @@
 	// Confirmed is false if the lease of the upstream has expired and only the
 	// protection against mass expiry keeps it in the list.
 	Confirmed bool `cbor:"2,keyasint" json:"confirmed"`
+	// ColdEnd is when the leader takes the upstream for warm, by its own clock; zero
+	// if it is warm. Receivers of a snapshot derive the end from the remaining time in
+	// the announcement.
+	ColdEnd time.Time `cbor:"-" json:"-"`
+}
+
+// IsRepeatedBy reports whether a later description differs only in what
+// Announcement.IsRepeatedBy ignores.
+func (i UpstreamInfo) IsRepeatedBy(later UpstreamInfo) bool {
+	return i.Confirmed == later.Confirmed && i.Announcement.IsRepeatedBy(later.Announcement) && IsSameColdEnd(i.ColdEnd, later.ColdEnd)
 }
 
 // Validate checks the snapshot.
