Make room in the lease holder for the budgets of new services

Callers would see: after 4,096 budgets of services that came and went, an entry with leased budgets has no slots for any new service and refuses its requests until it is restarted.

LeaseHolder.Apply ignores grants of new budgets once it holds MaxBudgets, and forgot none.

Change: with each configuration the holder forgets the budgets that it does not have, once their leases have expired. Not seen with real processes.

--- a/config.go
+++ b/config.go
@@ -437,6 +437,15 @@
 	return nil
 }
 
+// HasResource reports whether the configuration has a budget for the resource.
+func (c *Config) HasResource(r Resource) bool {
+	if r.Kind == ResourceLink {
+		return slices.ContainsFunc(c.Links, func(l Link) bool { return l.From == r.From && l.To == r.Region })
+	}
+	_, hasService := c.Service(r.Service)
+	return hasService && slices.ContainsFunc(c.Regions, func(g Region) bool { return g.Name == r.Region })
+}
+
 // Operation returns the operation of a service with the given name.
 func (c *Config) Operation(s ServiceName, o OperationName) (Operation, bool) {
 	for i := range c.Services {
--- a/control/holder.go
+++ b/control/holder.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"time"
 
 	"azurestair.example/azurestair"
@@ -57,6 +58,15 @@
 	}
 }
 
+// Retain forgets the budgets for which keep returns false, except those with a lease
+// that has not expired. MaxBudgets then bounds only budgets in use, and not all that
+// there have ever been.
+func (h *LeaseHolder) Retain(keep func(azurestair.Resource) bool, now time.Time) {
+	maps.DeleteFunc(h.held, func(r azurestair.Resource, g heldGrant) bool {
+		return !keep(r) && !now.Before(g.deadline)
+	})
+}
+
 // expiredBetween reports whether the lease expired after from and not later
 // than now.
 func (g heldGrant) expiredBetween(from, now time.Time) bool {
--- a/instance/member.go
+++ b/instance/member.go
@@ -524,6 +524,7 @@
 	}
 	if before == nil || before.Config != m.snapshot.Config {
 		m.index = newConfigIndex(m.snapshot.Config)
+		m.holder.Retain(m.snapshot.Config.HasResource, now)
 	}
 	if before.ConfigVersion() != m.snapshot.ConfigVersion() {
 		m.log.Info("configuration in force", "version", m.snapshot.ConfigVersion(), "commit", m.snapshot.Commit)
