Plan the objects of configured services only

Cause: the leader planned the objects of each service whose rates it had received in the last 12 s, while the bound is the number of services and regions that one configuration may have.

Evidence: found by reading; the new test failed before: the plans of a removed service stayed in force while its rates were reported.

Change: the rates of services that the configuration does not have are dropped before plans are made. Not seen with real processes.

--- a/control/objectplan_test.go
+++ b/control/objectplan_test.go
@@ -210,6 +210,19 @@
 		Expect(s.Objects).To(BeEmpty())
 	})
 
+	// Guards against a snapshot that entries refuse because it has plans of more
+	// services than a configuration may.
+	It("end with their service", func() {
+		f := newObjectFleet()
+		f.run(1000, 9000, map[int]float64{1: 10})
+		Expect(f.publisher.Current().Objects).NotTo(BeEmpty())
+		next := *f.source.Config
+		next.Version, next.Services = 2, []azurestair.Service{{Name: "desk"}}
+		f.source.Config = &next
+		f.run(9000, 14_000, map[int]float64{1: 10})
+		Expect(f.publisher.Current().Objects).To(BeEmpty())
+	})
+
 	// Guards against an entry whose plan differs from the one of others.
 	It("are the same by delta as by snapshot", func() {
 		f := newObjectFleet()
--- a/control/objectrates.go
+++ b/control/objectrates.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"time"
 
 	"azurestair.example/azurestair"
@@ -60,6 +61,15 @@
 	}
 }
 
+// retain drops the rates of services that a configuration does not have, so that the
+// number of plans is bounded by the configuration.
+func (o ObjectRates) retain(cfg *azurestair.Config) {
+	maps.DeleteFunc(o, func(k objectKey, _ azurestair.MilliPerSecond) bool {
+		_, ok := cfg.Service(k.service)
+		return !ok
+	})
+}
+
 // SetObjects records the object rates in a report of an instance.
 func (r *Registry) SetObjects(id azurestair.InstanceID, list []azurestair.ObjectTraffic, now time.Time) {
 	rec := r.instances[id]
--- a/control/publisher.go
+++ b/control/publisher.go
@@ -209,7 +209,9 @@
 	case s.Config.LeasesBudgets() || !s.Config.Defaults.SpreadObjects:
 		s.Objects = nil
 	case p.objectPlanner.isDue(now):
-		s.Objects = p.objectPlanner.Step(old, r.ObjectRates(now), r.Traffic(), now)
+		rates := r.ObjectRates(now)
+		rates.retain(s.Config)
+		s.Objects = p.objectPlanner.Step(old, rates, r.Traffic(), now)
 	}
 	if len(old) == 0 && len(s.Objects) == 0 || len(old) > 0 && len(s.Objects) > 0 && &old[0] == &s.Objects[0] {
 		return nil
