Give metrics to new workspaces in place of removed ones

Operators would see: after 200 workspaces with a rate limit had sent requests, those that came later were counted as "(other)" until a restart, though most of the 200 had been removed.

Change: with each configuration the counters of workspaces without a limit in it are removed. The addition to the test of the bound fails without it.

--- a/instance/quota_test.go
+++ b/instance/quota_test.go
@@ -292,4 +292,10 @@
 	Expect(m.counters(quotaPrefix)).To(HaveKeyWithValue("workspace."+otherWorkspaces+".overLimit", int64(5*(1000-maxQuotaSeries))))
 	Expect(strings.Count(out.String(), "\n")).To(Equal(1))
 	Expect(out.String()).To(ContainSubstring("workspace=w-0"))
+
+	// Those of workspaces that are gone leave room.
+	s.retain(map[azurestair.WorkspaceName]bool{"w-1": true})
+	s.count("new", quota.OverLimit, time.Unix(2, 0))
+	Expect(m.counters(quotaPrefix)).To(HaveLen(3*3 + 2))
+	Expect(m.counters(quotaPrefix)).To(HaveKeyWithValue("workspace.new.overLimit", int64(1)))
 })
--- a/instance/quotagate.go
+++ b/instance/quotagate.go
@@ -63,6 +63,7 @@
 		g.mu.Lock()
 		g.holder.Retain(func(n azurestair.WorkspaceName) bool { return l.names[n] })
 		g.mu.Unlock()
+		g.stats.retain(l.names)
 	}
 	return l.names[name]
 }
--- a/instance/quotastats.go
+++ b/instance/quotastats.go
@@ -16,12 +16,16 @@
 
 const (
 	// maxQuotaSeries is the number of workspaces with metrics of their own, in
-	// the order of their first requests.
+	// the order of their first requests. One that loses its limit makes room.
 	maxQuotaSeries = 200
 	// otherWorkspaces is the name in the metrics of the other workspaces. It is
 	// no valid name of a workspace.
 	otherWorkspaces = "(other)"
 	quotaPrefix     = "quota."
+	// Names of the counters of a workspace.
+	admittedCounter    = "admitted"
+	overLimitCounter   = "overLimit"
+	unreachableCounter = "unreachable"
 	// quotaLogInterval is the minimum time between two log lines about refused
 	// requests of one workspace, quotaLineInterval between two of any.
 	quotaLogInterval  = 10 * time.Second
@@ -57,11 +61,31 @@
 	return s
 }
 
+func counterName(name azurestair.WorkspaceName, what string) string {
+	return quotaPrefix + "workspace." + string(name) + "." + what
+}
+
 func (s *quotaStats) series(name azurestair.WorkspaceName) *workspaceStats {
 	counter := func(what string) metrics.Counter {
-		return metrics.GetOrRegisterCounter(quotaPrefix+"workspace."+string(name)+"."+what, s.registry)
+		return metrics.GetOrRegisterCounter(counterName(name, what), s.registry)
+	}
+	return &workspaceStats{admitted: counter(admittedCounter), overLimit: counter(overLimitCounter), unreachable: counter(unreachableCounter)}
+}
+
+// retain removes the metrics of the workspaces that are not named, so that those of
+// new workspaces have room.
+func (s *quotaStats) retain(names map[azurestair.WorkspaceName]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name := range s.workspaces {
+		if names[name] {
+			continue
+		}
+		delete(s.workspaces, name)
+		for _, what := range []string{admittedCounter, overLimitCounter, unreachableCounter} {
+			s.registry.Unregister(counterName(name, what))
+		}
 	}
-	return &workspaceStats{admitted: counter("admitted"), overLimit: counter("overLimit"), unreachable: counter("unreachable")}
 }
 
 // of returns the counters of a workspace. The caller must hold mu.
