Forget what is kept of routes that a configuration drops

Operators would see: the memory of an entry grows with each name of a route, host or operation that there has ever been, and after 2,048 names of hosts all counts of requests bound to home regions began anew.

The splitters of routes, the counts of hosts and the expected sizes of operations were kept for ever. Change: an entry forgets them with the configuration that drops their names. The new test failed before with two splitters after the second configuration.

--- a/admission/link.go
+++ b/admission/link.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"maps"
 	"time"
 
 	"azurestair.example/azurestair"
@@ -72,6 +73,11 @@
 	return float64(defaultMessageSize)
 }
 
+// Retain forgets the expected sizes of the operations for which keep returns false.
+func (l *LinkLimiter) Retain(keep func(azurestair.OperationName) bool) {
+	maps.DeleteFunc(l.sizes, func(o azurestair.OperationName, _ float64) bool { return !keep(o) })
+}
+
 // Observe updates the expected size of the operation with the bytes that a
 // request's body and its response took. One response at most doubles it, so that
 // no single one closes the link to all others.
--- a/instance/entry.go
+++ b/instance/entry.go
@@ -63,6 +63,9 @@
 	splitters   map[azurestair.RouteName]*routing.Splitter
 	homeTracker lookup.HomeRegionTracker
 
+	// routesOf is the configuration whose routes are kept. Only update uses it.
+	routesOf *azurestair.Config
+
 	// processes holds the incarnation that the last snapshot listed at each
 	// address of an upstream. Only update uses it.
 	processes map[string]azurestair.Incarnation
@@ -103,10 +106,36 @@
 		d.update(s)
 	}
 	e.dispatchers.Store(&dispatchers)
+	e.forgetRoutes(s.Config)
 	e.limitConns(s)
 	e.retireConns(s)
 }
 
+// forgetRoutes forgets what is kept of routes, hosts and operations that the
+// configuration does not have.
+func (e *Entry) forgetRoutes(cfg *azurestair.Config) {
+	if cfg == e.routesOf {
+		return
+	}
+	e.routesOf = cfg
+	routes, hosts, operations := map[azurestair.RouteName]bool{}, map[string]bool{}, map[azurestair.OperationName]bool{}
+	for _, r := range cfg.Routes {
+		routes[r.Name], hosts[r.Host], operations[r.Operation().Name] = true, true, true
+	}
+	for _, s := range cfg.Services {
+		for _, o := range s.Operations {
+			operations[o.Name] = true
+		}
+	}
+	e.splitMu.Lock()
+	maps.DeleteFunc(e.splitters, func(n azurestair.RouteName, _ *routing.Splitter) bool { return !routes[n] })
+	e.homeTracker.Retain(func(host string) bool { return hosts[host] })
+	e.splitMu.Unlock()
+	e.linkMu.Lock()
+	e.ownLink.Retain(func(o azurestair.OperationName) bool { return operations[o] })
+	e.linkMu.Unlock()
+}
+
 // refreshConfirmations tells the pickers that the leader has confirmed the
 // current snapshot. Its upstreams then stay confirmed.
 func (e *Entry) refreshConfirmations(s *azurestair.Snapshot) {
--- a/instance/removedservices_test.go
+++ b/instance/removedservices_test.go
@@ -90,6 +90,17 @@
 		}}}, func(*dispatcher) {}, func(*dispatcher) {}),
 	)
 
+	// Guards against memory that grows with each name of a route.
+	ginkgo.It("forgets the routes that it does not have any more", func() {
+		for v := 2; v < 10; v++ {
+			s := routedSnapshot("", azurestair.ConfigVersion(v))
+			s.Config.Routes[0].Name = azurestair.RouteName(fmt.Sprintf("read-%d", v))
+			m.entry.update(s)
+			Expect(m.entry.nextRouteService(&s.Config.Routes[0])).To(BeEquivalentTo("shop"))
+			Expect(m.entry.splitters).To(HaveLen(1))
+		}
+	})
+
 	// Guards against a configuration that is accepted although its entries can't
 	// report the budgets that it needs.
 	ginkgo.It("reports the budgets of the largest configuration", func() {
--- a/lookup/homes.go
+++ b/lookup/homes.go
@@ -1,6 +1,7 @@
 package lookup
 
 import (
+	"maps"
 	"slices"
 
 	"azurestair.example/azurestair"
@@ -48,6 +49,11 @@
 	}
 }
 
+// Retain forgets the hosts for which keep returns false.
+func (t *HomeRegionTracker) Retain(keep func(host string) bool) {
+	maps.DeleteFunc(t.hosts, func(host string, _ *hostCount) bool { return !keep(host) })
+}
+
 // IsHomeBound reports whether callers of the host should be kept in their
 // region. This is the case if the host has routes with home regions, and these
 // routes get at least minHomeBoundShare of its requests or too few requests
