Log that an upstream has become cold

Entries now log "upstream has become cold" with the time that remains, if a listing makes it longer than was known.

--- a/instance/dispatcher.go
+++ b/instance/dispatcher.go
@@ -407,7 +407,8 @@
 	d.logEvents()
 }
 
-// logEvents logs upstream ejections, recoveries and restarts. The caller holds mu.
+// logEvents logs upstream ejections, recoveries, restarts and cold times. The caller
+// holds mu.
 func (d *dispatcher) logEvents() {
 	p, ok := d.picker.(*placement.Picker)
 	if !ok || d.log == nil {
@@ -419,6 +420,10 @@
 				"coldMs", r.ColdMs, "recentRequests", r.RecentRequests, "quota", r.Quota)
 			continue
 		}
+		if !e.ColdUntil.IsZero() {
+			d.log.Info("upstream has become cold", "upstream", e.Upstream, "coldMs", e.ColdUntil.Sub(d.clock.Now()).Milliseconds())
+			continue
+		}
 		if e.Suspected {
 			d.log.Info("upstream may have started again", "upstream", e.Upstream)
 			continue
--- a/placement/coldtime_test.go
+++ b/placement/coldtime_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"azurestair.example/azurestair"
+	"azurestair.example/azurestair/placement"
 )
 
 // coldListing is how a snapshot lists an upstream.
@@ -53,3 +54,16 @@
 	Entry("not earlier by the list of a new leader", 3*time.Second, coldListing{0, 2, 3000, false}, coldListing{time.Second, 0, 500, true}),
 	Entry("later by the list of a new leader", 4*time.Second, coldListing{0, 2, 3000, false}, coldListing{time.Second, 0, 3000, true}),
 )
+
+// Guards against a cold time that no log line of the entries shows.
+var _ = It("a cold time of a known process is reported", func() {
+	h := newHarness(1, "huye", upstreams("huye", 1)...)
+	h.pickers[0].Events()
+	h.now = h.now.Add(time.Second)
+	a := upstreams("huye", 1)[0]
+	a.Sequence, a.ColdMs = 2, 3000
+	for range 2 {
+		h.set(a)
+	}
+	Expect(h.pickers[0].Events()).To(Equal([]placement.Event{{Upstream: a.Upstream, ColdUntil: h.now.Add(3 * time.Second)}}))
+})
--- a/placement/event.go
+++ b/placement/event.go
@@ -31,13 +31,16 @@
 	RecentRequests, Quota int
 }
 
-// Event reports the ejection, the return or the restart of an upstream, or that
-// a restart is suspected.
+// Event reports the ejection, the return or the restart of an upstream, that a
+// restart is suspected, or that a known process has become cold.
 type Event struct {
 	Upstream azurestair.UpstreamID
 	// Restart is set if the upstream has started again under its id; the other
 	// fields are then not set.
 	Restart *Restart
+	// ColdUntil is set if the upstream has become cold, or is cold for longer than
+	// was known; the other fields are then not set.
+	ColdUntil time.Time
 	// Suspected is true if connections have failed and the upstream may be
 	// another process now, which the entry sends no more than its part of what
 	// a cold one tolerates; the other fields are then not set.
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -122,7 +122,9 @@
 		listed[a.Upstream] = true
 		earlier := p.byID[a.Upstream]
 		u := p.upstreamFor(a, now)
-		u.updateColdTime(info, now)
+		if u.updateColdTime(info, now) && u == earlier {
+			p.addEvent(Event{Upstream: a.Upstream, ColdUntil: u.cold.until})
+		}
 		a = u.announcement
 		u.cold.quota = coldQuota(u.seed, self, entries, service.ColdPerSecond)
 		u.cold.evenQuota = evenColdQuota(self, entries, service)
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -84,17 +84,20 @@
 
 // updateColdTime applies the cold time of a listing, which counts from the first
 // snapshot that contains it. A listing that no announcement has confirmed comes from
-// a new leader, which may not know how long the upstream is cold.
-func (u *upstream) updateColdTime(info azurestair.UpstreamInfo, now time.Time) {
+// a new leader, which may not know how long the upstream is cold. It reports whether
+// the upstream is cold for longer than was known.
+func (u *upstream) updateColdTime(info azurestair.UpstreamInfo, now time.Time) bool {
 	a := info.Announcement
 	listed := listedColdTime{sequence: a.Sequence, left: a.ColdMs, confirmed: info.Confirmed}
 	if a.Incarnation != u.announcement.Incarnation || listed == u.coldTime {
-		return
+		return false
 	}
 	u.coldTime = listed
-	if end := a.ColdEnd(now); info.Confirmed || end.After(u.cold.until) {
+	end, before := a.ColdEnd(now), u.cold.until
+	if info.Confirmed || end.After(before) {
 		u.cold.until = end
 	}
+	return end.After(now) && end.Sub(before) > azurestair.ColdTolerance
 }
 
 // isPaused reports whether the upstream has asked for no requests.
