Apply departures that are listed under a known sequence

Callers would see (DRAIN, on the built-in interface): an upstream that said in a response that it leaves, or whose departure was recorded by another party, still gets requests from every entry that has not seen it say so.

The leader lists such a departure in the upstream's last announcement, whose sequence it keeps. The picker of leased budgets took a listing with a known sequence for known.

The picker that the platform uses takes the state of each listing.

Change: a listing with the known incarnation and sequence and another state than serving is applied. Not seen with real processes.

--- a/routing/update.go
+++ b/routing/update.go
@@ -83,7 +83,7 @@
 	if isNew {
 		p.resetProcess(u, a, now)
 	}
-	if isNew || a.IsNewerThan(u.announcement) {
+	if isNew || a.IsNewerThan(u.announcement) || isListedDeparture(u.announcement, a) {
 		u.announcement = a
 		u.setState(a.State, now)
 		u.reportedLoad, u.reportedAt = reportedLoad(a), now
@@ -94,6 +94,13 @@
 	return nil
 }
 
+// isListedDeparture reports whether a listing ends new work for the upstream that is
+// known by the announcement. The leader lists a departure that another party has
+// reported under the sequence of the upstream's last announcement.
+func isListedDeparture(known, listed azurestair.Announcement) bool {
+	return listed.Incarnation == known.Incarnation && listed.Sequence == known.Sequence && listed.State != azurestair.StateServing
+}
+
 // resetProcess prepares the upstream for a new process. The slots of all attempts
 // to the earlier one are released, because the new one does not process them. They
 // may last until their deadlines if nothing has closed their connections.
