Bound the cold time that is sent on

Evidence: the new row of the test failed before with "coldMs = 600230; allowed 0 to 600000". Change: the remaining time is bounded when it is set.

--- a/instance/coldtime_test.go
+++ b/instance/coldtime_test.go
@@ -127,6 +127,7 @@
 	}
 },
 	ginkgo.Entry("once", time.Duration(0), seconds(0, 3)),
+	ginkgo.Entry("once, for the longest time allowed", time.Duration(0), coldPeriod{length: azurestair.MaxTimeoutMs.Duration()}),
 	ginkgo.Entry("again before the end, for as long", time.Duration(0), seconds(0, 3), seconds(2.5, 3)),
 	ginkgo.Entry("again before the end, for less", time.Duration(0), seconds(0, 3), seconds(2.5, 1.5)),
 	ginkgo.Entry("again before the end, for longer", time.Duration(0), seconds(0, 3), seconds(2.5, 5)),
--- a/upstream.go
+++ b/upstream.go
@@ -128,7 +128,7 @@
 // upstream stays announced as cold after the end, until it says that it is warm.
 func (a Announcement) WithColdEnd(end, now time.Time) Announcement {
 	if a.ColdMs > 0 && !end.IsZero() {
-		a.ColdMs = max(MillisOf(end.Sub(now)), 1)
+		a.ColdMs = min(max(MillisOf(end.Sub(now)), 1), MaxTimeoutMs)
 	}
 	return a
 }
