Count traffic anew when the counters of a service begin anew

The difference of the counters is then below zero, which as an unsigned number is above the bound of a rate.

Evidence: found when reading the change again; the new test failed before with a rate above the bound. Change: a counter that is less than before counts from zero.

--- a/control/plan_test.go
+++ b/control/plan_test.go
@@ -289,6 +289,19 @@
 		Expect(float64(got[0].MeanSlots)).To(BeNumerically("~", 30, 0.5), "100 a second of 0.3 s")
 	})
 
+	// Guards against reports that a leader refuses, because the counters of a
+	// service that was removed and added again begin anew.
+	It("is not negative when counters begin anew", func() {
+		var m control.TrafficMeter
+		for s, n := range []uint64{100, 200, 3} {
+			counts := control.TrafficCount{Requests: n, Finished: n, BusyTime: time.Duration(n) * time.Second}
+			got := m.Rates(map[azurestair.ServiceName]control.TrafficCount{"desk": counts}, at(1000*(s+1)))
+			for _, t := range got {
+				Expect(t.Validate()).To(Succeed())
+			}
+		}
+	})
+
 	// Guards against a plan that is based only on the entries that report first
 	// to a new leader.
 	It("is unknown to a new leader until all entries have reported", func() {
--- a/control/traffic.go
+++ b/control/traffic.go
@@ -58,6 +58,10 @@
 	rates := map[azurestair.ServiceName]trafficRates{}
 	for s, c := range counts {
 		last, r := m.counts[s], m.rates[s]
+		if c.Requests < last.Requests || c.Finished < last.Finished {
+			// The service was removed and added again.
+			last = TrafficCount{}
+		}
 		smooth := func(rate *float64, events float64) { *rate += gain * (events/elapsed.Seconds() - *rate) }
 		smooth(&r.requests, float64(c.Requests-last.Requests))
 		smooth(&r.finished, float64(c.Finished-last.Finished))
