Let instances that have left make room in the registry

Callers would see: an instance whose every report is refused, and with it what it announces, while others that have left are remembered for 30 s.

Upstreams make room in this case, instances did not. Evidence: found by reading; the addition to the test of the bounds failed before with "the registry already holds 1 instances". Change: the record of an instance that has left is dropped for a new one. Not seen with real processes.

--- a/control/registry.go
+++ b/control/registry.go
@@ -267,9 +267,8 @@
 	}
 	rec := r.instances[info.ID]
 	if rec == nil {
-		limit := valueOrDefault(r.MaxInstances, DefaultMaxInstances)
-		if len(r.instances) >= limit {
-			return fmt.Errorf("%w: the registry already holds %d instances", azurestair.ErrFull, limit)
+		if err := r.ensureInstanceCapacity(); err != nil {
+			return err
 		}
 		rec = &instanceRecord{}
 		r.instances[info.ID] = rec
@@ -290,6 +289,22 @@
 	return nil
 }
 
+// ensureInstanceCapacity makes sure that an instance record can be added. It removes
+// one of an instance that has left if necessary.
+func (r *Registry) ensureInstanceCapacity() error {
+	limit := valueOrDefault(r.MaxInstances, DefaultMaxInstances)
+	if len(r.instances) < limit {
+		return nil
+	}
+	for id, rec := range r.instances {
+		if !rec.listed {
+			delete(r.instances, id)
+			return nil
+		}
+	}
+	return fmt.Errorf("%w: the registry already holds %d instances", azurestair.ErrFull, limit)
+}
+
 // sameInstance reports whether two descriptions differ at most in the
 // configuration version in effect, which every instance reports after a
 // configuration change.
--- a/control/registry_test.go
+++ b/control/registry_test.go
@@ -177,6 +177,8 @@
 		Expect(hasReported).To(BeTrue())
 		Expect(reportedAt).To(Equal(at(0)))
 		Expect(r.UpdateInstance(entry(2), at(0))).To(MatchError(azurestair.ErrFull))
+		r.RemoveInstance(entry(1).ID, at(0))
+		Expect(r.UpdateInstance(entry(2), at(0))).To(Succeed(), "one that has left makes room")
 		expire(r, 35_000)
 		announce(r, 35_000, 3)
 		expectUpstreams(r, "003 serving")
