Move cold times and the dispatchers' life to files of their own

No change of behaviour. coldtime.go holds how a cold time is sent on and compared, instance/dispatchers.go when dispatchers are used and retired; what is kept of routes stands beside its use. A field of the picker no longer has the name of another one.

--- a/instance/entry.go
+++ b/instance/entry.go
@@ -111,31 +111,6 @@
 	e.retireConns(s)
 }
 
-// forgetRoutes forgets what is kept of routes, hosts and operations that the
-// configuration does not have.
-func (e *Entry) forgetRoutes(cfg *azurestair.Config) {
-	if cfg == e.routesOf {
-		return
-	}
-	e.routesOf = cfg
-	routes, hosts, operations := map[azurestair.RouteName]bool{}, map[string]bool{}, map[azurestair.OperationName]bool{}
-	for _, r := range cfg.Routes {
-		routes[r.Name], hosts[r.Host], operations[r.Operation().Name] = true, true, true
-	}
-	for _, s := range cfg.Services {
-		for _, o := range s.Operations {
-			operations[o.Name] = true
-		}
-	}
-	e.splitMu.Lock()
-	maps.DeleteFunc(e.splitters, func(n azurestair.RouteName, _ *routing.Splitter) bool { return !routes[n] })
-	e.homeTracker.Retain(func(host string) bool { return hosts[host] })
-	e.splitMu.Unlock()
-	e.linkMu.Lock()
-	e.ownLink.Retain(func(o azurestair.OperationName) bool { return operations[o] })
-	e.linkMu.Unlock()
-}
-
 // refreshConfirmations tells the pickers that the leader has confirmed the
 // current snapshot. Its upstreams then stay confirmed.
 func (e *Entry) refreshConfirmations(s *azurestair.Snapshot) {
@@ -177,30 +152,6 @@
 	e.processes = processes
 }
 
-// retireDispatchers ends the dispatchers of services that the configuration no
-// longer has, once their requests have ended. What a dispatcher knows of upstreams
-// is kept while these are listed, in case the service comes back.
-func (e *Entry) retireDispatchers() {
-	v, all := e.view.Load(), e.allDispatchers()
-	if v == nil || len(all) <= len(v.snapshot.Config.Services) {
-		return
-	}
-	unused := maps.Clone(all)
-	for _, s := range v.snapshot.Config.Services {
-		delete(unused, s.Name)
-	}
-	for _, u := range v.snapshot.Upstreams {
-		delete(unused, u.Announcement.Service)
-	}
-	maps.DeleteFunc(unused, func(_ azurestair.ServiceName, d *dispatcher) bool { return !d.retire() })
-	if len(unused) == 0 {
-		return
-	}
-	kept := maps.Clone(all)
-	maps.DeleteFunc(kept, func(name azurestair.ServiceName, _ *dispatcher) bool { return unused[name] != nil })
-	e.dispatchers.Store(&kept)
-}
-
 // tick adjusts the slots to leases that have expired, retires dispatchers and
 // probes upstreams. now is a time of the lease clock.
 func (e *Entry) tick(now time.Time) {
@@ -233,26 +184,6 @@
 	}
 }
 
-func (e *Entry) allDispatchers() map[azurestair.ServiceName]*dispatcher {
-	if dispatchers := e.dispatchers.Load(); dispatchers != nil {
-		return *dispatchers
-	}
-	return nil
-}
-
-// configuredDispatchers returns the dispatchers of the services of a
-// configuration, without those that only finish earlier requests. Its size, and
-// that of what is reported for each of them, is bounded by the configuration.
-func (e *Entry) configuredDispatchers(cfg *azurestair.Config) map[azurestair.ServiceName]*dispatcher {
-	all, out := e.allDispatchers(), make(map[azurestair.ServiceName]*dispatcher, len(cfg.Services))
-	for _, s := range cfg.Services {
-		if d, ok := all[s.Name]; ok {
-			out[s.Name] = d
-		}
-	}
-	return out
-}
-
 // confirmState records the state that an upstream announced.
 func (e *Entry) confirmState(a azurestair.Announcement) {
 	if d, ok := e.allDispatchers()[a.Service]; ok {
--- a/instance/serve.go
+++ b/instance/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -172,6 +173,31 @@
 	return s.Next(r.Services)
 }
 
+// forgetRoutes forgets what is kept of routes, hosts and operations that the
+// configuration does not have.
+func (e *Entry) forgetRoutes(cfg *azurestair.Config) {
+	if cfg == e.routesOf {
+		return
+	}
+	e.routesOf = cfg
+	routes, hosts, operations := map[azurestair.RouteName]bool{}, map[string]bool{}, map[azurestair.OperationName]bool{}
+	for _, r := range cfg.Routes {
+		routes[r.Name], hosts[r.Host], operations[r.Operation().Name] = true, true, true
+	}
+	for _, s := range cfg.Services {
+		for _, o := range s.Operations {
+			operations[o.Name] = true
+		}
+	}
+	e.splitMu.Lock()
+	maps.DeleteFunc(e.splitters, func(n azurestair.RouteName, _ *routing.Splitter) bool { return !routes[n] })
+	e.homeTracker.Retain(func(host string) bool { return hosts[host] })
+	e.splitMu.Unlock()
+	e.linkMu.Lock()
+	e.ownLink.Retain(func(o azurestair.OperationName) bool { return operations[o] })
+	e.linkMu.Unlock()
+}
+
 // isRouted reports whether the request matched a route.
 func (c *call) isRouted() bool { return c.route != nil }
 
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -50,8 +50,8 @@
 
 	health health
 	cold   coldLimiter
-	// coldTime is the cold time of the last listing.
-	coldTime listedColdTime
+	// listedCold is the cold time of the last listing.
+	listedCold listedColdTime
 
 	// listed is true if the last snapshot lists the upstream.
 	listed bool
@@ -89,10 +89,10 @@
 func (u *upstream) updateColdTime(info azurestair.UpstreamInfo, now time.Time) bool {
 	a := info.Announcement
 	listed := listedColdTime{sequence: a.Sequence, left: a.ColdMs, confirmed: info.Confirmed}
-	if a.Incarnation != u.announcement.Incarnation || listed == u.coldTime {
+	if a.Incarnation != u.announcement.Incarnation || listed == u.listedCold {
 		return false
 	}
-	u.coldTime = listed
+	u.listedCold = listed
 	end, before := a.ColdEnd(now), u.cold.until
 	if info.Confirmed || end.After(before) {
 		u.cold.until = end
