Wait for the answer instead of sleeping in its test

The test of an answer that outlasts its request's body slept before the rest of the answer. It now holds the rest back until the read has stayed open, or has ended, so that the second row no longer passes by chance of timing.

--- a/instance/removedservices_test.go
+++ b/instance/removedservices_test.go
@@ -40,14 +40,6 @@
 	return overWire(m.exchange(azurestair.ReportReply{Term: 1, ControlTTLMs: controlTTL}))
 }
 
-func (m *memberFixture) dispatcherNames() map[azurestair.ServiceName]bool {
-	out := map[azurestair.ServiceName]bool{}
-	for name := range m.entry.allDispatchers() {
-		out[name] = true
-	}
-	return out
-}
-
 // Guards against an entry whose reports are all refused, so that it follows no
 // configuration any more, because it reports each service that it has ever had.
 var _ = ginkgo.Describe("an entry whose services come and go", func() {
@@ -62,7 +54,7 @@
 			q := m.applyServices(v, routed, nil, serviceNames(v)...)
 			Expect(len(q.Traffic)).To(BeNumerically("<=", 2))
 			Expect(m.snapshot.ConfigVersion()).To(BeEquivalentTo(v))
-			Expect(m.dispatcherNames()).To(HaveLen(2))
+			Expect(m.entry.allDispatchers()).To(HaveLen(2))
 		}
 	},
 		ginkgo.Entry("with leased budgets", false),
@@ -79,7 +71,7 @@
 			Expect(m.entry.allDispatchers()["desk"]).To(BeIdenticalTo(d))
 			end(d)
 			m.applyServices(4, true, nil, "pay")
-			Expect(m.dispatcherNames()).To(HaveLen(1))
+			Expect(m.entry.allDispatchers()).To(HaveLen(1))
 			Expect(d.beginRequest()).To(BeFalse())
 		},
 		ginkgo.Entry("until its requests have ended", nil,
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -380,12 +380,11 @@
 	// Guards against an answer in progress that is broken off because the time for
 	// the request body is over.
 	DescribeTable("whose body breaks off after the answer has begun", func(bodyErr error, isKept bool) {
-		broken := make(chan struct{})
+		broken, rest, result := make(chan struct{}), make(chan struct{}), make(chan string, 1)
 		f := newFakeUpstream(func(c serverConn, r *http.Request) bool {
 			head := "HTTP/1.1 200 OK\r\n" + requestIDHeader + "Content-Length: 4\r\n\r\nhi"
 			_, _ = io.WriteString(c, strings.ReplaceAll(head, "ID", r.Header.Get(upstream.HeaderAttemptID)))
-			<-broken
-			time.Sleep(short)
+			<-rest
 			_, _ = io.WriteString(c, "ho")
 			return false
 		})
@@ -397,8 +396,19 @@
 		}}, long))
 		Expect(err).NotTo(HaveOccurred())
 		close(answered)
-		data, err := io.ReadAll(resp.Body)
-		Expect(err == nil && string(data) == "hiho").To(Equal(isKept), "got %q, %v", data, err)
+		go func() {
+			data, err := io.ReadAll(resp.Body)
+			result <- fmt.Sprint(string(data), " ", err != nil)
+		}()
+		<-broken
+		if isKept {
+			Consistently(result, short).ShouldNot(Receive())
+			close(rest)
+			Eventually(result, long).Should(Receive(Equal("hiho false")))
+		} else {
+			Eventually(result, long).Should(Receive(Equal("hi true")))
+			close(rest)
+		}
 		Expect(resp.Body.Close()).To(Succeed())
 	},
 		Entry("get the rest if the caller has stalled", os.ErrDeadlineExceeded, true),
